Have a few gateways pass weights on; loaders only take them

Ruled out: waiting between offers (the tree of pushes took as long). Change: a tree of gateways, one per four loaders in a data centre; the first in the origin's data centre draws, one in each other takes a copy across, loaders get chunks one at a time. A member that gets nothing for 1.5 s asks neighbours and the origin as before.

--- a/banyanshore/conf/settings.py
+++ b/banyanshore/conf/settings.py
@@ -414,6 +414,7 @@
     )
     retries: RetrySettings = setting("Retries.", RetrySettings)
     cold_start: ColdStartSettings = setting("Cold targets.", ColdStartSettings)
+    weights: WeightsSettings = setting("Weights passed on.", WeightsSettings)
     transport: TransportSettings = setting("Peer connections.", TransportSettings)
 
 
--- a/banyanshore/daemon/__main__.py
+++ b/banyanshore/daemon/__main__.py
@@ -94,13 +94,15 @@
 def _make_gateway(settings):
     from banyanshore.gateway.process import Gateway
     from banyanshore.platform.caller_dialect import PlatformDialect
+    from banyanshore.platform.origin import PlatformOrigin
 
-    return Gateway(settings, PlatformDialect())
+    return Gateway(settings, PlatformDialect(), PlatformOrigin)
 
 
 def _make_loader(settings):
     from banyanshore.loader.process import Loader
-    from banyanshore.platform.engine import PlatformEngine, PlatformOrigin
+    from banyanshore.platform.engine import PlatformEngine
+    from banyanshore.platform.origin import PlatformOrigin
 
     engine = PlatformEngine(settings.target_address)
     return Loader(settings, engine, PlatformOrigin)
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from banyanshore.gateway.relay import WeightsRelay
 from banyanshore.gateway.run import RequestRun
 from banyanshore.gateway.screening import Rejection, Screening
 from banyanshore.http.listener import Listener, ListenerLimits
@@ -19,7 +20,14 @@
 from banyanshore.state import StateHolder
 from banyanshore.telemetry.gateway import GatewayMetrics
 from banyanshore.telemetry.listener import serve_metrics
-from banyanshore.transport import LinkOptions, TableHandler, serve_peers
+from banyanshore.transport import LinkOptions, LinkPool, TableHandler, serve_peers
+from banyanshore.weights.messages import (
+    ChunkRequest,
+    HaveUpdate,
+    ManifestRequest,
+    PieceReceived,
+)
+from banyanshore.weights.relay_messages import ChunkPush
 
 logger = logging.getLogger(__name__)
 
@@ -39,9 +47,10 @@
 
     :param settings: the :class:`~banyanshore.conf.settings.GatewaySettings`.
     :param dialect: the :class:`~banyanshore.routing.caller_requests.CallerDialect`.
+    :param make_origin: callable given the address of the origin of weights.
     """
 
-    def __init__(self, settings, dialect):
+    def __init__(self, settings, dialect, make_origin):
         self.settings = settings
         self.dialect = dialect
         self.metrics = GatewayMetrics()
@@ -63,6 +72,7 @@
         )
         self.state.on_change.append(self._on_state)
         self._retry_share_by_service = {}
+        self.relay = WeightsRelay(self, make_origin)
 
     def _member(self):
         settings = self.settings
@@ -84,12 +94,16 @@
         self.front = Listener(self._handle, self._limits)
         self.ready = Listener(self._handle_ready)
         async with anyio.create_task_group() as tasks:
+            self.links = LinkPool(
+                tasks, self, self.settings.instance, self.link_options
+            )
             await tasks.start(self._serve_peers)
             await tasks.start(self.front.serve, self.settings.callers_bind)
             await tasks.start(self.ready.serve, self.settings.ready_bind)
             tasks.start_soon(self.link_options.ticker.run)
             tasks.start_soon(self.feed.run)
             tasks.start_soon(self._upkeep)
+            tasks.start_soon(self.relay.run)
             if self.settings.metrics_bind:
                 tasks.start_soon(
                     serve_metrics, self.settings.metrics_bind, self.metrics.registry
@@ -181,7 +195,35 @@
     async def _on_load_report(self, connection, report):
         self.board.record_report(time.monotonic(), report)
 
-    notice_by_type = MappingProxyType({LoadReport: _on_load_report})
+    async def _on_chunk_request(self, body, responder):
+        await self.relay.on_chunk_request(body, responder)
+
+    async def _on_push(self, body, responder):
+        await self.relay.on_push(body, responder)
+
+    async def _on_manifest(self, body, responder):
+        await self.relay.on_manifest(body, responder)
+
+    async def _on_have(self, connection, update):
+        await self.relay.on_have(connection, update)
+
+    async def _on_piece_received(self, connection, receipt):
+        await self.relay.on_piece_received(connection, receipt)
+
+    call_by_type = MappingProxyType(
+        {
+            ChunkPush: _on_push,
+            ChunkRequest: _on_chunk_request,
+            ManifestRequest: _on_manifest,
+        }
+    )
+    notice_by_type = MappingProxyType(
+        {
+            HaveUpdate: _on_have,
+            LoadReport: _on_load_report,
+            PieceReceived: _on_piece_received,
+        }
+    )
 
     async def _upkeep(self):
         while True:
--- /dev/null
+++ b/banyanshore/gateway/relay.py
@@ -0,0 +1,169 @@
+"""The part of a gateway that passes weights on to loaders."""
+
+import logging
+
+import anyio
+
+from banyanshore.state.views import ModelSpec
+from banyanshore.weights.chunks import MemoryChunkStore
+from banyanshore.weights.messages import (
+    Availability,
+    ChunkUnavailable,
+    ManifestReply,
+)
+from banyanshore.weights.relay import RelayedTransfer
+from banyanshore.weights.relay_messages import ChunkTaken
+from banyanshore.weights.relay_rosters import RelayRosters
+from banyanshore.weights.uploads import Uploads
+from banyanshore.weights.wanted import FIRST_VERSION, find_origin, find_wanted
+
+logger = logging.getLogger(__name__)
+
+FIRST_VERSION_TEXT = str(FIRST_VERSION)
+# Seconds between looks at what this gateway is to pass on.
+LOOK_INTERVAL = 0.1
+
+
+class GatewayTransfer(RelayedTransfer):
+    """A transfer at a gateway, which takes the first version from loaders.
+
+    They hold it when the deployment starts, and have nothing else to do then.
+    """
+
+    def _next_fetches(self, now):
+        if self.spec.version == FIRST_VERSION_TEXT:
+            self._refresh_children()
+            return self.planner.tick_exchange(now)
+        return super()._next_fetches(now)
+
+
+class WeightsRelay:
+    """Pass the weights of all services on, where this gateway is in their trees.
+
+    :param gateway: the :class:`~banyanshore.gateway.process.Gateway`.
+    :param make_origin: callable given the address of the origin.
+    """
+
+    def __init__(self, gateway, make_origin):
+        self._gateway = gateway
+        self._make_origin = make_origin
+        self._uploads = Uploads(gateway.settings, gateway.metrics)
+        self._rosters_by_service = {}
+        self._running_by_service = {}
+
+    async def run(self):
+        """Pass weights on until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self._look(tasks)
+                await anyio.sleep(LOOK_INTERVAL)
+
+    def _look(self, tasks):
+        gateway = self._gateway
+        wanted = find_wanted(gateway.state.desired, gateway.versions)
+        origin = find_origin(gateway.state.desired) or {}
+        for service, row in wanted.items():
+            rosters = self._rosters_by_service.get(service)
+            if rosters is None:
+                rosters = RelayRosters(gateway.registry, service)
+                self._rosters_by_service[service] = rosters
+            rosters.refresh(origin.get("data_centre", ""))
+            is_relay = rosters.tree.is_relay(gateway.settings.instance)
+            running = self._running_by_service.get(service)
+            if running is not None and (running.key != row.key or not is_relay):
+                self._running_by_service.pop(service).stop()
+                running = None
+            if running is None and is_relay:
+                self._start(tasks, row, rosters)
+        for service in self._running_by_service.keys() - wanted.keys():
+            self._running_by_service.pop(service).stop()
+
+    def _start(self, tasks, wanted, rosters):
+        running = RunningTransfer(wanted.key, self._make_transfer(wanted, rosters))
+        self._running_by_service[wanted.service] = running
+        logger.info(
+            "passing weights on",
+            extra={"model": wanted.model, "model_version": wanted.version},
+        )
+        tasks.start_soon(running.run)
+
+    def _make_transfer(self, wanted, rosters):
+        gateway = self._gateway
+        return GatewayTransfer(
+            self._find_origin,
+            wanted.chunk_bytes,
+            gateway.settings,
+            ModelSpec(wanted.model, str(wanted.version), "", "", ""),
+            MemoryChunkStore(),
+            None,
+            gateway.links,
+            rosters,
+            gateway.metrics,
+            self._uploads,
+            lambda service: True,
+        )
+
+    def _find_origin(self):
+        row = find_origin(self._gateway.state.desired)
+        return self._make_origin(row["address"]) if row else None
+
+    def _find(self, manifest_digest):
+        """Return the transfer of a manifest, or ``None``."""
+        for running in self._running_by_service.values():
+            manifest = running.transfer.manifest
+            if manifest is not None and manifest.digest == manifest_digest:
+                return running.transfer
+        return None
+
+    async def on_chunk_request(self, body, responder):
+        """Send a chunk that was asked for."""
+        transfer = self._find(body.manifest_digest)
+        if transfer is None:
+            await responder.finish(ChunkUnavailable(Availability.MISSING))
+            return
+        await transfer.handle_chunk_request(body, responder)
+
+    async def on_push(self, body, responder):
+        """Take a chunk."""
+        transfer = self._find(body.manifest_digest)
+        taken = await transfer.handle_push(body) if transfer else ChunkTaken(False)
+        await responder.finish(taken)
+
+    async def on_manifest(self, body, responder):
+        """Send a manifest that was asked for."""
+        contents = [
+            running.transfer.manifest_content(body.manifest_digest)
+            for running in self._running_by_service.values()
+        ]
+        await responder.finish(ManifestReply(next(filter(None, contents), b"")))
+
+    async def on_have(self, connection, update):
+        """Take what a neighbour or child has."""
+        transfer = self._find(update.manifest_digest)
+        if transfer is not None:
+            transfer.handle_have(connection.peer, update)
+
+    async def on_piece_received(self, connection, receipt):
+        """Take note of how long a piece took."""
+        self._uploads.record_received(connection.peer, receipt)
+
+
+class RunningTransfer:
+    """A transfer and the scope that it runs in.
+
+    :param key: model and version.
+    """
+
+    def __init__(self, key, transfer):
+        self.key = key
+        self.transfer = transfer
+        self._scope = anyio.CancelScope()
+
+    async def run(self):
+        """Run until stopped."""
+        with self._scope:
+            await self.transfer.run()
+
+    def stop(self):
+        """End the transfer."""
+        self._scope.cancel()
--- a/banyanshore/loader/decisions.py
+++ b/banyanshore/loader/decisions.py
@@ -23,7 +23,7 @@
 class Situation:
     """What is known when the loader looks.
 
-    :param report: the :class:`~banyanshore.loader.engines.EngineReport`, or ``None``
+    :param report: the :class:`~banyanshore.weights.staged.EngineReport`, or ``None``
         if there is no target.
     :param layers: layers of the model.
     :param version: version that the target is to serve.
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -2,22 +2,19 @@
 
 import logging
 import time
-from dataclasses import dataclass
 from types import MappingProxyType
 
 import anyio
 
 from banyanshore.loader.decisions import Action, Situation, next_action, turn_delay
-from banyanshore.loader.engines import OrderOutcome, StagedEngineError
 from banyanshore.loader.transfer import StagedTransfer
 from banyanshore.membership.feed import FeedClient, MemberRow, Registry
 from banyanshore.membership.load_reports import LoadReport
-from banyanshore.membership.messages import Roster, RosterRow
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.state import StateHolder
 from banyanshore.state.views import ModelSpec
 from banyanshore.telemetry.listener import serve_metrics
-from banyanshore.telemetry.metrics import AgentMetrics
+from banyanshore.telemetry.weights import LoaderMetrics
 from banyanshore.transport import LinkOptions, LinkPool, TableHandler, serve_peers
 from banyanshore.weights.chunks import MemoryChunkStore
 from banyanshore.weights.messages import (
@@ -29,91 +26,42 @@
     ManifestRequest,
     PieceReceived,
 )
-from banyanshore.weights.push import ChunkPush, ChunkTaken
+from banyanshore.weights.relay_messages import ChunkPush, ChunkTaken
+from banyanshore.weights.relay_rosters import (
+    GATEWAY_ROLE,
+    LOADER_ROLE,
+    RelayRosters,
+)
+from banyanshore.weights.staged import OrderOutcome, StagedEngineError
 from banyanshore.weights.uploads import Uploads
+from banyanshore.weights.wanted import find_origin, find_wanted
 
 logger = logging.getLogger(__name__)
 
-LOADER_ROLE = "loader"
-GATEWAY_ROLE = "gateway"
 # Seconds between reports of a load that doesn't change.
 IDLE_REPORT_SECONDS = 1.0
 # Seconds between a report that the target is about to load and the order, in which the
 # gateways hear of it.
 NOTICE_SECONDS = 0.08
-# Version of the weights that is served before any is named.
-FIRST_VERSION = 1
 # Seconds before an order that had no effect is looked at again.
 ORDER_RETRY_SECONDS = 0.5
 
 
-@dataclass(frozen=True)
-class Wanted:
-    """What the target is to serve.
-
-    :param heard_at: monotonic time at which the version was heard of.
-    """
-
-    model: str
-    version: int
-    layers: int
-    chunk_bytes: int
-    heard_at: float
-
-
-class LoaderRosters:
-    """The loaders of one service, as the transfer wants them.
-
-    :param service: service whose loaders exchange weights.
-    """
-
-    def __init__(self, registry, service):
-        self._registry = registry
-        self._service = service
-        self.by_data_centre = {}
-        self.digest = 0
-
-    def refresh(self):
-        """Take the rows that are known now."""
-        rows_by_data_centre = {}
-        for row in self._registry.members_of(LOADER_ROLE):
-            if row.service == self._service:
-                rows = rows_by_data_centre.setdefault(row.data_centre, [])
-                rows.append(
-                    RosterRow(row.instance, row.region, row.service, row.address)
-                )
-        self.by_data_centre = {
-            name: Roster(name, tuple(sorted(rows, key=lambda row: row.instance)), 0)
-            for name, rows in rows_by_data_centre.items()
-        }
-        self.digest = hash(
-            frozenset(row for rows in rows_by_data_centre.values() for row in rows)
-        )
-
-    def instances(self):
-        """Return the names of all loaders."""
-        return {
-            row.instance
-            for roster in self.by_data_centre.values()
-            for row in roster.rows
-        }
-
-
 class Loader(TableHandler):
     """Everything that runs in one target's slot.
 
     :param settings: the :class:`~banyanshore.conf.settings.LoaderSettings`.
-    :param engine: the :class:`~banyanshore.loader.engines.StagedEngine`.
+    :param engine: the :class:`~banyanshore.weights.staged.StagedEngine`.
     :param make_origin: callable given the address of the origin.
     """
 
     def __init__(self, settings, engine, make_origin):
         self.settings = settings
         self.engine = engine
-        self.metrics = AgentMetrics()
+        self.metrics = LoaderMetrics()
         self.state = StateHolder()
         self.registry = Registry()
-        self.rosters = LoaderRosters(self.registry, settings.service)
+        self.rosters = RelayRosters(self.registry, settings.service)
         self.versions = VersionSwitch(settings.version_switch_seconds)
         self.uploads = Uploads(settings, self.metrics)
         self.store = MemoryChunkStore()
@@ -139,7 +87,7 @@
         self.feed = FeedClient(
             settings, member, self.state, self.registry, self.link_options
         )
-        self.feed.on_rows.append(lambda news: self.rosters.refresh())
+        self.feed.on_rows.append(lambda news: self._refresh_rosters())
         self.state.on_change.append(self._on_state)
 
     async def run(self, stop_requested, force_requested):
@@ -177,42 +125,30 @@
 
     def _on_state(self, desired):
         self.versions.record(time.monotonic(), desired.document["rollouts"])
+        self._refresh_rosters()
         changed, self._wanted_changed = self._wanted_changed, anyio.Event()
         changed.set()
 
+    def _refresh_rosters(self):
+        origin = find_origin(self.state.desired) or {}
+        self.rosters.refresh(origin.get("data_centre", ""))
+
     def wanted(self):
         """Return the :class:`Wanted` version, or ``None`` if there is none."""
-        desired = self.state.desired
-        engine = desired and (desired.service(self.settings.service) or {}).get(
-            "engine"
-        )
-        if not engine or not engine.get("models"):
-            return None
-        model = engine["models"][0]["name"]
-        version = max(FIRST_VERSION, self.versions.newest(model))
-        return Wanted(
-            model,
-            version,
-            engine.get("layers", 0),
-            engine.get("chunk_bytes", 0),
-            self.versions.heard_at(model),
-        )
+        wanted = find_wanted(self.state.desired, self.versions)
+        return wanted.get(self.settings.service)
 
     def find_origin(self):
         """Return the origin that the state names, or ``None``."""
-        desired = self.state.desired
-        services = desired.document["services"] if desired else {}
-        for row in services.values():
-            if row["kind"] == "origin":
-                return self._make_origin(row["address"])
-        return None
+        row = find_origin(self.state.desired)
+        return self._make_origin(row["address"]) if row else None
 
     async def _transfer_forever(self):
         """Run the transfer of the version that is wanted."""
         while True:
             changed = self._wanted_changed
             wanted = self.wanted()
-            if wanted is None or not wanted.chunk_bytes:
+            if wanted is None:
                 await changed.wait()
                 continue
             if self.report is None and self.transfer is None:
@@ -233,10 +169,7 @@
 
     def _is_wanted(self, wanted):
         now = self.wanted()
-        return now is not None and (now.model, now.version) == (
-            wanted.model,
-            wanted.version,
-        )
+        return now is not None and now.key == wanted.key
 
     def _make_transfer(self, wanted):
         spec = ModelSpec(wanted.model, str(wanted.version), "", "", "")
@@ -244,7 +177,6 @@
             self.engine,
             self.find_origin,
             wanted.chunk_bytes,
-            self.transfer is not None,
             self.settings,
             spec,
             self.store,
@@ -328,7 +260,7 @@
 
     def _may_load_at(self, wanted, transfer):
         delay = turn_delay(
-            self.settings.instance, self.rosters.instances(), wanted.version
+            self.settings.instance, self.rosters.loaders(), wanted.version
         )
         return transfer.completed_at + delay
 
@@ -383,7 +315,7 @@
 
     async def _on_push(self, body, responder):
         if self.transfer is None:
-            await responder.finish(ChunkTaken(False, may_repeat=True))
+            await responder.finish(ChunkTaken(False))
             return
         await responder.finish(await self.transfer.handle_push(body))
 
--- a/banyanshore/platform/declaration.py
+++ b/banyanshore/platform/declaration.py
@@ -112,6 +112,7 @@
         row = {
             "kind": "origin",
             "address": reader.text("upstream"),
+            "data_centre": reader.text("zone", None),
             "bytes_per_second": _bytes_per_second(reader.number("linkMbps", None)),
             "max_connections": reader.whole("maxConns", None),
         }
--- a/banyanshore/platform/engine.py
+++ b/banyanshore/platform/engine.py
@@ -1,28 +1,23 @@
-"""The calls to a target on this machine, and to the origin of weights."""
+"""The calls to a target on this machine."""
 
 import json
 from urllib.parse import quote
 
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.http.upstream import HttpSession, OutgoingRequest, fetch
-from banyanshore.loader.engines import (
+from banyanshore.platform.registration import decode_layers
+from banyanshore.platform.values import DecodeError, Reader, parse_object
+from banyanshore.weights.staged import (
     EngineReport,
     OrderOutcome,
     StagedEngine,
     StagedEngineError,
-    StagedOrigin,
 )
-from banyanshore.platform.registration import decode_layers
-from banyanshore.platform.values import DecodeError, Reader, parse_object
-from banyanshore.weights.exceptions import OriginError
 
 # Seconds for a call to the target on this machine, which answers within milliseconds.
 CALL_SECONDS = 1.0
-# Seconds for a chunk from the origin, shared by all that draw from it.
-ORIGIN_SECONDS = 4.0
 MAX_REPORT_BYTES = 256 * 1024
 MAX_CHUNK_BYTES = 64 * 1024 * 1024
-_HEX_DIGEST_CHARACTERS = 64
 _OUTCOME_BY_STATUS = {
     200: OrderOutcome.IN_EFFECT,
     202: OrderOutcome.BEGUN,
@@ -79,7 +74,7 @@
         """Order the engine to load what is staged, after what runs there."""
         order = {"operation": "start", "model": model, "version": version}
         body = json.dumps({**order, "mode": "queue"}).encode()
-        request = _make_request(self._address, b"POST", "/api/order", body)
+        request = make_request(self._address, b"POST", "/api/order", body)
         # On a connection of its own: an order must not be sent twice unnoticed.
         status, answer = await self._send(
             "load", fetch(self._address, request, MAX_REPORT_BYTES, CALL_SECONDS)
@@ -96,7 +91,7 @@
         return answer
 
     async def _request(self, step, method, path, body=b""):
-        request = _make_request(self._address, method, path, body)
+        request = make_request(self._address, method, path, body)
         return await self._send(
             step, self._session.fetch(request, MAX_CHUNK_BYTES, CALL_SECONDS)
         )
@@ -112,51 +107,7 @@
         return StagedEngineError(message, step=step, peer=self._address)
 
 
-class PlatformOrigin(StagedOrigin):
-    """The service that holds the weights."""
-
-    async def fetch_digests(self, model, version):
-        """Return the digests of the chunks in hexadecimal."""
-        path = f"/api/manifest/{quote(model)}?version={version}"
-        body = await self._fetch("fetch-digests", path, MAX_REPORT_BYTES)
-        try:
-            reader = Reader(parse_object(body))
-            digests = reader.texts("hashes")
-            told = reader.text("model"), reader.whole("version")
-        except DecodeError as error:
-            raise self._error("fetch-digests", error.message) from None
-        if told != (model, version):
-            raise self._error("fetch-digests", f"digests of {told}")
-        if not digests or not all(map(_is_digest, digests)):
-            raise self._error("fetch-digests", "digests that are none")
-        return tuple(digests)
-
-    async def fetch_chunk(self, model, version, index, size):
-        """Return the bytes of a chunk, unchecked."""
-        path = f"/api/piece/{quote(model)}?num={index}&version={version}"
-        return await self._fetch("fetch-chunk", path, size)
-
-    async def _fetch(self, step, path, max_bytes):
-        request = _make_request(self.address, b"GET", path)
-        try:
-            status, _, body = await fetch(
-                self.address, request, max_bytes, ORIGIN_SECONDS
-            )
-        except BanyanshoreError as error:
-            raise self._error(step, error.message) from None
-        if status != 200:
-            raise self._error(step, f"status {status}")
-        return body
-
-    def _error(self, step, message):
-        return OriginError(message, step=step, peer=self.address)
-
-
-def _make_request(address, method, path, body=b""):
+def make_request(address, method, path, body=b""):
+    """Return a request without headers but the host."""
     headers = ((b"host", address.encode()),)
     return OutgoingRequest(method, path.encode(), headers, body)
-
-
-def _is_digest(text):
-    is_hex = all(character in "0123456789abcdef" for character in text)
-    return len(text) == _HEX_DIGEST_CHARACTERS and is_hex
--- /dev/null
+++ b/banyanshore/platform/origin.py
@@ -0,0 +1,59 @@
+"""The calls to the origin of weights."""
+
+from urllib.parse import quote
+
+from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.http.upstream import fetch
+from banyanshore.platform.engine import MAX_REPORT_BYTES, make_request
+from banyanshore.platform.values import DecodeError, Reader, parse_object
+from banyanshore.weights.exceptions import OriginError
+from banyanshore.weights.staged import StagedOrigin
+
+# Seconds for a chunk from the origin, shared by all that draw from it.
+ORIGIN_SECONDS = 4.0
+_HEX_DIGEST_CHARACTERS = 64
+
+
+class PlatformOrigin(StagedOrigin):
+    """The service that holds the weights."""
+
+    async def fetch_digests(self, model, version):
+        """Return the digests of the chunks in hexadecimal."""
+        path = f"/api/manifest/{quote(model)}?version={version}"
+        body = await self._fetch("fetch-digests", path, MAX_REPORT_BYTES)
+        try:
+            reader = Reader(parse_object(body))
+            digests = reader.texts("hashes")
+            told = reader.text("model"), reader.whole("version")
+        except DecodeError as error:
+            raise self._error("fetch-digests", error.message) from None
+        if told != (model, version):
+            raise self._error("fetch-digests", f"digests of {told}")
+        if not digests or not all(map(_is_digest, digests)):
+            raise self._error("fetch-digests", "digests that are none")
+        return tuple(digests)
+
+    async def fetch_chunk(self, model, version, index, size):
+        """Return the bytes of a chunk, unchecked."""
+        path = f"/api/piece/{quote(model)}?num={index}&version={version}"
+        return await self._fetch("fetch-chunk", path, size)
+
+    async def _fetch(self, step, path, max_bytes):
+        request = make_request(self.address, b"GET", path)
+        try:
+            status, _, body = await fetch(
+                self.address, request, max_bytes, ORIGIN_SECONDS
+            )
+        except BanyanshoreError as error:
+            raise self._error(step, error.message) from None
+        if status != 200:
+            raise self._error(step, f"status {status}")
+        return body
+
+    def _error(self, step, message):
+        return OriginError(message, step=step, peer=self.address)
+
+
+def _is_digest(text):
+    is_hex = all(character in "0123456789abcdef" for character in text)
+    return len(text) == _HEX_DIGEST_CHARACTERS and is_hex
--- a/banyanshore/state/document.py
+++ b/banyanshore/state/document.py
@@ -83,6 +83,7 @@
     "engine": Field((dict,), "the cost model of the engine"),
     # Where weights come from.
     "address": Field(_TEXT, "HOST:PORT"),
+    "data_centre": Field(_TEXT, "a data centre"),
     "bytes_per_second": Field(_NUMBER, "bytes a second", minimum=0),
 }
 _IN_SERVICE_FIELDS = {
--- a/banyanshore/telemetry/gateway.py
+++ b/banyanshore/telemetry/gateway.py
@@ -2,14 +2,16 @@
 
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
+from banyanshore.telemetry.weights import WeightsMetrics
+
 _LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8)
 
 
-class GatewayMetrics:
+class GatewayMetrics(WeightsMetrics):
     """What a gateway counts."""
 
     def __init__(self):
-        self.registry = CollectorRegistry()
+        super().__init__(CollectorRegistry())
         self.requests = Counter(
             "banyanshore_gateway_requests_total",
             "Requests by service and outcome.",
--- a/banyanshore/weights/planner.py
+++ b/banyanshore/weights/planner.py
@@ -222,23 +222,29 @@
         return fetches
 
     def tick_draws(self, now):
-        """Return the draws to start now of what only this agent is to draw.
+        """Return the draws to start now of all that is missing.
 
-        All else is expected to be pushed here.
+        For the one agent that draws for all others.
         """
         drawing = sum(source == ORIGIN for source in self.in_flight.values())
         fetches = []
         for index, assignment in self._assignments.items():
             if drawing + len(fetches) >= self._options.max_origin_fetches:
                 break
-            role = assignment.role
-            is_own = role.rank == 0 and not role.upstream
-            if is_own and index not in self.in_flight and assignment.due_at <= now:
+            is_due = assignment.failures == 0 or assignment.due_at <= now
+            if index not in self.in_flight and is_due:
                 fetches.append(Fetch(index, ORIGIN))
         for fetch in fetches:
             self.in_flight[fetch.index] = fetch.source
         return fetches
 
+    def tick_exchange(self, now):
+        """Return the fetches to start now of what neighbours have."""
+        fetches = [] if self.is_complete else self._exchange(now)
+        for fetch in fetches:
+            self.in_flight[fetch.index] = fetch.source
+        return fetches
+
     def _bring(self, now):
         while self._due_heap and self._due_heap[0][0] <= now:
             index = heapq.heappop(self._due_heap)[1]
