Place requests where they are read first, and tell other gateways at once

Cause: two long prompts at one target make all that run there late; gateways counted requests, by reports that are 150 ms old. Change: a target's reading time is worked out from the cost model that its service publishes; each request is told to the gateways of both data centres as it is sent.

--- a/banyanshore/conf/settings.py
+++ b/banyanshore/conf/settings.py
@@ -438,6 +438,12 @@
         "Lowest level logged.", "info", choices=["debug", "info", "warning", "error"]
     )
     log_file: str = setting("File for the log; empty: standard output.", "")
+    target_wait_seconds: float = setting(
+        "Longest wait for the target at the start, which may hold the weights, before "
+        "they are fetched.",
+        0.5,
+        minimum=0.0,
+    )
     report_interval: float = setting(
         "Time between readings of the target's load.", 0.15, minimum=0.02
     )
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -13,8 +13,9 @@
 from banyanshore.http.listener import Listener, ListenerLimits
 from banyanshore.http.wire import PeerClosedError
 from banyanshore.membership.feed import FeedClient, MemberRow, Registry
-from banyanshore.membership.load_reports import LoadReport
+from banyanshore.membership.load_reports import LoadReport, PlacementNotice
 from banyanshore.routing.board import TargetBoard
+from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.shares import ColdShares, RetryShare
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.state import StateHolder
@@ -128,6 +129,32 @@
             self._retry_share_by_service[service] = share
         return share
 
+    async def place(self, now, row, screened):
+        """Count a request that is sent to a target, and tell other gateways.
+
+        Those are told that choose among the same targets: the gateways of this data
+        centre, and of the target's.
+        """
+        seconds = self._read_seconds(screened)
+        self.board.begin(now, row, seconds)
+        if not seconds:
+            return
+        near = {self.settings.data_centre, row.data_centre}
+        notice = PlacementNotice(row.address, seconds)
+        for member in self.registry.members_of(GATEWAY_ROLE):
+            if member.data_centre in near and member.instance != self.settings.instance:
+                link = self.links.get(member.address, member.instance)
+                await link.notify_or_drop(notice)
+
+    def _read_seconds(self, screened):
+        service = self.state.desired.service(screened.service) or {}
+        engine = service.get("engine")
+        if not engine:
+            return 0.0
+        model = EngineModel.from_row(engine)
+        tokens = screened.request.prompt_tokens or model.usual_prompt_tokens
+        return model.read_seconds(tokens)
+
     def is_ready(self):
         """Tell whether callers should be sent here."""
         is_confirmed = self.feed.confirmed_seconds_ago < READY_SECONDS
@@ -195,6 +222,9 @@
     async def _on_load_report(self, connection, report):
         self.board.record_report(time.monotonic(), report)
 
+    async def _on_placement(self, connection, notice):
+        self.board.record_placement(time.monotonic(), notice)
+
     async def _on_chunk_request(self, body, responder):
         await self.relay.on_chunk_request(body, responder)
 
@@ -222,6 +252,7 @@
             HaveUpdate: _on_have,
             LoadReport: _on_load_report,
             PieceReceived: _on_piece_received,
+            PlacementNotice: _on_placement,
         }
     )
 
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -120,7 +120,7 @@
             self._last_event_id,
         )
         request = self._gateway.dialect.build(self._request, self._body, offer)
-        board.begin(now, row)
+        await self._gateway.place(now, row, self._screened)
         self._is_offered = True
         try:
             async with open_answer(row.address, request) as answer:
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -151,10 +151,8 @@
             if wanted is None:
                 await changed.wait()
                 continue
-            if self.report is None and self.transfer is None:
-                # Its target may hold the chunks already.
-                await anyio.sleep(self.settings.report_interval)
-                continue
+            if self.transfer is None:
+                await self._wait_for_target()
             logger.info(
                 "version wanted",
                 extra={"model": wanted.model, "model_version": wanted.version},
@@ -167,6 +165,12 @@
                     await changed.wait()
                 tasks.cancel_scope.cancel()
 
+    async def _wait_for_target(self):
+        """Wait a while for the target, which may hold the chunks already."""
+        with anyio.move_on_after(self.settings.target_wait_seconds):
+            while self.report is None:
+                await anyio.sleep(self.settings.report_interval / 3)
+
     def _is_wanted(self, wanted):
         now = self.wanted()
         return now is not None and now.key == wanted.key
--- a/banyanshore/membership/load_reports.py
+++ b/banyanshore/membership/load_reports.py
@@ -1,4 +1,4 @@
-"""Reports of a target's load, from the loader beside it to all gateways."""
+"""What gateways learn of a target's load, from its loader and from each other."""
 
 from banyanshore.transport.codec import message
 
@@ -25,3 +25,15 @@
     queued: int
     pace: float = 1.0
     is_loading: bool = False
+
+
+@message(112)
+class PlacementNotice:
+    """Tell other gateways of a request that was sent to a target.
+
+    :param address: HTTP address of the target.
+    :param seconds: time that the target needs to read it.
+    """
+
+    address: str
+    seconds: float
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -2,8 +2,10 @@
 
 The load of a target is worked out from the last report of its loader and from what
 this gateway has sent and had answered since. Load pattern: many gateways send at once
-by reports that are some hundred milliseconds old, so each adds a little noise to spread
-them over targets that look alike, and counts its own requests at once.
+by reports that are some hundred milliseconds old, and prompts differ tenfold in length,
+so that two long ones at one target make all that run there late. Gateways therefore
+tell each other at once how much they have given a target to read, and a request goes
+where it is read first; a little noise spreads them over targets that look alike.
 """
 
 import math
@@ -11,6 +13,7 @@
 from enum import StrEnum
 
 from banyanshore.membership.registry import TargetState
+from banyanshore.routing.engine_model import EngineModel
 
 # Seconds after which a report says nothing about the load any more: several intervals.
 REPORT_SECONDS = 1.5
@@ -19,11 +22,15 @@
 ENGINE_QUEUE = 3
 # Requests that may wait at a plain target for each that it works on.
 PLAIN_QUEUE_FACTOR = 2
-# Loads in requests that make up for a target being far away, or cold.
-DISTANCE_PENALTY = 0.5
-COLD_PENALTY = 4.0
-# Spread of the noise on loads, in requests.
-NOISE = 1.0
+# Seconds that a target in another data centre has to be faster by: what its way takes,
+# and what the bytes between regions are worth.
+DISTANCE_SECONDS = 0.02
+# Seconds that a cold target has to be faster by.
+COLD_SECONDS = 0.02
+# Spread of the noise on times, in seconds.
+NOISE_SECONDS = 0.01
+# Seconds that each request at a plain target is taken to need.
+PLAIN_SECONDS = 0.02
 # Seconds for which a target that has failed is left alone, doubled for each failure in
 # a row up to the longest.
 SUSPENSION_SECONDS = 0.4
@@ -59,6 +66,7 @@
     :ivar report: the last report, or ``None``.
     :ivar own_at_report: ``own`` when the report arrived.
     :ivar suspended_until: time until which it is left alone.
+    :ivar read_until: time until which it reads the prompts that it has been given.
     """
 
     own: int = 0
@@ -67,6 +75,11 @@
     own_at_report: int = 0
     failures: int = 0
     suspended_until: float = -math.inf
+    read_until: float = -math.inf
+
+    def add_reading(self, now, seconds):
+        """Take note of a prompt that the target has been given."""
+        self.read_until = max(now, self.read_until) + seconds
 
     def estimate(self, now):
         """Return how many requests are there now, as far as is known."""
@@ -152,11 +165,17 @@
         load.reported_at = now
         load.own_at_report = load.own
 
-    def begin(self, now, row):
+    def begin(self, now, row, read_seconds):
         """Count a request that is sent to a target."""
-        self.load(row.address).own += 1
+        load = self.load(row.address)
+        load.own += 1
+        load.add_reading(now, read_seconds)
         self._cold_shares.record_sent(now, row.id)
 
+    def record_placement(self, now, notice):
+        """Take a :class:`~banyanshore.membership.load_reports.PlacementNotice`."""
+        self.load(notice.address).add_reading(now, notice.seconds)
+
     def end(self, row):
         """Count a request that has left a target."""
         self.load(row.address).own -= 1
@@ -209,7 +228,9 @@
         warm = [known for known in free if self._bears(now, known, service, gateways)]
         if not warm:
             return self._refuse(Reason.COLD)
-        best = min(warm, key=lambda known: self._score(now, known))
+        engine = service.get("engine")
+        model = EngineModel.from_row(engine) if engine else None
+        best = min(warm, key=lambda known: self._seconds(now, known, model))
         return Choice(best.row, self.version_at(best.row) if wish.model else 0)
 
     def version_at(self, row):
@@ -257,15 +278,27 @@
             return True
         return self._cold_shares.has_room(now, known.row.id, per_second, gateways)
 
-    def _score(self, now, known):
+    def _seconds(self, now, known, model):
+        """Return the time until a target begins with a request, with some noise.
+
+        :param model: the :class:`EngineModel`, or ``None`` for a plain target.
+        """
         load = self.load(known.row.address)
-        pace = load.report.pace if load.report is not None else 1.0
-        score = load.estimate(now) * max(1.0, pace) + self._rng.uniform(0, NOISE)
+        count = load.estimate(now)
+        if model is None:
+            seconds = count * PLAIN_SECONDS / max(1, known.row.slots)
+        else:
+            pace = load.report.pace if load.report is not None else 1.0
+            waiting = max(0, count + 1 - known.row.slots)
+            seconds = max(0.0, load.read_until - now)
+            seconds += waiting * model.slot_seconds(known.row.slots)
+            seconds += count * model.steps_per_pass * model.request_seconds
+            seconds *= max(1.0, pace)
         if known.row.data_centre != self._settings.data_centre:
-            score += DISTANCE_PENALTY
+            seconds += DISTANCE_SECONDS
         if known.cold_until > now:
-            score += COLD_PENALTY
-        return score / max(1, known.row.slots)
+            seconds += COLD_SECONDS
+        return seconds + self._rng.uniform(0, NOISE_SECONDS)
 
     def _refuse(self, reason):
         seconds = RETRY_AFTER_BY_REASON[reason]
