Change the weights of targets in turns, and drain the first ones ahead of time

Cause: half of the targets stopped for the new version at 5.8 s after its name and the rest at 7.0 s; long answers kept some of the first from loading for 2.4 s, so three of ten served for a second. Change: three tenths get no new requests while the last chunks arrive and load as soon as these are whole, three tenths follow, the rest at the end of the switch.

--- a/banyanshore/loader/decisions.py
+++ b/banyanshore/loader/decisions.py
@@ -4,18 +4,23 @@
 from dataclasses import dataclass
 from enum import Enum
 
-# Groups that the targets of a service load in, one after the other, so that some serve
-# while others finish their requests and load.
-GROUPS = 2
-# Seconds for a group to finish what it runs and to load.
-GROUP_SECONDS = 1.2
+# Parts of a service's targets that change first, and next; the rest follows at the end.
+# With three tenths out at a time, the others have room for what they served.
+FIRST_PART = 0.3
+NEXT_PART = 0.6
+# Seconds for which a target finishes what it runs before it can load: nearly the
+# longest generation.
+DRAIN_SECONDS = 2.0
+# Seconds for the first targets to load and serve again.
+LOAD_SECONDS = 0.4
+# Longest time after its chunks are whole that a target waits for the others.
+MAX_TURN_SECONDS = 1.6
 
 
 class Action(Enum):
     """What to do next."""
 
     WAIT = "wait"
-    STAGE = "stage"
     LOAD = "load"
 
 
@@ -28,16 +33,14 @@
     :param layers: layers of the model.
     :param version: version that the target is to serve.
     :param is_whole: whether all its chunks are here, verified.
-    :param is_staged: whether they lie beside the target, verified a moment ago.
-    :param may_load_at: time from which a target that serves another version loads.
+    :param load_at: time from which a target that serves another version loads.
     """
 
     report: object
     layers: int
     version: int
     is_whole: bool
-    is_staged: bool
-    may_load_at: float
+    load_at: float
 
 
 def serves(report, version, layers):
@@ -60,18 +63,58 @@
     if serves(report, situation.version, situation.layers):
         return Action.WAIT
     is_empty = report.end_layer == 0
-    if not is_empty and now < situation.may_load_at:
+    if not is_empty and now < situation.load_at:
         return Action.WAIT
-    return Action.LOAD if situation.is_staged else Action.STAGE
+    return Action.LOAD
 
 
-def turn_delay(instance, instances, version):
-    """Return how many seconds a loader waits for others before its target loads.
+class Turn(Enum):
+    """When a target changes, compared with the others of its service."""
+
+    FIRST = "first"
+    NEXT = "next"
+    LAST = "last"
+
+
+def find_turn(instance, instances, version):
+    """Return the :class:`Turn` of a loader's target.
 
     :param instances: all loaders of the service.
     """
     ranked = sorted({*instances, instance}, key=lambda name: _score(name, version))
-    return ranked.index(instance) % GROUPS * GROUP_SECONDS
+    position = ranked.index(instance)
+    if position < int(FIRST_PART * len(ranked)):
+        return Turn.FIRST
+    if position < int(NEXT_PART * len(ranked)):
+        return Turn.NEXT
+    return Turn.LAST
+
+
+def load_time(turn, completed_at, switch_at):
+    """Return the time at which a target is to load.
+
+    Load pattern: all targets of a service change their weights within seconds at full
+    load, while each first finishes what it runs.
+
+    :param completed_at: time at which its chunks were whole.
+    :param switch_at: time from which older versions get no requests any more.
+    """
+    if turn is Turn.FIRST:
+        return completed_at
+    if turn is Turn.NEXT:
+        return completed_at + LOAD_SECONDS
+    return max(completed_at, min(switch_at, completed_at + MAX_TURN_SECONDS))
+
+
+def may_drain(turn, progress, seconds):
+    """Tell whether a target that changes first should get no more requests.
+
+    :param progress: part of its chunks that is here.
+    :param seconds: time since the transfer began.
+    """
+    if turn is not Turn.FIRST or not progress:
+        return False
+    return seconds * (1 - progress) / progress <= DRAIN_SECONDS
 
 
 def _score(name, version):
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -6,7 +6,14 @@
 
 import anyio
 
-from banyanshore.loader.decisions import Action, Situation, next_action, turn_delay
+from banyanshore.loader.decisions import (
+    Action,
+    Situation,
+    find_turn,
+    load_time,
+    may_drain,
+    next_action,
+)
 from banyanshore.loader.transfer import StagedTransfer
 from banyanshore.membership.feed import FeedClient, MemberRow, Registry
 from banyanshore.membership.load_reports import LoadReport
@@ -247,26 +254,33 @@
     async def _drive_target(self):
         """Have the target load what is wanted."""
         while True:
-            await anyio.sleep(self.settings.report_interval)
+            await anyio.sleep(self.settings.report_interval / 3)
             wanted, transfer = self.wanted(), self.transfer
             if wanted is None or transfer is None or transfer.version != wanted.version:
                 continue
+            turn = find_turn(
+                self.settings.instance, self.rosters.loaders(), wanted.version
+            )
+            self._is_loading = self._must_drain(wanted, transfer, turn)
             situation = Situation(
                 self.report,
                 wanted.layers,
                 wanted.version,
                 transfer.completed.is_set(),
-                False,
-                self._may_load_at(wanted, transfer),
+                load_time(turn, transfer.completed_at, self._switch_at(wanted)),
             )
-            if next_action(time.monotonic(), situation) is Action.STAGE:
+            if next_action(time.monotonic(), situation) is Action.LOAD:
                 await self._load(wanted, transfer)
 
-    def _may_load_at(self, wanted, transfer):
-        delay = turn_delay(
-            self.settings.instance, self.rosters.loaders(), wanted.version
-        )
-        return transfer.completed_at + delay
+    def _switch_at(self, wanted):
+        return wanted.heard_at + self.settings.version_switch_seconds
+
+    def _must_drain(self, wanted, transfer, turn):
+        report = self.report
+        if report is None or not 0 < report.model_version < wanted.version:
+            return False
+        seconds = time.monotonic() - wanted.heard_at
+        return may_drain(turn, transfer.progress, seconds)
 
     async def _load(self, wanted, transfer):
         try:
--- a/banyanshore/weights/relay.py
+++ b/banyanshore/weights/relay.py
@@ -72,6 +72,13 @@
         """Return the number of the version."""
         return int(self.spec.version)
 
+    @property
+    def progress(self):
+        """Return the part of the chunks that is here."""
+        if self.planner is None:
+            return 0.0
+        return self.planner.have.bit_count() / self.manifest.count
+
     async def run(self):
         """Fetch all of the version and push it on, until cancelled."""
         async with anyio.create_task_group() as tasks:
