--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -173,7 +173,12 @@
     async def _read_request(self):
         with anyio.move_on_after(self.limits.header_seconds):
             event = await self._next_event()
-            return event if isinstance(event, h11.Request) else None
+            if not isinstance(event, h11.Request):
+                return None
+            # The parser bounds only a head that is not whole yet.
+            if _head_bytes(event) > self.limits.max_header_bytes:
+                raise RequestError(431, "the head of the request is too long")
+            return event
         raise RequestError(408, "the head of the request took too long")
 
     async def _next_event(self):
@@ -258,6 +263,12 @@
         return True
 
 
+def _head_bytes(request):
+    separators = len(b": \r\n")
+    fields = sum(len(n) + len(v) + separators for n, v in request.headers)
+    return len(request.method) + len(request.target) + len(b"  HTTP/1.1\r\n") + fields
+
+
 def _check_framing(exchange):
     """Refuse a request whose length can be read in two ways."""
     names = [name for name, _ in exchange.headers]
--- /dev/null
+++ b/tests/platform/test_declaration.py
@@ -0,0 +1,152 @@
+"""Decoding of what the operator declares and what targets register."""
+
+import copy
+import json
+
+import pytest
+
+from banyanshore.platform.declaration import decode_declaration, encode_declaration
+from banyanshore.platform.registration import decode_registration
+from banyanshore.platform.values import DecodeError
+from banyanshore.state.document import DocumentError, check_document
+
+ROUTE = {
+    "name": "r1", "hostname": "Hulo84.example", "pathPrefix": "/a/b/",
+    "routeType": "streaming", "timeoutMs": 6000, "sloMs": 405, "priority": 1,
+    "backend": "llm", "maxAttempts": 2, "public": False, "sticky": True,
+    "resumable": True, "itlTargetMs": 400, "allowedRegions": [],
+}  # fmt: skip
+DECLARATION = {
+    "version": 7,
+    "routes": [
+        ROUTE,
+        {**ROUTE, "name": "r2", "pathPrefix": "/c/", "split": [
+            {"backend": "llm", "weight": 90}, {"backend": "desk", "weight": 10}]},
+    ],
+    "backends": [
+        {"name": "llm", "healthPath": "/healthz", "maxConns": 434, "coldStartS": 3.0,
+         "coldPerS": 36.0, "runtime": {
+             "slots": 16, "stride": 5, "step_ms": 9.27, "read_per_s": 20700.0,
+             "layers": 16, "chunkCount": 96, "blockBytes": 24576,
+             "usual": {"prompt": 979, "answer": 92},
+             "models": [{"name": "m", "pace": 1.0, "loadS": 4.0, "warmupS": 0.3}]}},
+        {"name": "origin", "upstream": "172.20.0.3:8006", "zone": "z", "linkMbps": 8.0},
+        {"name": "desk", "healthPath": "/healthz", "maxConns": 110},
+    ],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
+               "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    "tenants": [{"name": "w", "apiKeys": ["k1", "k2"], "priority": 1,
+                 "allowedRegions": []}],
+}  # fmt: skip
+
+
+def encoded(change=None):
+    document = copy.deepcopy(DECLARATION)
+    if change:
+        change(document)
+    return json.dumps(document).encode()
+
+
+def test_declaration_becomes_tables_in_our_words():
+    number, tables = decode_declaration(encoded())
+    check_document(tables)
+    assert number == 7
+    route = tables["routes"]["hulo84.example/a/b/"]
+    assert route["timeout_seconds"] == 6.0
+    assert route["objective_seconds"] == 0.405
+    assert route["services"] == [{"service": "llm", "weight": 1}]
+    engine = tables["services"]["llm"]["engine"]
+    assert engine["step_seconds"] == pytest.approx(0.00927)
+    assert engine["usual_answer_tokens"] == 92
+    assert tables["services"]["origin"]["bytes_per_second"] == 1e6
+    assert tables["limits"]["callers"]["header_timeout_seconds"] == 3.0
+    assert tables["workspaces"]["w"]["keys"] == ["k1", "k2"]
+
+
+def test_operator_reads_back_what_was_sent():
+    body = encoded(lambda d: d.update(unknown={"kept": [1, 2]}))
+    _, tables = decode_declaration(body)
+    assert encode_declaration(tables) == body
+    assert encode_declaration({}) is None
+
+
+def _route(**fields):
+    return lambda document: document["routes"][0].update(fields)
+
+
+BAD = {
+    "cut short": None,
+    "unknown service": _route(backend="none"),
+    "same place": lambda d: d["routes"].append({**ROUTE, "name": "r3"}),
+    "no weight": lambda d: d["routes"][1].update(
+        split=[{"backend": "llm", "weight": 0}, {"backend": "desk", "weight": 0}]
+    ),
+    "no time": _route(timeoutMs=0),
+    "shared key": lambda d: d["tenants"].append({"name": "v", "apiKeys": ["k1"]}),
+    "text for a number": _route(timeoutMs="6000"),
+    "no kind": _route(routeType="sometimes"),
+    "no number": lambda d: d.pop("version"),
+    "routes are none": lambda d: d.update(routes={}),
+    "unknown service in a split": lambda d: d["routes"][1]["split"][0].update(
+        backend="none"
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_bad_declaration_is_refused_with_its_place(name):
+    body = encoded(BAD[name]) if BAD[name] else encoded()[:-20]
+    with pytest.raises((DecodeError, DocumentError)) as caught:
+        check_document(decode_declaration(body)[1])
+    assert "expected" in caught.value.message
+
+
+REGISTRATION = {
+    "backend": "llm", "address": "10.0.0.9:8080", "zone": "z", "version": "v1",
+    "slots": 16, "state": "ready", "coldLeftMs": 1500, "born": 1700000000000, "seq": 4,
+    "models": [{"name": "m", "version": 3, "loras": []}],
+    "layers": {"from": 0, "target": 16, "version": 3},
+}  # fmt: skip
+
+
+def test_registration_becomes_a_row():
+    row = decode_registration("i-1", json.dumps(REGISTRATION).encode())
+    assert (row.id, row.service, row.data_centre) == ("i-1", "llm", "z")
+    assert row.cold_seconds == 1.5
+    assert (row.model, row.model_version, row.end_layer) == ("m", 3, 16)
+    assert row.order == (1700000000000, 4)
+
+
+def test_target_without_layers_holds_nothing():
+    body = {**REGISTRATION, "models": [], "layers": None}
+    row = decode_registration("i-1", json.dumps(body).encode())
+    assert (row.model_version, row.end_layer) == (0, 0)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"state": None},
+        {"address": "somewhere"},
+        {"address": "10.0.0.9"},
+        {"address": "10.0.0.999:80"},
+        {"slots": "16"},
+        {"seq": 1.5},
+        {"born": None},
+        {"born": "yesterday"},
+        {"backend": 7},
+        {"coldLeftMs": -1},
+        {"models": {}},
+        {"layers": [1]},
+    ],
+)
+def test_registration_of_another_writer_names_no_target(change):
+    with pytest.raises(DecodeError):
+        decode_registration("i-1", json.dumps({**REGISTRATION, **change}).encode())
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b"NaN", b"[" * 100_000])
+def test_body_that_is_no_object_is_refused(body):
+    with pytest.raises(DecodeError):
+        decode_registration("i-1", body)
--- /dev/null
+++ b/tests/routing/test_attempts.py
@@ -0,0 +1,90 @@
+"""What is done next with a request that a target has not answered."""
+
+import pytest
+
+from banyanshore.routing.attempts import (
+    MAX_UNREACHABLE,
+    Attempts,
+    Outcome,
+    Step,
+    parse_events,
+)
+
+
+def always():
+    return True
+
+
+def never():
+    return False
+
+
+def begun(may_repeat, max_offers=2, offers=1):
+    attempts = Attempts(may_repeat, max_offers)
+    for number in range(offers):
+        attempts.begin(f"target-{number}")
+    return attempts
+
+
+@pytest.mark.parametrize(
+    ("outcome", "may_repeat", "step"),
+    [
+        (Outcome.NOT_RUN, False, Step.OFFER),
+        (Outcome.NOT_RUN, True, Step.OFFER),
+        (Outcome.FAILED, True, Step.OFFER),
+        (Outcome.FAILED, False, Step.PASS_FAILURE),
+        (Outcome.LOST, True, Step.OFFER),
+        (Outcome.LOST, False, Step.TELL_UNKNOWN),
+        (Outcome.BROKEN_OFF, True, Step.OFFER),
+        (Outcome.BROKEN_OFF, False, Step.BREAK_OFF),
+    ],
+)
+def test_step_after_the_first_offer(outcome, may_repeat, step):
+    assert begun(may_repeat).next_step(outcome, always) is step
+
+
+@pytest.mark.parametrize(
+    ("outcome", "step"),
+    [
+        (Outcome.NOT_RUN, Step.REFUSE),
+        (Outcome.FAILED, Step.PASS_FAILURE),
+        (Outcome.LOST, Step.TELL_UNKNOWN),
+        (Outcome.BROKEN_OFF, Step.BREAK_OFF),
+    ],
+)
+@pytest.mark.parametrize(("offers", "try_retry"), [(2, always), (1, never)])
+def test_last_step_without_offers_or_budget_left(outcome, step, offers, try_retry):
+    assert begun(True, 2, offers).next_step(outcome, try_retry) is step
+
+
+def test_refusal_after_a_run_that_may_have_been_is_not_called_not_run():
+    attempts = begun(True, 3)
+    assert attempts.next_step(Outcome.LOST, always) is Step.OFFER
+    attempts.begin("other")
+    assert attempts.next_step(Outcome.NOT_RUN, never) is Step.TELL_UNKNOWN
+    assert attempts.refusal() is Step.TELL_UNKNOWN
+
+
+def test_targets_that_cannot_be_reached_cost_no_offer_but_are_bounded():
+    attempts = Attempts(False, 1)
+    for number in range(MAX_UNREACHABLE):
+        attempts.begin(f"target-{number}")
+        assert attempts.next_step(Outcome.UNREACHABLE, never) is Step.OFFER
+    attempts.begin("last")
+    assert attempts.next_step(Outcome.UNREACHABLE, never) is Step.REFUSE
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (b"", (b"", None, b"")),
+        (b"id: 1\n", (b"", None, b"id: 1\n")),
+        (b"id: 1\ndata: a\n\n", (b"id: 1\ndata: a\n\n", 1, b"")),
+        (b"id:7\r\ndata: a\r\n\r\nid: 8", (b"id:7\r\ndata: a\r\n\r\n", 7, b"id: 8")),
+        (b"data: id: 9\n\n", (b"data: id: 9\n\n", None, b"")),
+        (b"id: 1\n\nid: 2\n\nx", (b"id: 1\n\nid: 2\n\n", 2, b"x")),
+        (b"id: 3\ndata: id:4\n\n", (b"id: 3\ndata: id:4\n\n", 3, b"")),
+    ],
+)
+def test_events_are_split_where_they_end(data, expected):
+    assert parse_events(data) == expected
--- /dev/null
+++ b/tests/state/test_routes.py
@@ -0,0 +1,95 @@
+"""Looking requests up in the routes of the desired state."""
+
+import pytest
+
+from banyanshore.state.document import DocumentError, check_document
+from banyanshore.state.routes import RouteTable
+
+
+def route(host="a.example", prefix="/x/", **fields):
+    row = {"host": host, "prefix": prefix, "kind": "idempotent"}
+    return {**row, "services": [{"service": "s", "weight": 1}], **fields}
+
+
+def document(*routes, **tables):
+    return {
+        "services": {"s": {"kind": "direct"}, "t": {"kind": "direct"}},
+        "routes": {f"r{number}": row for number, row in enumerate(routes)},
+        **tables,
+    }
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "prefix"),
+    [
+        ("a.example", "/x/1", "/x/"),
+        ("A.example:8080", "/x/y/z/1", "/x/y/"),
+        ("a.example", "/x/y", "/x/"),
+        ("a.example", "/xy", "/"),
+        ("a.example", "/x", "/"),
+        ("b.example", "/x/1", None),
+    ],
+)
+def test_longest_prefix_of_the_host_wins(host, path, prefix):
+    table = RouteTable(document(*(route(prefix=p) for p in ("/x/", "/x/y/", "/"))))
+    found = table.find_route(host, path)
+    assert (found.prefix if found else None) == prefix
+
+
+def test_services_are_chosen_by_their_weights():
+    shares = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
+    found = RouteTable(document(route(services=shares))).find_route("a.example", "/x/")
+    chosen = [found.choose_service(number / 100) for number in range(100)]
+    assert chosen.count("s") == 90
+
+
+def test_service_without_weight_is_never_chosen():
+    shares = [{"service": "s", "weight": 0}, {"service": "t", "weight": 1}]
+    found = RouteTable(document(route(services=shares))).find_route("a.example", "/x/")
+    assert {found.choose_service(number / 10) for number in range(10)} == {"t"}
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "may_repeat"),
+    [
+        ("idempotent", False, True),
+        ("non_idempotent", False, False),
+        ("non_idempotent", True, False),
+        ("streaming", False, False),
+        ("streaming", True, True),
+    ],
+)
+def test_what_may_be_repeated(kind, resumable, may_repeat):
+    table = RouteTable(document(route(kind=kind, resumable=resumable)))
+    assert table.find_route("a.example", "/x/").may_repeat is may_repeat
+
+
+def test_keys_lead_to_their_workspace():
+    rows = {"w": {"keys": ["k1", "k2"], "priority": 3, "regions": ["north"]}}
+    table = RouteTable(document(workspaces=rows))
+    assert table.wants_keys
+    assert table.find_workspace("k2").name == "w"
+    assert table.find_workspace("k2").regions == {"north"}
+    assert table.find_workspace("k3") is None
+
+
+BAD = [
+    (document(route(services=[{"service": "none", "weight": 1}])), "a service in"),
+    (document(route(), route()), "place other than"),
+    (document(route(services=[{"service": "s", "weight": 0}])), "more than 0"),
+    (document(route(services=[])), "more than 0"),
+    (document(route(services=[{"service": "s", "weight": -1}])), "0 or more"),
+    (document(route(timeout_seconds=0)), "above 0"),
+    (document(route(prefix="/x")), "/ at both ends"),
+    (document(workspaces={"v": {"keys": ["k"]}, "w": {"keys": ["k"]}}), "no key of"),
+]
+
+
+@pytest.mark.parametrize(("bad", "expected"), BAD)
+def test_declaration_that_may_not_come_into_force_names_its_fault(bad, expected):
+    with pytest.raises(DocumentError, match=expected):
+        check_document(bad)
+
+
+def test_workspace_may_name_a_key_twice():
+    check_document(document(workspaces={"w": {"keys": ["k", "k"]}}))
