Take changed settings on SIGHUP and by looking at the file

Change: the daemon reads the file again on SIGHUP and each second; seeds are taken. Ruled out: a fault in leaving (the request was cut at 16.38 s, at the HUP, not at the stop).

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -42,6 +42,7 @@
     """
 
     def __init__(self, settings, member, state, registry, links):
+        self.seeds = tuple(settings.seeds)
         self._settings = settings
         self._member = member
         self._state = state
@@ -133,7 +134,7 @@
         """Return the peer addresses of the other control instances that are known."""
         port = self._settings.peer_port
         names = {row.instance for row in self._registry.members_of(CONTROL_ROLE)}
-        names.update(self._settings.seeds)
+        names.update(self.seeds)
         names.discard(self._member.instance)
         return sorted(peer_address(name, port) for name in names)
 
--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -138,6 +138,10 @@
         )
         self.listener = Listener(self._make_api(self.orders, self.feed))
 
+    def reload(self, settings):
+        """Take the control instances that changed settings name."""
+        self.feed.seeds = tuple(settings.seeds)
+
     async def _serve_peers(self, task_status):
         await serve_peers(
             self.settings.peers_bind,
--- a/banyanshore/daemon/__main__.py
+++ b/banyanshore/daemon/__main__.py
@@ -11,6 +11,7 @@
 from banyanshore.conf import SettingsError, load_settings
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.core.logs import configure_logging
+from banyanshore.daemon.reload import SettingsWatcher
 
 logger = logging.getLogger(__name__)
 
@@ -49,7 +50,7 @@
     gc.set_threshold(GC_THRESHOLD)
     exit_code = 0
     try:
-        anyio.run(_run, settings)
+        anyio.run(_run, settings, values.settings)
     except* (BanyanshoreError, OSError) as group:
         for error in _leaves(group):
             logger.critical("stopping: %s", error)
@@ -120,20 +121,27 @@
 _ROLES_TO_STANDARD_OUTPUT = frozenset({"control", "gateway", "loader"})
 
 
-async def _run(settings):
+async def _run(settings, path):
     process = _MAKE_BY_ROLE[settings.role](settings)
     stop_requested = anyio.Event()
     force_requested = anyio.Event()
+    watcher = SettingsWatcher(path, settings, getattr(process, "reload", None))
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_signals, stop_requested, force_requested)
+        tasks.start_soon(_watch_signals, stop_requested, force_requested, watcher)
+        if watcher.can_reload:
+            tasks.start_soon(watcher.run)
         await process.run(stop_requested, force_requested)
         tasks.cancel_scope.cancel()
     logger.info("stopped")
 
 
-async def _watch_signals(stop_requested, force_requested):
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
+async def _watch_signals(stop_requested, force_requested, watcher):
+    signals_taken = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*signals_taken) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                watcher.check()
+                continue
             if stop_requested.is_set():
                 force_requested.set()
             stop_requested.set()
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -114,6 +114,10 @@
             await self._leave(force_requested)
             tasks.cancel_scope.cancel()
 
+    def reload(self, settings):
+        """Take the control instances that changed settings name."""
+        self.feed.seeds = tuple(settings.seeds)
+
     def gateway_names(self):
         """Return the names of all gateways that are known, this one included."""
         names = {row.instance for row in self.registry.members_of(GATEWAY_ROLE)}
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -121,6 +121,10 @@
             logger.info("stopping")
             tasks.cancel_scope.cancel()
 
+    def reload(self, settings):
+        """Take the control instances that changed settings name."""
+        self.feed.seeds = tuple(settings.seeds)
+
     async def _serve_peers(self, task_status):
         await serve_peers(
             self.settings.peers_bind,
--- /dev/null
+++ b/tests/daemon/test_reload.py
@@ -0,0 +1,49 @@
+"""Changes of the settings file while a process runs."""
+
+import pytest
+
+from banyanshore.conf import load_settings
+from banyanshore.daemon.reload import SettingsWatcher
+
+TEXT = """\
+role: loader
+instance: side-1
+data_centre: a
+region: a
+service: llm
+target_address: 127.0.0.1:1
+peers_bind: 127.0.0.1:2
+peer_port: 2
+seeds: [SEED]
+"""
+
+
+@pytest.fixture
+def path(tmp_path):
+    path = tmp_path / "settings.yaml"
+    path.write_text(TEXT.replace("SEED", "10.0.0.1:8000"))
+    return path
+
+
+def test_only_changed_settings_are_handed_on(path):
+    taken = []
+    watcher = SettingsWatcher(path, load_settings(path), taken.append)
+    watcher.check()
+    assert taken == []
+    path.write_text(TEXT.replace("SEED", "10.0.0.2:8000"))
+    watcher.check()
+    watcher.check()
+    assert [settings.seeds for settings in taken] == [("10.0.0.2:8000",)]
+
+
+def test_file_that_cannot_be_read_leaves_the_settings_in_use(path):
+    taken = []
+    watcher = SettingsWatcher(path, load_settings(path), taken.append)
+    path.write_text("role: [")
+    watcher.check()
+    path.unlink()
+    watcher.check()
+    assert taken == []
+    path.write_text(TEXT.replace("SEED", "10.0.0.3:8000"))
+    watcher.check()
+    assert len(taken) == 1
