Refuse what arrives late at a leaving gateway, and tell callers to come back

Change: 2.6 s after SIGTERM requests get 503 with Retry-After and the end of their connection; what runs has until 7.5 s.

--- a/banyanshore/conf/settings.py
+++ b/banyanshore/conf/settings.py
@@ -398,7 +398,7 @@
     )
     log_file: str = setting("File for the log; empty: standard output.", "")
     stop_timeout: float = setting(
-        "Longest time that a planned stop waits for requests.", 6.5, minimum=0.0
+        "Longest time that a planned stop waits for requests.", 7.5, minimum=0.0
     )
     key_lease_seconds: float = setting(
         "Time without a confirmed state after which requests with keys are refused; "
--- a/banyanshore/control/orders.py
+++ b/banyanshore/control/orders.py
@@ -125,19 +125,20 @@
             if nothing is to change.
         :return: whether something was changed.
         """
-        deadline = time.monotonic() + ORDER_SECONDS
+        began_at = time.monotonic()
+        deadline = began_at + ORDER_SECONDS
         while (left := deadline - time.monotonic()) > 0:
             await self.wait_for_newest(min(left, READ_SECONDS))
             desired = self._state.desired
             document = desired.document if desired else _EMPTY
             patch = make_patch(document)
             if patch is None:
-                self._log(order, details, "already in force", self._state.version)
+                self._log(order, details, "already in force", began_at)
                 return False
             outcome = await self._propose(patch, left)
             if outcome.status == PatchStatus.ACCEPTED:
                 await self._wait_for(outcome.version, left)
-                self._log(order, details, "accepted", outcome.version)
+                self._log(order, details, "accepted", began_at)
                 return True
             if outcome.status != PatchStatus.CONFLICT:
                 raise DocumentError(outcome.detail, step=order)
@@ -158,9 +159,16 @@
             while self._state.version < version:
                 await anyio.sleep(ARRIVAL_STEP)
 
-    def _log(self, order, details, outcome, version):
+    def _log(self, order, details, outcome, began_at):
         logger.info(
-            "order %s", outcome, extra={"order": order, "version": version, **details}
+            "order %s",
+            outcome,
+            extra={
+                "order": order,
+                "version": self._state.version,
+                "milliseconds": round((time.monotonic() - began_at) * 1000),
+                **details,
+            },
         )
 
 
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -1,6 +1,7 @@
 """The gateway: answers callers by what registered targets answer."""
 
 import logging
+import math
 import random
 import time
 from types import MappingProxyType
@@ -39,6 +40,9 @@
 # Seconds for which a leaving gateway takes new connections, until callers are no longer
 # sent to it: two readiness checks a second apart, and their way.
 LEAVE_SECONDS = 2.6
+# Seconds after which a caller may come back whom a leaving gateway didn't serve; it finds
+# another one.
+LEAVING_RETRY_SECONDS = 0.05
 # Seconds between looks at what is no longer needed.
 UPKEEP_INTERVAL = 5.0
 
@@ -60,6 +64,8 @@
         self.versions = VersionSwitch(settings.version_switch_seconds)
         self.screening = Screening(settings.key_lease_seconds)
         self.leaving = False
+        # Time from which no requests are taken any more.
+        self._leaves_at = math.inf
         cold_start = settings.cold_start
         self.board = TargetBoard(
             settings,
@@ -194,6 +200,11 @@
     async def _handle(self, exchange):
         arrived_at = time.monotonic()
         request = self.dialect.parse(exchange)
+        if arrived_at >= self._leaves_at:
+            # On a connection that has had no answer, and so no notice, since.
+            rejection = Rejection(503, "leaving", LEAVING_RETRY_SECONDS)
+            await self._reject(exchange, request, rejection)
+            return
         screened = self.screening.screen(request, self.feed.confirmed_seconds_ago)
         if isinstance(screened, Rejection):
             await self._reject(exchange, request, screened)
@@ -270,10 +281,10 @@
         self.leaving = True
         self.front.leaving = True
         logger.info("stopping", extra={"in_flight": self.front.active})
-        began_at = time.monotonic()
+        self._leaves_at = time.monotonic() + LEAVE_SECONDS
         with anyio.move_on_after(self.settings.stop_timeout):
             while not force_requested.is_set():
-                is_over = time.monotonic() - began_at >= LEAVE_SECONDS
+                is_over = time.monotonic() >= self._leaves_at
                 if is_over and not self.front.active:
                     break
                 await anyio.sleep(0.05)
