Tell followers of a commit at once

Cause: an order took 340 ms, since the instance that took it heard of the commit with the next heartbeat (250 ms). Change: a leader broadcasts as soon as its commit index rises. Test: followers apply a command in less than half a heartbeat; it failed before.

--- a/banyanshore/consensus/leading.py
+++ b/banyanshore/consensus/leading.py
@@ -214,6 +214,8 @@
         # Only entries of the own term are committed by counting replicas.
         if agreed > self.commit_index and self.log.term_at(agreed) == self.term:
             self.commit_index = agreed
+            # Followers hear of it at the next tick, not with the next heartbeat.
+            self.leadership.next_broadcast_at = float("-inf")
 
     def _finish_reads(self):
         leadership = self.leadership
--- a/tests/consensus/test_raft_rules.py
+++ b/tests/consensus/test_raft_rules.py
@@ -1,6 +1,7 @@
 """Single rules of the consensus core, each on a small cluster without faults."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -255,3 +256,17 @@
     del cluster.nodes["entry-9"]
     cluster.run(12.0)
     assert "entry-9/1" not in leader.raft.leadership.progress_by_member
+
+
+def test_followers_apply_a_command_before_the_next_heartbeat():
+    """An order was in force at the instance that took it up to a heartbeat late."""
+    cluster = start(faults=Faults())
+    leader = cluster.leader()
+    leader.raft.options = replace(cluster.options, heartbeat_interval=0.4)
+    cluster.run(0.2)
+    assert cluster.patch(leader) is not None
+    began_at, version = cluster.now, leader.machine.version + 1
+    followers = [node for node in cluster.nodes.values() if node is not leader]
+    while any(node.machine.version < version for node in followers):
+        cluster.run(0.01)
+        assert cluster.now - began_at < 0.2
