--- /dev/null
+++ b/tests/gateway/deployment.py
@@ -0,0 +1,122 @@
+"""A gateway in this process, before scripted targets."""
+
+import contextlib
+import time
+
+import anyio
+
+from banyanshore.conf.loader import parse_settings
+from banyanshore.core.clock import boot_time
+from banyanshore.gateway.process import Gateway
+from banyanshore.http.listener import Listener
+from banyanshore.membership.registry import TargetRow
+from banyanshore.platform.caller_dialect import PlatformDialect
+from banyanshore.state import Fence, PublishedState
+from banyanshore.state.document import empty_document, to_json
+from tests.http.raw import connect, read_all, running, scripted
+
+SIGNED = b"HTTP/1.1 200 OK\r\nreplica-signature: s\r\nrequest-id: id-1\r\n"
+WHOLE = SIGNED + b"content-length: 2\r\n\r\nok"
+NOT_RUN = b"HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
+FAILED = (
+    b"HTTP/1.1 500 Bad\r\nreplica-signature: s\r\nrequest-id: id-1\r\n"
+    b"content-length: 3\r\n\r\nbad"
+)
+
+SETTINGS = {
+    "role": "gateway",
+    "instance": "edge-1",
+    "data_centre": "dc",
+    "region": "north",
+    "callers_bind": "127.0.0.1:1",
+    "ready_bind": "127.0.0.1:2",
+    "peers_bind": "127.0.0.1:3",
+    "peer_port": 3,
+    "seeds": ["127.0.0.1:4"],
+    "regions": {"dc": "north"},
+}
+
+
+def make_document(**route):
+    document = empty_document()
+    document["services"]["s"] = {"kind": "direct"}
+    row = {
+        "host": "a.example",
+        "prefix": "/",
+        "kind": "idempotent",
+        "services": [{"service": "s", "weight": 1}],
+        "timeout_seconds": 2.0,
+        "objective_seconds": 0.1,
+        "max_attempts": 2,
+        **route,
+    }
+    document["routes"]["r"] = row
+    document["workspaces"]["w"] = {"keys": ["key"]}
+    return document
+
+
+class Target:
+    """A scripted target that keeps the heads of the requests it has read.
+
+    :param acts: what to do with the first connection, the second, and so on; the last
+        one serves for all others too.
+    """
+
+    def __init__(self, *acts):
+        self.acts = list(acts)
+        self.requests = []
+
+    async def act(self, stream):
+        data = b""
+        while b"\r\n\r\n" not in data:
+            data += await stream.receive()
+        self.requests.append(data)
+        act = self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]
+        if callable(act):
+            await act(stream)
+        else:
+            await stream.send(act)
+
+
+@contextlib.asynccontextmanager
+async def gateway_before(*targets, **route):
+    """Yield a gateway and the address of its front."""
+    gateway = Gateway(parse_settings(SETTINGS), PlatformDialect(), None)
+    gateway.state.apply(PublishedState(1, Fence(1, 1), to_json(make_document(**route))))
+    gateway.feed.confirmed_at = boot_time()
+    async with contextlib.AsyncExitStack() as stack:
+        for number, target in enumerate(targets):
+            script = await stack.enter_async_context(scripted(target.act))
+            row = TargetRow(
+                f"i-{number}", "s", script.address, "dc", "v1", 4, "ready", 0.0, 1, 1
+            )
+            gateway.registry.record(time.monotonic(), row)
+        gateway.front = Listener(gateway._handle, gateway._limits)
+        address = await stack.enter_async_context(running(gateway.front))
+        yield gateway, address
+
+
+def make_request(method="GET", key="key", body=b"", **headers):
+    lines = [f"{method} /p?q=1 HTTP/1.1", "host: a.example", "request-id: id-1"]
+    if key:
+        lines.append(f"authorization: Bearer {key}")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    lines += ["connection: close", f"content-length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+async def ask(address, request=None, seconds=4.0):
+    """Return the status and the whole answer as bytes."""
+    async with await connect(address) as stream:
+        await stream.send(request or make_request())
+        answer = await read_all(stream, seconds)
+    status = int(answer.split(b" ", 2)[1]) if answer else 0
+    return status, answer
+
+
+async def hang(stream):
+    await anyio.sleep(30)
+
+
+async def close(stream):
+    await stream.aclose()
--- /dev/null
+++ b/tests/gateway/test_requests.py
@@ -0,0 +1,244 @@
+"""Requests through a gateway: what callers get when targets misbehave."""
+
+import anyio
+import pytest
+
+from tests.gateway.deployment import (
+    FAILED,
+    NOT_RUN,
+    SIGNED,
+    WHOLE,
+    Target,
+    ask,
+    close,
+    gateway_before,
+    hang,
+    make_request,
+)
+from tests.http.raw import connect
+
+pytestmark = pytest.mark.anyio
+
+STREAM = {"kind": "streaming", "resumable": True}
+ONCE = {"kind": "non_idempotent", "max_attempts": 1}
+
+
+async def test_answer_is_passed_on_unchanged():
+    target = Target(SIGNED + b"x-more: 1\r\ncontent-length: 2\r\n\r\nok")
+    async with gateway_before(target) as (_, address):
+        status, answer = await ask(address)
+    assert status == 200
+    assert b"replica-signature: s" in answer
+    assert b"x-more: 1" in answer
+    assert answer.endswith(b"\r\n\r\nok")
+
+
+async def test_target_gets_what_concerns_it_and_no_key():
+    target = Target(WHOLE)
+    request = make_request(
+        "POST", body=b"text", deadline_ms=900, tenant="forged", model="m", te="x"
+    )
+    async with gateway_before(target) as (_, address):
+        await ask(address, request)
+    head, _, body = target.requests[0].partition(b"\r\n\r\n")
+    lines = head.lower().split(b"\r\n")
+    assert lines[0] == b"post /p?q=1 http/1.1"
+    assert body == b"text"
+    for line in (
+        b"tenant: w",
+        b"expect-replica: i-0",
+        b"request-id: id-1",
+        b"model: m",
+    ):
+        assert line in lines
+    assert b"forged" not in head
+    assert b"authorization" not in head.lower()
+    assert b"te: x" not in lines
+    left = next(int(line[13:]) for line in lines if line.startswith(b"deadline-ms: "))
+    assert 500 < left <= 900
+
+
+@pytest.mark.parametrize("route", [{}, ONCE])
+async def test_request_that_no_target_ran_is_refused_with_a_time(route):
+    target = Target(NOT_RUN)
+    async with gateway_before(target, **route) as (_, address):
+        status, answer = await ask(address)
+    assert status == 503
+    assert b"retry-after: " in answer
+    assert len(target.requests) == 1
+
+
+async def test_request_that_one_target_refused_is_run_by_another():
+    full, free = Target(NOT_RUN), Target(WHOLE)
+    async with gateway_before(full, free) as (_, address):
+        for _ in range(6):
+            assert (await ask(address))[0] == 200
+    assert full.requests
+
+
+@pytest.mark.parametrize("act", [close, b"nonsense\r\n\r\n", WHOLE[:-1]])
+async def test_answer_that_is_lost_is_never_called_not_run(act):
+    target = Target(act)
+    async with gateway_before(target, **ONCE) as (_, address):
+        status, _ = await ask(address)
+    assert status == 502
+    assert len(target.requests) == 1
+
+
+@pytest.mark.parametrize("act", [close, b"nonsense\r\n\r\n", WHOLE[:-1], FAILED])
+async def test_idempotent_request_goes_on_to_another_target(act):
+    bad, good = Target(act), Target(WHOLE)
+    async with gateway_before(bad, good) as (_, address):
+        for _ in range(4):
+            assert (await ask(address))[0] == 200
+
+
+async def test_silent_target_is_given_up_for_another_one():
+    bad, good = Target(hang), Target(WHOLE)
+    async with gateway_before(bad, good) as (_, address):
+        with anyio.fail_after(2.0):
+            for _ in range(3):
+                assert (await ask(address))[0] == 200
+
+
+async def test_silent_target_of_a_request_that_runs_once_is_waited_for():
+    target = Target(hang)
+    async with gateway_before(target, **ONCE, timeout_seconds=0.5) as (_, address):
+        status, _ = await ask(address)
+    assert status == 504
+    assert len(target.requests) == 1
+
+
+async def test_failure_of_the_target_is_passed_on_when_nothing_else_is_left():
+    async with gateway_before(Target(FAILED), Target(FAILED)) as (_, address):
+        status, answer = await ask(address)
+    assert status == 500
+    assert b"replica-signature: s" in answer
+    assert answer.endswith(b"bad")
+
+
+async def test_refusal_of_a_target_that_may_have_run_it_promises_nothing():
+    busy = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n"
+    async with gateway_before(Target(busy), **ONCE) as (_, address):
+        assert (await ask(address))[0] == 502
+
+
+async def test_answer_to_another_request_reaches_nobody():
+    other = WHOLE.replace(b"id-1", b"id-2")
+    async with gateway_before(Target(other), **ONCE) as (_, address):
+        status, answer = await ask(address)
+    assert status == 502
+    assert b"ok" not in answer.split(b"\r\n\r\n", 1)[1]
+
+
+async def test_unsigned_success_reaches_nobody():
+    plain = b"HTTP/1.1 200 OK\r\nrequest-id: id-1\r\ncontent-length: 2\r\n\r\nok"
+    async with gateway_before(Target(plain), **ONCE) as (_, address):
+        assert (await ask(address))[0] == 502
+
+
+def events(first, last):
+    return b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(first, last + 1))
+
+
+async def test_stream_that_breaks_off_goes_on_at_another_target():
+    """Half an event at the break is not passed on; the second run begins after 2."""
+
+    async def break_off(stream):
+        await stream.send(SIGNED + b"\r\n" + events(1, 2) + b"id: 3\nda")
+        await anyio.sleep(0.05)
+        stream.extra(anyio.abc.SocketAttribute.raw_socket).setsockopt(
+            1, 13, b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        )
+
+    rest = events(3, 4)
+    tail = SIGNED + b"content-length: %d\r\n\r\n" % len(rest) + rest
+    targets = Target(break_off, tail), Target(break_off, tail)
+    async with gateway_before(*targets, **STREAM) as (_, address):
+        targets[0].acts = targets[1].acts = [break_off, tail]
+        status, answer = await ask(address)
+    assert status == 200
+    texts = [line for line in answer.split(b"\n") if line.startswith(b"data: ")]
+    assert texts == [b"data: e1", b"data: e2", b"data: e3", b"data: e4"]
+    assert answer.endswith(b"0\r\n\r\n")
+    second = [r for target in targets for r in target.requests][1].lower()
+    assert b"last-event-id: 2" in second
+
+
+async def test_stream_that_may_not_be_resumed_is_cut_off():
+    async def break_off(stream):
+        await stream.send(SIGNED + b"content-length: 99\r\n\r\n" + events(1, 2))
+
+    target = Target(break_off)
+    async with gateway_before(target, kind="streaming") as (_, address):
+        status, answer = await ask(address)
+    assert status == 200
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
+async def test_event_is_passed_on_as_it_arrives():
+    go_on = anyio.Event()
+
+    async def act(stream):
+        await stream.send(SIGNED + b"\r\n" + events(1, 1))
+        await go_on.wait()
+        await stream.send(events(2, 2))
+
+    async with (
+        gateway_before(Target(act), **STREAM) as (_, address),
+        await connect(address) as stream,
+    ):
+        await stream.send(make_request())
+        data = b""
+        with anyio.fail_after(1):
+            while b"e1" not in data:
+                data += await stream.receive()
+        go_on.set()
+
+
+async def test_target_stops_once_the_caller_has_left():
+    closed = anyio.Event()
+
+    async def act(stream):
+        try:
+            await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            closed.set()
+
+    async with gateway_before(Target(act), **ONCE) as (gateway, address):
+        async with await connect(address) as stream:
+            await stream.send(make_request())
+            await anyio.sleep(0.1)
+        with anyio.fail_after(0.5):
+            await closed.wait()
+        await anyio.sleep(0.05)
+        row = gateway.registry.targets.rows()[0]
+        assert gateway.board.load(row.address).own == 0
+
+
+async def test_target_that_cannot_be_reached_is_passed_over():
+    good = Target(WHOLE)
+    async with gateway_before(good, **ONCE) as (gateway, address):
+        row = gateway.registry.targets.rows()[0]
+        dead = type(row)("i-9", "s", "127.0.0.1:9", "dc", "v1", 4, "ready", 0.0, 1, 1)
+        gateway.registry.record(0.0, dead)
+        for _ in range(4):
+            assert (await ask(address))[0] == 200
+
+
+async def test_leaving_gateway_refuses_what_comes_late():
+    target = Target(WHOLE)
+    async with gateway_before(target) as (gateway, address):
+        gateway._leaves_at = 0.0
+        status, answer = await ask(address)
+    assert status == 503
+    assert b"retry-after: " in answer
+    assert not target.requests
+
+
+async def test_request_without_targets_is_refused_at_once():
+    async with gateway_before() as (_, address):
+        with anyio.fail_after(0.5):
+            status, answer = await ask(address)
+    assert status == 503
+    assert b"retry-after: " in answer
--- /dev/null
+++ b/tests/gateway/test_screening.py
@@ -0,0 +1,70 @@
+"""What is decided of a request before any target is looked for."""
+
+import pytest
+
+from banyanshore.gateway.screening import Rejection, Screened, Screening
+from banyanshore.routing.caller_requests import CallerRequest
+
+DOCUMENT = {
+    "services": {"s": {"kind": "direct"}},
+    "routes": {
+        name: {
+            "host": "a.example",
+            "prefix": f"/{name}/",
+            "kind": "idempotent",
+            "services": [{"service": "s", "weight": 1}],
+            "public": name == "public",
+        }
+        for name in ("public", "keyed")
+    },
+    "workspaces": {"w": {"keys": ["good"], "regions": ["north"]}},
+}
+
+
+def request(path="/keyed/1", key="good", host="a.example"):
+    return CallerRequest("id-1", b"GET", path.encode(), path, host, key, 1.0)
+
+
+@pytest.fixture
+def screening():
+    screening = Screening(4.5)
+    screening.use(DOCUMENT)
+    return screening
+
+
+def test_request_with_its_key_is_screened(screening):
+    found = screening.screen(request(), 0.1)
+    assert isinstance(found, Screened)
+    assert (found.service, found.workspace.name) == ("s", "w")
+    assert found.regions == (frozenset(), {"north"})
+
+
+@pytest.mark.parametrize(
+    ("wrong", "ago", "status"),
+    [
+        ({"path": "/none/1"}, 0.1, 404),
+        ({"host": "b.example"}, 0.1, 404),
+        ({"key": "bad"}, 0.1, 401),
+        ({"key": ""}, 0.1, 401),
+        # A route or key that was just added may not have arrived yet.
+        ({"path": "/none/1"}, 3.0, 503),
+        ({"key": "bad"}, 3.0, 503),
+        # A key that was just taken away may still be here.
+        ({}, 4.6, 503),
+    ],
+)
+def test_request_that_is_answered_at_once(screening, wrong, ago, status):
+    found = screening.screen(request(**wrong), ago)
+    assert isinstance(found, Rejection)
+    assert found.status == status
+    assert (found.retry_after is not None) == (status == 503)
+
+
+def test_public_route_needs_no_key_and_no_confirmed_state(screening):
+    found = screening.screen(request("/public/1", ""), 60.0)
+    assert found.workspace.name == ""
+
+
+def test_gateway_without_a_state_promises_to_be_back():
+    found = Screening(4.5).screen(request(), 0.0)
+    assert (found.status, found.retry_after > 0) == (503, True)
--- /dev/null
+++ b/tests/routing/test_board.py
@@ -0,0 +1,171 @@
+"""Choosing a target: what rules one out, and loads that the choice is made for."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from banyanshore.membership.load_reports import LoadReport
+from banyanshore.membership.registry import RowTable, TargetRow
+from banyanshore.routing.board import Choice, Reason, TargetBoard, Wish
+from banyanshore.routing.shares import ColdShares
+from banyanshore.state import DesiredState, Fence, PublishedState
+from banyanshore.state.document import empty_document, to_json
+from tests.routing.engine_replay import (
+    ENGINE,
+    Replay,
+    late_share,
+    make_desired,
+    make_requests,
+)
+
+ROW = TargetRow(
+    "i-1", "llm", "10.0.0.1:80", "dc", "v1", 16, "ready", 0.0, 1, 1, "m", 2, 0, 16
+)
+WISH = Wish("llm", "m")
+
+
+class Settings:
+    data_centre = "dc"
+    regions = {"dc": "north", "far": "south"}  # noqa: RUF012
+
+
+def make_board(*rows):
+    table = RowTable("target", 0)
+    for row in rows:
+        table.record(0.0, row)
+    return TargetBoard(Settings, table, ColdShares("g", 1.5, 5), random.Random(1))
+
+
+def choose(board, wish=WISH, now=1.0, desired=None):
+    return board.choose(now, wish, desired or make_desired(), ["g"])
+
+
+def desired_with(**tables):
+    document = empty_document()
+    document["services"]["llm"] = {"kind": "direct", "engine": ENGINE}
+    document["services"]["llm"]["cold_per_second"] = 2.0
+    document.update(tables)
+    return DesiredState(PublishedState(1, Fence(1, 1), to_json(document)))
+
+
+@pytest.mark.parametrize(
+    ("row", "wish", "reason"),
+    [
+        ({"state": "draining"}, {}, Reason.NO_TARGET),
+        ({"service": "other"}, {}, Reason.NO_TARGET),
+        ({}, {"excluded": frozenset({"i-1"})}, Reason.NO_TARGET),
+        ({}, {"regions": (frozenset({"south"}),)}, Reason.NO_TARGET),
+        (
+            {},
+            {"regions": (frozenset({"north"}), frozenset({"south"}))},
+            Reason.NO_TARGET,
+        ),
+        ({"end_layer": 8}, {}, Reason.NO_WEIGHTS),
+        ({"end_layer": 0, "model_version": 0}, {}, Reason.NO_WEIGHTS),
+        ({}, {"oldest_version": 3}, Reason.NO_WEIGHTS),
+        ({}, {"exact_version": 1}, Reason.NO_WEIGHTS),
+    ],
+)
+def test_target_that_may_not_have_a_request_is_not_chosen(row, wish, reason):
+    board = make_board(replace(ROW, **row))
+    assert choose(board, replace(WISH, **wish)).reason is reason
+
+
+def test_target_of_the_region_and_version_wanted_is_chosen():
+    wish = replace(WISH, regions=(frozenset({"north"}), frozenset()), exact_version=2)
+    choice = choose(make_board(ROW), wish)
+    assert (choice.row, choice.model_version) == (ROW, 2)
+
+
+def test_data_centre_out_of_service_gets_nothing():
+    rows = {"dc": {"in_service": False}}
+    found = choose(make_board(ROW), desired=desired_with(data_centres=rows))
+    assert found.reason is Reason.NO_TARGET
+
+
+def test_target_that_failed_is_left_alone_for_a_while():
+    board = make_board(ROW)
+    board.record_failure(1.0, ROW)
+    assert choose(board, now=1.1).reason is Reason.FULL
+    assert isinstance(choose(board, now=2.0), Choice)
+    board.record_failure(2.0, ROW)
+    assert choose(board, now=2.6).reason is Reason.FULL
+
+
+def test_target_about_to_load_gets_no_more_requests():
+    board = make_board(ROW)
+    report = LoadReport(ROW.address, 1, 1, "m", 2, 16, 0, 0, 1.0, True)
+    board.record_report(1.0, report)
+    assert choose(board).reason is Reason.NO_WEIGHTS
+    board.record_report(1.0, replace(report, sequence=2, is_loading=False))
+    assert isinstance(choose(board), Choice)
+
+
+def test_full_target_is_told_by_its_report_and_by_what_was_sent_since():
+    board = make_board(ROW)
+    board.record_report(1.0, LoadReport(ROW.address, 1, 1, "m", 2, 16, 16, 1))
+    assert isinstance(choose(board), Choice)
+    board.begin(1.0, ROW, 0.0)
+    board.begin(1.0, ROW, 0.0)
+    assert choose(board).reason is Reason.FULL
+    board.end(ROW)
+    assert isinstance(choose(board), Choice)
+
+
+def test_older_report_changes_nothing():
+    board = make_board(ROW)
+    board.record_report(1.0, LoadReport(ROW.address, 1, 5, "m", 2, 16, 19, 9))
+    board.record_report(1.0, LoadReport(ROW.address, 1, 4, "m", 2, 16, 0, 0))
+    assert choose(board).reason is Reason.FULL
+
+
+def test_cold_target_gets_its_share_only():
+    board = make_board(replace(ROW, cold_seconds=5.0))
+    sent = 0
+    while isinstance(found := choose(board, desired=desired_with()), Choice):
+        board.begin(1.0, found.row, 0.0)
+        board.end(found.row)
+        sent += 1
+    # Eight tenths of 2 a second times 1.5, and 5.
+    assert (sent, found.reason) == (6, Reason.COLD)
+
+
+def test_refused_callers_are_told_different_times():
+    board = make_board()
+    times = {choose(board).retry_after for _ in range(20)}
+    assert len(times) > 10
+    assert all(0 < seconds < 2 for seconds in times)
+
+
+def test_near_target_wins_among_equals():
+    far = replace(ROW, id="i-2", address="10.0.0.2:80", data_centre="far")
+    assert {choose(make_board(ROW, far)).row.id for _ in range(20)} == {"i-1"}
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_calm_load_meets_its_objective(seed):
+    """The load of a calm day: 57 generations a second at ten targets."""
+    requests = make_requests(57, 20, seed)
+    Replay(seed=seed).run(requests)
+    assert late_share(requests, 0.405) < 0.03
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_telling_others_what_was_placed_saves_most_late_answers(seed):
+    """Gateways that only count by lagging reports put long prompts together."""
+    late = {}
+    for tells in (True, False):
+        requests = make_requests(70, 20, seed)
+        Replay(seed=seed, tells=tells).run(requests)
+        late[tells] = late_share(requests, 0.405)
+    assert late[True] < late[False] / 2
+
+
+def test_load_beyond_what_the_targets_bear_is_refused_at_once():
+    requests = make_requests(120, 10)
+    replay = Replay(targets=5)
+    replay.run(requests)
+    assert replay.refused
+    served = [r for r in requests if r not in replay.refused]
+    assert late_share(served, 2.0) < 0.05
