Bear a failing disk, cold returns, lost keys and faulty targets; light metrics

Change besides: metrics are kept in plain counters and turned into Prometheus text when asked for, so that the small instances don't hold the client library; loaders drop the chunks of the version before; control serves metrics.

--- a/banyanshore/consensus/node.py
+++ b/banyanshore/consensus/node.py
@@ -174,7 +174,7 @@
     async def run(self):
         """Run the member until cancelled, or until its disk fails."""
         try:
-            if self._formation.decide():
+            if self.raft.log.last_index == 0:
                 self._form(self._formation.decide())
             while True:
                 await self._turn()
--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -29,6 +29,8 @@
 # behind narrow links, which a long list of routes would fill for seconds.
 TABLES_BY_ROLE = {"loader": ("services", "rollouts")}
 
+_OUTCOME_BY_NEWS = {None: "outdated", False: "unchanged", True: "news"}
+
 
 @dataclass
 class Follower:
@@ -56,9 +58,11 @@
     :param registry: the :class:`~banyanshore.membership.feed.Registry`.
     :param links: the :class:`~banyanshore.transport.LinkPool` to other control
         instances.
+    :param metrics: the :class:`~banyanshore.telemetry.control.ControlMetrics`.
     """
 
-    def __init__(self, settings, member, state, registry, links):
+    def __init__(self, settings, member, state, registry, links, metrics):
+        self._metrics = metrics
         self.seeds = tuple(settings.seeds)
         self._settings = settings
         self._member = member
@@ -126,6 +130,7 @@
     async def record(self, row):
         """Take a row that was told to this instance itself."""
         news = self._registry.record(time.monotonic(), row)
+        self._metrics.registrations.labels(_OUTCOME_BY_NEWS[news]).inc()
         if news is None:
             return
         # The others have to know that it lives, also where nothing is new.
--- a/banyanshore/control/orders.py
+++ b/banyanshore/control/orders.py
@@ -38,11 +38,13 @@
 
     :param state: the :class:`~banyanshore.state.StateHolder` of this instance.
     :param client: the :class:`~banyanshore.entry.state_client.StateClient`.
+    :param metrics: the :class:`~banyanshore.telemetry.control.ControlMetrics`.
     """
 
-    def __init__(self, state, client):
+    def __init__(self, state, client, metrics):
         self._state = state
         self._client = client
+        self._metrics = metrics
 
     async def declare(self, number, tables):
         """Replace the declared tables, unless a declaration as high is accepted.
@@ -160,6 +162,7 @@
                 await anyio.sleep(ARRIVAL_STEP)
 
     def _log(self, order, details, outcome, began_at):
+        self._metrics.orders.labels(order, outcome).inc()
         logger.info(
             "order %s",
             outcome,
--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -15,7 +15,7 @@
     ReadRequest,
     VersionRequest,
 )
-from banyanshore.consensus.storage import Storage
+from banyanshore.consensus.storage import Storage, StorageError
 from banyanshore.control.feed import FeedServer
 from banyanshore.control.orders import Orders
 from banyanshore.core.exceptions import BanyanshoreError
@@ -31,10 +31,14 @@
     peer_address,
 )
 from banyanshore.state import StateHolder, StateMachine
+from banyanshore.telemetry.control import ControlMetrics
+from banyanshore.telemetry.listener import serve_metrics
 from banyanshore.transport import LinkOptions, LinkPool, TableHandler, serve_peers
 
 logger = logging.getLogger(__name__)
 
+# Seconds before a disk that has failed is tried again.
+DISK_RETRY_SECONDS = 0.5
 # Seconds between announcements of this instance to other control instances.
 ANNOUNCE_INTERVAL = 1.0
 # Seconds for a confirmation; a follower asks elsewhere after a second.
@@ -99,6 +103,7 @@
             time.time_ns(),
             0,
         )
+        self.metrics = ControlMetrics()
         self._make_api = make_api
         self._log_settings = LogSettings(settings)
 
@@ -111,11 +116,15 @@
             self._tasks = tasks
             self._build(tasks)
             await tasks.start(self._serve_peers)
-            tasks.start_soon(self.node.run)
+            tasks.start_soon(self._run_log)
             tasks.start_soon(self.link_options.ticker.run)
             tasks.start_soon(self.feed.run)
             tasks.start_soon(self._announce)
             await tasks.start(self.listener.serve, self.settings.control_bind)
+            if self.settings.metrics_bind:
+                tasks.start_soon(
+                    serve_metrics, self.settings.metrics_bind, self.metrics.registry
+                )
             logger.info("started", extra={"role": CONTROL_ROLE})
             await stop_requested.wait()
             logger.info("stopping")
@@ -126,26 +135,57 @@
         settings = self.settings
         self.link_options = LinkOptions.from_settings(settings.transport)
         self.links = LinkPool(tasks, self, settings.control_bind, self.link_options)
+        self._open_log()
+        self.client = StateClient(self._log_settings, self.links, self.node, lambda: "")
+        self.orders = Orders(self.state, self.client, self.metrics)
+        self.feed = FeedServer(
+            settings,
+            self.member,
+            self.state,
+            self.registry,
+            self.links,
+            self.metrics,
+        )
+        self.listener = Listener(self._make_api(self.orders, self.feed))
+
+    def reload(self, settings):
+        """Take the control instances that changed settings name."""
+        self.feed.seeds = tuple(settings.seeds)
+
+    def _open_log(self):
+        """Take up the log as the disk holds it.
+
+        :raises StorageError: the disk can't be read or written.
+        """
         self.machine = StateMachine()
         self.node = ConsensusNode(
             self._log_settings,
-            Storage(settings.data_dir),
+            Storage(self.settings.data_dir),
             self.machine,
             self._send_raft,
             self._on_applied,
             self._find_control,
         )
         self._on_applied()
-        self.client = StateClient(self._log_settings, self.links, self.node, lambda: "")
-        self.orders = Orders(self.state, self.client)
-        self.feed = FeedServer(
-            settings, self.member, self.state, self.registry, self.links
-        )
-        self.listener = Listener(self._make_api(self.orders, self.feed))
 
-    def reload(self, settings):
-        """Take the control instances that changed settings name."""
-        self.feed.seeds = tuple(settings.seeds)
+    async def _run_log(self):
+        """Keep the log; take it up from the disk again after the disk has failed."""
+        while True:
+            await self.node.run()
+            logger.error("disk lost", extra={"data_dir": self.settings.data_dir})
+            await self._reopen_log()
+            logger.info("disk regained", extra={"data_dir": self.settings.data_dir})
+
+    async def _reopen_log(self):
+        while True:
+            await anyio.sleep(DISK_RETRY_SECONDS)
+            try:
+                self._open_log()
+            except StorageError as error:
+                logger.warning("disk not regained", extra={"why": str(error)})
+                continue
+            self.client.use_node(self.node)
+            return
 
     async def _serve_peers(self, task_status):
         await serve_peers(
@@ -177,8 +217,9 @@
         await self.links.get(address, instance).notify_or_drop(message)
 
     def _on_applied(self):
-        if self.machine.version:
+        if self.machine.version > self.state.version:
             self.state.apply(self.machine.published())
+            self.metrics.state_version.labels().set(self.machine.version)
 
     async def _leave(self, force_requested):
         self.listener.leaving = True
--- a/banyanshore/entry/state_client.py
+++ b/banyanshore/entry/state_client.py
@@ -47,6 +47,10 @@
         self._entries = None
         self._refresh()
 
+    def use_node(self, node):
+        """Take another member of the log that this instance is now."""
+        self._node = node
+
     def _refresh(self):
         """Take the entries that the settings name now."""
         entries = self._settings.entries
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -79,6 +79,7 @@
         )
         self.state.on_change.append(self._on_state)
         self._retry_share_by_service = {}
+        self._data_centres_out = set()
         self.relay = WeightsRelay(self, make_origin)
 
     def _member(self):
@@ -171,8 +172,18 @@
         return not self.leaving and self.screening.table is not None and is_confirmed
 
     def _on_state(self, desired):
-        self.screening.use(desired.document)
-        self.versions.record(time.monotonic(), desired.document["rollouts"])
+        now = time.monotonic()
+        document = desired.document
+        self.screening.use(document)
+        self.versions.record(now, document["rollouts"])
+        was_out = self._data_centres_out
+        self._data_centres_out = {
+            name
+            for name, row in document["data_centres"].items()
+            if not row["in_service"]
+        }
+        for data_centre in was_out - self._data_centres_out:
+            self.board.expect_cold(now, data_centre, document["services"])
 
     def _limits(self):
         if self.screening.table is None:
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -162,6 +162,8 @@
     def _judge_target(self, row, outcome):
         if outcome in (Outcome.UNREACHABLE, Outcome.LOST, Outcome.BROKEN_OFF):
             self._gateway.board.record_failure(time.monotonic(), row)
+        elif outcome is Outcome.FAILED:
+            self._gateway.board.record_error(row)
         elif outcome is None:
             self._gateway.board.record_success(row)
 
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -293,6 +293,7 @@
             await self._send_report()
             await anyio.sleep(NOTICE_SECONDS)
             outcome = await self.engine.load(wanted.model, wanted.version)
+            self.metrics.loads.labels(outcome).inc()
             logger.info(
                 "load ordered",
                 extra={
--- a/banyanshore/loader/transfer.py
+++ b/banyanshore/loader/transfer.py
@@ -35,6 +35,11 @@
                 await self._engine.stage(self.spec.name, index, data)
         return mended
 
+    def _start_planner(self, have):
+        # Chunks of an older version are of no use to anyone any more.
+        self._store.keep_only(self.manifest.chunk_digests)
+        super()._start_planner(have)
+
     async def _is_stored(self, index, digest):
         if self._store.has(digest):
             return True
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -29,6 +29,14 @@
 COLD_SECONDS = 0.02
 # Spread of the noise on times, in seconds.
 NOISE_SECONDS = 0.01
+# Part that the newest answer has in how faulty a target is taken to be.
+FAULT_WEIGHT = 0.1
+# Seconds that a target which always fails has to be faster by: about an objective,
+# since a request that fails there has to be run again.
+FAULT_SECONDS = 0.5
+# Seconds for which the news that a target has turned cold may be late: a heartbeat and
+# its way.
+COLD_NEWS_SECONDS = 1.5
 # Seconds that each request at a plain target is taken to need.
 PLAIN_SECONDS = 0.02
 # Seconds for which a target that has failed is left alone, doubled for each failure in
@@ -67,6 +75,7 @@
     :ivar own_at_report: ``own`` when the report arrived.
     :ivar suspended_until: time until which it is left alone.
     :ivar read_until: time until which it reads the prompts that it has been given.
+    :ivar fault_level: part of the last answers that were failures, newest first.
     """
 
     own: int = 0
@@ -76,6 +85,11 @@
     failures: int = 0
     suspended_until: float = -math.inf
     read_until: float = -math.inf
+    fault_level: float = 0.0
+
+    def record_outcome(self, has_failed):
+        """Take note of how an answer ended."""
+        self.fault_level += FAULT_WEIGHT * (has_failed - self.fault_level)
 
     def add_reading(self, now, seconds):
         """Take note of a prompt that the target has been given."""
@@ -144,6 +158,7 @@
         self._cold_shares = cold_shares
         self._rng = rng
         self._load_by_address = {}
+        self._expected_cold_until = {}
 
     def load(self, address):
         """Return the :class:`TargetLoad` of the target at an address."""
@@ -182,15 +197,41 @@
 
     def record_success(self, row):
         """Take note of an answer of a target."""
-        self.load(row.address).failures = 0
+        load = self.load(row.address)
+        load.failures = 0
+        load.record_outcome(False)
+
+    def record_error(self, row):
+        """Take note of a target that answered with a failure of its own."""
+        self.load(row.address).record_outcome(True)
 
     def record_failure(self, now, row):
         """Leave a target alone for a while that can't be reached or broke off."""
         load = self.load(row.address)
+        load.record_outcome(True)
         seconds = SUSPENSION_SECONDS * 2**load.failures
         load.failures += 1
         load.suspended_until = now + min(seconds, MAX_SUSPENSION_SECONDS)
 
+    def expect_cold(self, now, data_centre, services):
+        """Take the targets of a data centre for cold that comes back into service.
+
+        They may have turned cold while nothing was sent to them, and all gateways turn
+        to them at the same moment.
+
+        :param services: rows of the services by name.
+        """
+        for known in self._table.by_key.values():
+            cold_seconds = services.get(known.row.service, {}).get("cold_seconds", 0)
+            if known.row.data_centre == data_centre and cold_seconds:
+                until = now + cold_seconds + COLD_NEWS_SECONDS
+                self._expected_cold_until[known.row.id] = until
+
+    def cold_until(self, known):
+        """Return the time until which a target is taken for cold."""
+        expected = self._expected_cold_until.get(known.row.id, -math.inf)
+        return max(known.cold_until, expected)
+
     def forget_departed(self):
         """Forget the load of targets that are no longer known."""
         rows = self._table.rows()
@@ -198,7 +239,10 @@
         for address in self._load_by_address.keys() - known:
             if not self._load_by_address[address].own:
                 del self._load_by_address[address]
-        self._cold_shares.keep_only(row.id for row in rows)
+        ids = {row.id for row in rows}
+        self._cold_shares.keep_only(ids)
+        for target in self._expected_cold_until.keys() - ids:
+            del self._expected_cold_until[target]
 
     def choose(self, now, wish, desired, gateways):
         """Return a :class:`Choice` or a :class:`NoChoice`.
@@ -274,7 +318,7 @@
 
     def _bears(self, now, known, service, gateways):
         per_second = service.get("cold_per_second", 0)
-        if known.cold_until <= now or not per_second:
+        if self.cold_until(known) <= now or not per_second:
             return True
         return self._cold_shares.has_room(now, known.row.id, per_second, gateways)
 
@@ -294,9 +338,10 @@
             seconds += waiting * model.slot_seconds(known.row.slots)
             seconds += count * model.steps_per_pass * model.request_seconds
             seconds *= max(1.0, pace)
+        seconds += load.fault_level * FAULT_SECONDS
         if known.row.data_centre != self._settings.data_centre:
             seconds += DISTANCE_SECONDS
-        if known.cold_until > now:
+        if self.cold_until(known) > now:
             seconds += COLD_SECONDS
         return seconds + self._rng.uniform(0, NOISE_SECONDS)
 
--- a/banyanshore/routing/version_switch.py
+++ b/banyanshore/routing/version_switch.py
@@ -2,6 +2,10 @@
 
 import math
 
+# Seconds for which a process uses older versions than those it finds at its start. An
+# instance is not relied on for as long after it has started.
+FIRST_STATE_SECONDS = 2.5
+
 
 class VersionSwitch:
     """The versions of each model that have been named, and when that was heard.
@@ -15,17 +19,20 @@
     def __init__(self, seconds):
         self._seconds = seconds
         self._named_by_model = {}
+        self._has_state = False
 
     def record(self, now, rollouts):
         """Take the table of rollouts in force.
 
-        Versions that were in force before this process heard of anything count from
-        then on too, since it can't tell when they were named.
+        A process that has just started can't tell when the versions that it finds were
+        named, so it gives the older ones little time.
         """
+        at = now if self._has_state else now - self._seconds + FIRST_STATE_SECONDS
+        self._has_state = True
         for model, row in rollouts.items():
             named = self._named_by_model.setdefault(model, [])
             if not named or named[-1][0] < row["version"]:
-                named.append((row["version"], now))
+                named.append((row["version"], at))
 
     def newest(self, model):
         """Return the newest version named, 0 if there is none."""
--- a/banyanshore/state/routes.py
+++ b/banyanshore/state/routes.py
@@ -109,6 +109,8 @@
             route = Route.from_row(row)
             prefixes = self._routes_by_host.setdefault(route.host, {})
             prefixes[route.prefix] = route
+        # Workspaces that have lost all their keys still want one of every caller.
+        self.wants_keys = bool(document.get("workspaces"))
         self._workspace_by_key = {}
         for name, row in document.get("workspaces", {}).items():
             regions = frozenset(row.get("regions", ()))
@@ -116,11 +118,6 @@
             for key in row.get("keys", ()):
                 self._workspace_by_key[key] = workspace
 
-    @property
-    def wants_keys(self):
-        """Tell whether any workspace holds keys."""
-        return bool(self._workspace_by_key)
-
     def find_route(self, host, path):
         """Return the route with the longest prefix of a path, or ``None``.
 
--- /dev/null
+++ b/banyanshore/telemetry/control.py
@@ -0,0 +1,23 @@
+"""Metrics of a control instance."""
+
+from banyanshore.telemetry.light import LightRegistry
+
+
+class ControlMetrics:
+    """What a control instance counts."""
+
+    def __init__(self):
+        self.registry = LightRegistry()
+        self.orders = self.registry.counter(
+            "banyanshore_orders",
+            "Orders of operators by outcome.",
+            ["order", "outcome"],
+        )
+        self.registrations = self.registry.counter(
+            "banyanshore_registrations",
+            "Heartbeats of targets by outcome.",
+            ["outcome"],
+        )
+        self.state_version = self.registry.gauge(
+            "banyanshore_state_version", "Version of the desired state in force."
+        )
--- a/banyanshore/telemetry/gateway.py
+++ b/banyanshore/telemetry/gateway.py
@@ -1,42 +1,38 @@
-"""Prometheus metrics of a gateway."""
+"""Metrics of a gateway."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
-
-from banyanshore.telemetry.weights import WeightsMetrics
+from banyanshore.telemetry.light import LightRegistry
+from banyanshore.telemetry.weights import add_weights_metrics
 
 _LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8)
 
 
-class GatewayMetrics(WeightsMetrics):
+class GatewayMetrics:
     """What a gateway counts."""
 
     def __init__(self):
-        super().__init__(CollectorRegistry())
-        self.requests = Counter(
-            "banyanshore_gateway_requests_total",
+        self.registry = LightRegistry()
+        add_weights_metrics(self, self.registry)
+        self.requests = self.registry.counter(
+            "banyanshore_gateway_requests",
             "Requests by service and outcome.",
             ["service", "outcome"],
-            registry=self.registry,
         )
-        self.rejections = Counter(
-            "banyanshore_gateway_rejections_total",
+        self.rejections = self.registry.counter(
+            "banyanshore_gateway_rejections",
             "Requests answered before a target was looked for, by status.",
             ["status"],
-            registry=self.registry,
         )
-        self.first_byte = Histogram(
+        self.first_byte = self.registry.histogram(
             "banyanshore_gateway_first_byte_seconds",
             "Time to the first byte of an answer.",
             ["service"],
-            buckets=_LATENCY_BUCKETS,
-            registry=self.registry,
+            _LATENCY_BUCKETS,
         )
-        self.total = Histogram(
+        self.total = self.registry.histogram(
             "banyanshore_gateway_request_seconds",
             "Time to the end of a request.",
             ["service"],
-            buckets=_LATENCY_BUCKETS,
-            registry=self.registry,
+            _LATENCY_BUCKETS,
         )
 
     def record_end(self, service, outcome, first_seconds, total_seconds):
@@ -46,5 +42,5 @@
         """
         self.requests.labels(service, outcome).inc()
         if first_seconds is not None:
-            self.first_byte.labels(service).observe(first_seconds)
-        self.total.labels(service).observe(total_seconds)
+            self.first_byte.observe((service,), first_seconds)
+        self.total.observe((service,), total_seconds)
--- a/banyanshore/telemetry/metrics.py
+++ b/banyanshore/telemetry/metrics.py
@@ -5,7 +5,6 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
-from banyanshore.telemetry.weights import WeightsMetrics
 from banyanshore.transport import byte_counter
 
 _LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.1, 2.5, 5, 10, 30)
@@ -78,11 +77,11 @@
         )
 
 
-class AgentMetrics(WeightsMetrics):
+class AgentMetrics:
     """What an agent counts."""
 
     def __init__(self):
-        super().__init__(CollectorRegistry())
+        self.registry = CollectorRegistry()
         _add_peer_bytes(self.registry)
         self.admitted = Counter(
             "banyanshore_admitted_total", "Requests admitted.", registry=self.registry
@@ -98,6 +97,23 @@
             "Times the target broke off requests.",
             registry=self.registry,
         )
+        self.weight_bytes = Counter(
+            "banyanshore_weight_bytes_total",
+            "Bytes of weights by source: origin, peer or sent.",
+            ["source"],
+            registry=self.registry,
+        )
+        self.upload_rate = Gauge(
+            "banyanshore_upload_rate_bytes",
+            "Bytes a second that uploads to another data centre may send now.",
+            ["data_centre"],
+            registry=self.registry,
+        )
+        self.rejected_chunks = Counter(
+            "banyanshore_rejected_chunks_total",
+            "Chunks whose digest was wrong.",
+            registry=self.registry,
+        )
         self.limit = Gauge(
             "banyanshore_target_limit",
             "Requests at once that the target may have.",
--- a/banyanshore/telemetry/weights.py
+++ b/banyanshore/telemetry/weights.py
@@ -1,43 +1,35 @@
-"""Prometheus metrics of whoever takes part in a transfer of weights."""
+"""Metrics of whoever takes part in a transfer of weights."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge
+from banyanshore.telemetry.light import LightRegistry
 
 
-class WeightsMetrics:
-    """What a transfer of weights counts.
+def add_weights_metrics(metrics, registry):
+    """Add what a transfer counts as attributes.
 
-    :param registry: registry to add to.
+    :param metrics: object that gets them.
+    :param registry: the :class:`~banyanshore.telemetry.light.LightRegistry`.
     """
-
-    def __init__(self, registry):
-        self.registry = registry
-        self.weight_bytes = Counter(
-            "banyanshore_weight_bytes_total",
-            "Bytes of weights by source: origin, peer or sent.",
-            ["source"],
-            registry=registry,
-        )
-        self.upload_rate = Gauge(
-            "banyanshore_upload_rate_bytes",
-            "Bytes a second that uploads to another data centre may send now.",
-            ["data_centre"],
-            registry=registry,
-        )
-        self.rejected_chunks = Counter(
-            "banyanshore_rejected_chunks_total",
-            "Chunks whose digest was wrong.",
-            registry=registry,
-        )
-
-
-class LoaderMetrics(WeightsMetrics):
+    metrics.weight_bytes = registry.counter(
+        "banyanshore_weight_bytes",
+        "Bytes of weights by source: origin, peer or sent.",
+        ["source"],
+    )
+    metrics.upload_rate = registry.gauge(
+        "banyanshore_upload_rate_bytes",
+        "Bytes a second that uploads to another data centre may send now.",
+        ["data_centre"],
+    )
+    metrics.rejected_chunks = registry.counter(
+        "banyanshore_rejected_chunks", "Chunks whose digest was wrong."
+    )
+
+
+class LoaderMetrics:
     """What a loader counts."""
 
     def __init__(self):
-        super().__init__(CollectorRegistry())
-        self.loads = Counter(
-            "banyanshore_load_orders_total",
-            "Orders to load by outcome.",
-            ["outcome"],
-            registry=self.registry,
+        self.registry = LightRegistry()
+        add_weights_metrics(self, self.registry)
+        self.loads = self.registry.counter(
+            "banyanshore_load_orders", "Orders to load by outcome.", ["outcome"]
         )
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -11,6 +11,7 @@
 from banyanshore.membership.messages import StateChange, StateUpdate
 from banyanshore.state import Fence, PublishedState, StateHolder
 from banyanshore.state.document import empty_document, to_json
+from banyanshore.telemetry.control import ControlMetrics
 
 pytestmark = pytest.mark.anyio
 
@@ -53,7 +54,9 @@
 
 @pytest.fixture
 def server(state):
-    return FeedServer(Settings, member("control"), state, Registry(), None)
+    return FeedServer(
+        Settings, member("control"), state, Registry(), None, ControlMetrics()
+    )
 
 
 async def follow(server, role, version=0, sequence=1, connection=None):
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -153,16 +153,17 @@
 
     rest = events(3, 4)
     tail = SIGNED + b"content-length: %d\r\n\r\n" % len(rest) + rest
-    targets = Target(break_off, tail), Target(break_off, tail)
-    async with gateway_before(*targets, **STREAM) as (_, address):
-        targets[0].acts = targets[1].acts = [break_off, tail]
+    first, other = Target(), Target()
+    # Whichever of them is asked first breaks off.
+    first.acts = other.acts = [break_off, tail]
+    first.requests = other.requests = []
+    async with gateway_before(first, other, **STREAM) as (_, address):
         status, answer = await ask(address)
     assert status == 200
     texts = [line for line in answer.split(b"\n") if line.startswith(b"data: ")]
     assert texts == [b"data: e1", b"data: e2", b"data: e3", b"data: e4"]
     assert answer.endswith(b"0\r\n\r\n")
-    second = [r for target in targets for r in target.requests][1].lower()
-    assert b"last-event-id: 2" in second
+    assert b"last-event-id: 2" in first.requests[1].lower()
 
 
 async def test_stream_that_may_not_be_resumed_is_cut_off():
--- a/tests/routing/test_board.py
+++ b/tests/routing/test_board.py
@@ -138,6 +138,32 @@
     assert all(0 < seconds < 2 for seconds in times)
 
 
+def test_targets_of_a_data_centre_that_comes_back_count_as_cold():
+    """They may have turned cold unnoticed, and all gateways turn to them at once."""
+    board = make_board(ROW)
+    desired = desired_with()
+    services = {"llm": {"cold_seconds": 3.0}}
+    board.expect_cold(1.0, "dc", services)
+    sent = 0
+    while isinstance(found := choose(board, now=2.0, desired=desired), Choice):
+        board.begin(2.0, found.row, 0.0)
+        board.end(found.row)
+        sent += 1
+    assert sent == 6
+    assert isinstance(choose(board, now=6.0, desired=desired), Choice)
+
+
+def test_target_that_fails_many_requests_gets_fewer():
+    other = replace(ROW, id="i-2", address="10.0.0.2:80")
+    board = make_board(ROW, other)
+    for _ in range(10):
+        board.record_error(ROW)
+    assert {choose(board).row.id for _ in range(20)} == {"i-2"}
+    for _ in range(60):
+        board.record_success(ROW)
+    assert {choose(board).row.id for _ in range(40)} == {"i-1", "i-2"}
+
+
 def test_near_target_wins_among_equals():
     far = replace(ROW, id="i-2", address="10.0.0.2:80", data_centre="far")
     assert {choose(make_board(ROW, far)).row.id for _ in range(20)} == {"i-1"}
--- /dev/null
+++ b/tests/routing/test_version_switch.py
@@ -0,0 +1,51 @@
+"""Until when targets with older weights are used."""
+
+from banyanshore.routing.version_switch import FIRST_STATE_SECONDS, VersionSwitch
+
+
+def named(**versions):
+    return {model: {"version": version} for model, version in versions.items()}
+
+
+def started():
+    switch = VersionSwitch(7.0)
+    switch.record(0.0, {})
+    return switch
+
+
+def test_older_versions_are_used_until_the_time_is_up():
+    switch = started()
+    switch.record(10.0, named(m=2))
+    assert switch.newest("m") == 2
+    assert switch.oldest_allowed(16.9, "m") == 0
+    assert switch.oldest_allowed(17.0, "m") == 2
+
+
+def test_each_version_has_its_own_time():
+    switch = started()
+    switch.record(10.0, named(m=2))
+    switch.record(12.0, named(m=3))
+    assert switch.oldest_allowed(17.5, "m") == 2
+    assert switch.oldest_allowed(19.0, "m") == 3
+    assert switch.heard_at("m") == 12.0
+
+
+def test_state_that_names_the_same_version_again_changes_nothing():
+    switch = started()
+    switch.record(10.0, named(m=2))
+    switch.record(15.0, named(m=2))
+    assert switch.oldest_allowed(17.0, "m") == 2
+
+
+def test_process_that_has_just_started_gives_older_versions_little_time():
+    """It would have used them for as long again as the rollout may take."""
+    switch = VersionSwitch(7.0)
+    switch.record(10.0, named(m=2))
+    assert switch.oldest_allowed(10.0 + FIRST_STATE_SECONDS, "m") == 2
+
+
+def test_models_are_told_apart():
+    switch = started()
+    switch.record(10.0, named(m=2))
+    assert switch.oldest_allowed(99.0, "other") == 0
+    assert switch.heard_at("other") == float("-inf")
--- a/tests/state/test_routes.py
+++ b/tests/state/test_routes.py
@@ -73,6 +73,12 @@
     assert table.find_workspace("k3") is None
 
 
+def test_workspaces_without_keys_still_want_one():
+    """All keys were taken away at once, and callers without a key were served."""
+    assert RouteTable(document(workspaces={"w": {"keys": []}})).wants_keys
+    assert not RouteTable(document(workspaces={})).wants_keys
+
+
 BAD = [
     (document(route(services=[{"service": "none", "weight": 1}])), "a service in"),
     (document(route(), route()), "place other than"),
