--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -5,6 +5,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 
 import anyio
 
@@ -29,6 +30,7 @@
         self.load = Load(
             [deployment.url(row["instance"]) for row in deployment.entry_rows],
             REQUESTS_PER_SECOND,
+            comes_back=True,
         )
         self.thread = threading.Thread(target=lambda: anyio.run(self.load.run))
 
@@ -49,7 +51,16 @@
         self.load.stopped = True
         self.thread.join()
         self.rows.append(("all requests", summarize(self.load.results)))
-        return all(not result.problem for result in self.load.results)
+        self.rows.append(("refused, and came back", str(self._count_refusals())))
+        return not self.broken_promises()
+
+    def _count_refusals(self):
+        reasons = Counter(refusal.problem for refusal in self.load.refusals)
+        return ", ".join(f"{n} {reason}" for reason, n in reasons.items()) or "none"
+
+    def broken_promises(self):
+        """Return what callers got that was neither whole nor refused as not run."""
+        return [r for r in self.load.results if r.problem and not r.is_refusal]
 
     def start(self):
         """Start all processes and wait until requests can be served."""
@@ -139,9 +150,8 @@
     print()
     for name, figure in demo.rows:
         print(f"{name:<{width}}  {figure}")
-    problems = {r.problem for r in demo.load.results if r.problem}
-    if problems:
-        print(f"problems: {sorted(problems)[:5]}")
+    for result in demo.broken_promises()[:5]:
+        print(f"promise broken: {result}")
     sys.exit(0 if whole else 1)
 
 
