--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -9,10 +9,12 @@
 from banyanshore.membership.feed import (
     CONTROL_ROLE,
     Departure,
+    RolloutAges,
     RowNews,
     peer_address,
 )
 from banyanshore.membership.messages import StateChange, StateUpdate
+from banyanshore.routing.version_switch import FIRST_STATE_SECONDS, VersionSwitch
 from banyanshore.state.document import to_json
 
 logger = logging.getLogger(__name__)
@@ -72,13 +74,19 @@
         self._follower_by_connection = {}
         self._greeted_by_instance = {}
         self._state_changed = anyio.Event()
-        state.on_change.append(lambda desired: self._state_changed.set())
+        # Only the ages are of interest: control sends no requests.
+        self._versions = VersionSwitch(FIRST_STATE_SECONDS)
+        state.on_change.append(self._on_state)
 
     @property
     def followers(self):
         """Return how many follow this instance."""
         return len(self._follower_by_connection)
 
+    def _on_state(self, desired):
+        self._versions.record(time.monotonic(), desired.document["rollouts"])
+        self._state_changed.set()
+
     async def run(self):
         """Pass versions on, and look after rows, until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -197,6 +205,9 @@
             follower.version = desired.version
             published = replace(desired.published, document=document)
             message = StateUpdate(published)
+        ages = self._versions.ages(time.monotonic())
+        rows = tuple((*key, age) for key, age in sorted(ages.items()))
+        await connection.notify(RolloutAges(rows))
         await connection.notify(message)
 
     def _news_for(self, follower):
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -175,7 +175,7 @@
         now = time.monotonic()
         document = desired.document
         self.screening.use(document)
-        self.versions.record(now, document["rollouts"])
+        self.versions.record(now, document["rollouts"], self.feed.rollout_ages)
         was_out = self._data_centres_out
         self._data_centres_out = {
             name
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -6,17 +6,10 @@
 
 import anyio
 
-from banyanshore.loader.decisions import (
-    Action,
-    Situation,
-    find_turn,
-    load_time,
-    may_drain,
-    next_action,
-)
+from banyanshore.loader.driver import LoadDriver
+from banyanshore.loader.target import TargetWatch
 from banyanshore.loader.transfer import StagedTransfer
 from banyanshore.membership.feed import FeedClient, MemberRow, Registry
-from banyanshore.membership.load_reports import LoadReport
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.state import StateHolder
 from banyanshore.state.views import ModelSpec
@@ -35,24 +28,14 @@
 )
 from banyanshore.weights.relay_messages import ChunkPush, ChunkTaken
 from banyanshore.weights.relay_rosters import (
-    GATEWAY_ROLE,
     LOADER_ROLE,
     RelayRosters,
 )
-from banyanshore.weights.staged import OrderOutcome, StagedEngineError
 from banyanshore.weights.uploads import Uploads
 from banyanshore.weights.wanted import find_origin, find_wanted
 
 logger = logging.getLogger(__name__)
 
-# Seconds between reports of a load that doesn't change.
-IDLE_REPORT_SECONDS = 1.0
-# Seconds between a report that the target is about to load and the order, in which the
-# gateways hear of it.
-NOTICE_SECONDS = 0.08
-# Seconds before an order that had no effect is looked at again.
-ORDER_RETRY_SECONDS = 0.5
-
 
 class Loader(TableHandler):
     """Everything that runs in one target's slot.
@@ -73,12 +56,7 @@
         self.uploads = Uploads(settings, self.metrics)
         self.store = MemoryChunkStore()
         self.transfer = None
-        self.report = None
         self._make_origin = make_origin
-        self._is_loading = False
-        self._sequence = 0
-        self._last_sent = (None, 0.0)
-        self._incarnation = time.time_ns()
         self._wanted_changed = anyio.Event()
         self.link_options = LinkOptions.from_settings(settings.transport)
         member = MemberRow(
@@ -87,10 +65,12 @@
             settings.data_centre,
             settings.region,
             settings.peers_bind,
-            self._incarnation,
+            time.time_ns(),
             0,
             settings.service,
         )
+        self.target = TargetWatch(settings, engine, self.registry, member.incarnation)
+        self.driver = LoadDriver(self)
         self.feed = FeedClient(
             settings, member, self.state, self.registry, self.link_options
         )
@@ -106,12 +86,13 @@
             self.links = LinkPool(
                 tasks, self, self.settings.instance, self.link_options
             )
+            self.target.links = self.links
             await tasks.start(self._serve_peers)
             tasks.start_soon(self.link_options.ticker.run)
             tasks.start_soon(self.feed.run)
-            tasks.start_soon(self._watch_target)
+            tasks.start_soon(self.target.run)
             tasks.start_soon(self._transfer_forever)
-            tasks.start_soon(self._drive_target)
+            tasks.start_soon(self.driver.run)
             if self.settings.metrics_bind:
                 tasks.start_soon(
                     serve_metrics, self.settings.metrics_bind, self.metrics.registry
@@ -135,7 +116,8 @@
         )
 
     def _on_state(self, desired):
-        self.versions.record(time.monotonic(), desired.document["rollouts"])
+        rollouts = desired.document["rollouts"]
+        self.versions.record(time.monotonic(), rollouts, self.feed.rollout_ages)
         self._refresh_rosters()
         changed, self._wanted_changed = self._wanted_changed, anyio.Event()
         changed.set()
@@ -179,7 +161,7 @@
     async def _wait_for_target(self):
         """Wait a while for the target, which may hold the chunks already."""
         with anyio.move_on_after(self.settings.target_wait_seconds):
-            while self.report is None:
+            while self.target.report is None:
                 await anyio.sleep(self.settings.report_interval / 3)
 
     def _is_wanted(self, wanted):
@@ -188,8 +170,8 @@
 
     def _make_transfer(self, wanted):
         spec = ModelSpec(wanted.model, str(wanted.version), "", "", "")
-        transfer = StagedTransfer(
-            self.engine,
+        return StagedTransfer(
+            self.target,
             self.find_origin,
             wanted.chunk_bytes,
             self.settings,
@@ -202,133 +184,6 @@
             self.uploads,
             lambda service: True,
         )
-        transfer.has_target = self.report is not None
-        return transfer
-
-    async def _watch_target(self):
-        """Read the target's load and tell it to the gateways."""
-        while True:
-            await self._read_report()
-            await self._send_report()
-            await anyio.sleep(self.settings.report_interval)
-
-    async def _read_report(self):
-        had_target = self.report is not None
-        try:
-            self.report = await self.engine.read_report()
-        except StagedEngineError as error:
-            self.report = None
-            if had_target:
-                logger.warning("target lost", extra={"why": str(error)})
-        else:
-            if not had_target:
-                logger.info(
-                    "target reached", extra={"model_version": self.report.model_version}
-                )
-        if self.transfer is not None:
-            self.transfer.has_target = self.report is not None
-
-    async def _send_report(self):
-        report = self.report
-        if report is None:
-            return
-        content = (report, self._is_loading)
-        last, sent_at = self._last_sent
-        now = time.monotonic()
-        if content == last and now - sent_at < IDLE_REPORT_SECONDS:
-            return
-        self._last_sent = (content, now)
-        self._sequence += 1
-        message = LoadReport(
-            self.settings.target_address,
-            self._incarnation,
-            self._sequence,
-            report.model,
-            report.model_version,
-            report.end_layer,
-            report.active,
-            report.queued,
-            report.pace,
-            self._is_loading,
-        )
-        for row in self.registry.members_of(GATEWAY_ROLE):
-            link = self.links.get(row.address, row.instance)
-            await link.notify_or_drop(message)
-
-    async def _drive_target(self):
-        """Have the target load what is wanted."""
-        while True:
-            await anyio.sleep(self.settings.report_interval / 3)
-            wanted, transfer = self.wanted(), self.transfer
-            if wanted is None or transfer is None or transfer.version != wanted.version:
-                continue
-            turn = find_turn(
-                self.settings.instance, self.rosters.loaders(), wanted.version
-            )
-            self._is_loading = self._must_drain(wanted, transfer, turn)
-            situation = Situation(
-                self.report,
-                wanted.layers,
-                wanted.version,
-                transfer.completed.is_set(),
-                load_time(turn, transfer.completed_at, self._switch_at(wanted)),
-            )
-            if next_action(time.monotonic(), situation) is Action.LOAD:
-                await self._load(wanted, transfer)
-
-    def _switch_at(self, wanted):
-        return wanted.heard_at + self.settings.version_switch_seconds
-
-    def _must_drain(self, wanted, transfer, turn):
-        report = self.report
-        if report is None or not 0 < report.model_version < wanted.version:
-            return False
-        seconds = time.monotonic() - wanted.heard_at
-        return may_drain(turn, transfer.progress, seconds)
-
-    async def _load(self, wanted, transfer):
-        try:
-            mended = await transfer.stage_all()
-            self._is_loading = True
-            await self._send_report()
-            await anyio.sleep(NOTICE_SECONDS)
-            outcome = await self.engine.load(wanted.model, wanted.version)
-            self.metrics.loads.labels(outcome).inc()
-            logger.info(
-                "load ordered",
-                extra={
-                    "model_version": wanted.version,
-                    "outcome": outcome,
-                    "mended": mended,
-                    "since_heard": round(time.monotonic() - wanted.heard_at, 2),
-                },
-            )
-            if outcome in (OrderOutcome.BEGUN, OrderOutcome.IN_EFFECT):
-                await self._wait_until_loaded(wanted)
-            else:
-                await anyio.sleep(ORDER_RETRY_SECONDS)
-        except StagedEngineError as error:
-            logger.warning("load not ordered", extra={"why": str(error)})
-            await anyio.sleep(ORDER_RETRY_SECONDS)
-        finally:
-            self._is_loading = False
-
-    async def _wait_until_loaded(self, wanted):
-        while True:
-            report = await self.engine.read_report()
-            if not report.is_busy:
-                break
-            await anyio.sleep(self.settings.report_interval / 3)
-        self.report = report
-        logger.info(
-            "load ended",
-            extra={
-                "model_version": report.model_version,
-                "since_heard": round(time.monotonic() - wanted.heard_at, 2),
-            },
-        )
-        self._is_loading = False
-        await self._send_report()
 
     async def _on_chunk(self, body, responder):
         if self.transfer is None:
--- a/banyanshore/loader/transfer.py
+++ b/banyanshore/loader/transfer.py
@@ -11,13 +11,13 @@
 class StagedTransfer(RelayedTransfer):
     """A transfer whose chunks are also laid beside the target.
 
-    :param engine: the :class:`~banyanshore.weights.staged.StagedEngine`.
+    :param target: the :class:`~banyanshore.loader.target.TargetWatch`.
     """
 
-    def __init__(self, engine, *arguments):
+    def __init__(self, target, *arguments):
         super().__init__(*arguments)
-        self._engine = engine
-        self.has_target = False
+        self._target = target
+        self._engine = target.engine
 
     async def stage_all(self):
         """Lay all chunks beside the target; return how many were not right there.
@@ -43,7 +43,7 @@
     async def _is_stored(self, index, digest):
         if self._store.has(digest):
             return True
-        if not self.has_target:
+        if self._target.report is None:
             return False
         try:
             data = await self._engine.read_staged(self.spec.name, index)
@@ -57,7 +57,7 @@
 
     async def _keep(self, index, data):
         await super()._keep(index, data)
-        if not self.has_target:
+        if self._target.report is None:
             return
         try:
             await self._engine.stage(self.spec.name, index, data)
--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -65,6 +65,16 @@
     is_current: bool
 
 
+@message(113)
+class RolloutAges:
+    """Tell how long ago the versions of models in a state that follows were named.
+
+    :param rows: model, version and seconds.
+    """
+
+    rows: tuple
+
+
 class Registry:
     """The rows that a process knows: targets and instances of the system.
 
@@ -117,6 +127,8 @@
         self.confirmed_at = float("-inf")
         self.seeds = tuple(settings.seeds)
         self.on_rows = []
+        # Seconds by model and version, told just before the state that names them.
+        self.rollout_ages = {}
         self._settings = settings
         self._member = member
         self._state = state
@@ -202,6 +214,9 @@
         self.confirmed_at = asked_at
         return True
 
+    async def _on_ages(self, connection, ages):
+        self.rollout_ages = {(model, version): age for model, version, age in ages.rows}
+
     async def _on_update(self, connection, update):
         self._state.apply(update.published)
 
@@ -221,6 +236,7 @@
         {
             StateUpdate: _on_update,
             StateChange: _on_change,
+            RolloutAges: _on_ages,
             RowNews: _on_rows,
         }
     )
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -15,9 +15,8 @@
 from banyanshore.membership.registry import TargetState
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.shares import USED_PART
+from banyanshore.routing.target_load import TargetLoad
 
-# Seconds after which a report says nothing about the load any more: several intervals.
-REPORT_SECONDS = 1.5
 # Requests that may wait at an engine beyond those it works on; one waits for about a
 # sixteenth of a generation, so that a few still meet their objective.
 ENGINE_QUEUE = 3
@@ -30,8 +29,6 @@
 COLD_SECONDS = 0.02
 # Spread of the noise on times, in seconds.
 NOISE_SECONDS = 0.01
-# Part that the newest answer has in how faulty a target is taken to be.
-FAULT_WEIGHT = 0.1
 # Seconds that a target which always fails has to be faster by: about an objective,
 # since a request that fails there has to be run again.
 FAULT_SECONDS = 0.5
@@ -67,43 +64,6 @@
 RETRY_SPREAD = 0.5
 
 
-@dataclass
-class TargetLoad:
-    """What this gateway knows of the load of one target.
-
-    :ivar own: requests of this gateway that are there.
-    :ivar report: the last report, or ``None``.
-    :ivar own_at_report: ``own`` when the report arrived.
-    :ivar suspended_until: time until which it is left alone.
-    :ivar read_until: time until which it reads the prompts that it has been given.
-    :ivar fault_level: part of the last answers that were failures, newest first.
-    """
-
-    own: int = 0
-    report: object = None
-    reported_at: float = -math.inf
-    own_at_report: int = 0
-    failures: int = 0
-    suspended_until: float = -math.inf
-    read_until: float = -math.inf
-    fault_level: float = 0.0
-
-    def record_outcome(self, has_failed):
-        """Take note of how an answer ended."""
-        self.fault_level += FAULT_WEIGHT * (has_failed - self.fault_level)
-
-    def add_reading(self, now, seconds):
-        """Take note of a prompt that the target has been given."""
-        self.read_until = max(now, self.read_until) + seconds
-
-    def estimate(self, now):
-        """Return how many requests are there now, as far as is known."""
-        if now - self.reported_at > REPORT_SECONDS:
-            return self.own
-        total = self.report.active + self.report.queued
-        return max(self.own, total - self.own_at_report + self.own)
-
-
 @dataclass(frozen=True)
 class Choice:
     """The target that a request is to be offered to.
--- a/banyanshore/routing/shares.py
+++ b/banyanshore/routing/shares.py
@@ -7,6 +7,7 @@
 
 import hashlib
 from collections import deque
+from functools import lru_cache
 
 # Part of a limit that the shares add up to; the rest is for a gateway that has just
 # come and is not counted by the others yet.
@@ -63,8 +64,9 @@
         share = int(bound / len(gateways))
         if share:
             return share
-        ranked = sorted(gateways, key=lambda name: _score(target, name))
-        return int(self._instance in ranked[: int(bound)])
+        own = _score(target, self._instance)
+        rank = sum(_score(target, name) < own for name in gateways)
+        return int(rank < int(bound))
 
     def has_room(self, now, target, per_second, gateways):
         """Tell whether another request may be sent to a cold target now."""
@@ -115,6 +117,7 @@
         return True
 
 
+@lru_cache(maxsize=100_000)
 def _score(target, gateway):
     data = hashlib.blake2b(f"{target}\0{gateway}".encode(), digest_size=8).digest()
     return int.from_bytes(data, "big")
--- /dev/null
+++ b/banyanshore/routing/target_load.py
@@ -0,0 +1,46 @@
+"""What one gateway knows of the load of a target."""
+
+import math
+from dataclasses import dataclass
+
+# Seconds after which a report says nothing about the load any more: several intervals.
+REPORT_SECONDS = 1.5
+# Part that the newest answer has in how faulty a target is taken to be.
+FAULT_WEIGHT = 0.1
+
+
+@dataclass
+class TargetLoad:
+    """What this gateway knows of the load of one target.
+
+    :ivar own: requests of this gateway that are there.
+    :ivar report: the last report, or ``None``.
+    :ivar own_at_report: ``own`` when the report arrived.
+    :ivar suspended_until: time until which it is left alone.
+    :ivar read_until: time until which it reads the prompts that it has been given.
+    :ivar fault_level: part of the last answers that were failures, newest first.
+    """
+
+    own: int = 0
+    report: object = None
+    reported_at: float = -math.inf
+    own_at_report: int = 0
+    failures: int = 0
+    suspended_until: float = -math.inf
+    read_until: float = -math.inf
+    fault_level: float = 0.0
+
+    def record_outcome(self, has_failed):
+        """Take note of how an answer ended."""
+        self.fault_level += FAULT_WEIGHT * (has_failed - self.fault_level)
+
+    def add_reading(self, now, seconds):
+        """Take note of a prompt that the target has been given."""
+        self.read_until = max(now, self.read_until) + seconds
+
+    def estimate(self, now):
+        """Return how many requests are there now, as far as is known."""
+        if now - self.reported_at > REPORT_SECONDS:
+            return self.own
+        total = self.report.active + self.report.queued
+        return max(self.own, total - self.own_at_report + self.own)
--- a/banyanshore/routing/version_switch.py
+++ b/banyanshore/routing/version_switch.py
@@ -1,6 +1,7 @@
 """Until when targets with older weights are still used."""
 
 import math
+from types import MappingProxyType
 
 # Seconds for which a process uses older versions than those it finds at its start. An
 # instance is not relied on for as long after it has started.
@@ -21,18 +22,29 @@
         self._named_by_model = {}
         self._has_state = False
 
-    def record(self, now, rollouts):
+    def record(self, now, rollouts, ages=MappingProxyType({})):
         """Take the table of rollouts in force.
 
         A process that has just started can't tell when the versions that it finds were
-        named, so it gives the older ones little time.
+        named. If nobody tells their ages, it gives the older ones little time.
+
+        :param ages: seconds since versions were heard of elsewhere, by model and
+            version.
         """
-        at = now if self._has_state else now - self._seconds + FIRST_STATE_SECONDS
+        default = 0.0 if self._has_state else self._seconds - FIRST_STATE_SECONDS
         self._has_state = True
         for model, row in rollouts.items():
+            version = row["version"]
             named = self._named_by_model.setdefault(model, [])
-            if not named or named[-1][0] < row["version"]:
-                named.append((row["version"], at))
+            if not named or named[-1][0] < version:
+                named.append((version, now - ages.get((model, version), default)))
+
+    def ages(self, now):
+        """Return the seconds since the newest versions were heard of, by both."""
+        return {
+            (model, named[-1][0]): now - named[-1][1]
+            for model, named in self._named_by_model.items()
+        }
 
     def newest(self, model):
         """Return the newest version named, 0 if there is none."""
--- a/tests/routing/test_version_switch.py
+++ b/tests/routing/test_version_switch.py
@@ -44,6 +44,16 @@
     assert switch.oldest_allowed(10.0 + FIRST_STATE_SECONDS, "m") == 2
 
 
+def test_age_that_is_told_counts_also_at_a_process_that_has_just_started():
+    """A gateway restarted in a rollout used older weights 2.4 s too long."""
+    control = started()
+    control.record(10.0, named(m=2))
+    gateway = VersionSwitch(7.0)
+    gateway.record(512.0, named(m=2), control.ages(12.0))
+    assert gateway.oldest_allowed(516.9, "m") == 0
+    assert gateway.oldest_allowed(517.0, "m") == 2
+
+
 def test_models_are_told_apart():
     switch = started()
     switch.record(10.0, named(m=2))
