Count on gateways that are cut off when limits are shared

Cause, found by reading: names of gateways were those heard of now, so both sides of a cut would take all of a cold target's rate and of the retries for themselves. Change: a gateway that is no longer heard of keeps its share for a minute. Test: test_gateway_that_is_cut_off_keeps_its_share_of_limits, which failed before.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -43,6 +43,9 @@
 # Seconds after which a caller may come back whom a leaving gateway didn't serve; it
 # finds another one.
 LEAVING_RETRY_SECONDS = 0.05
+# Seconds for which a gateway that is no longer heard of keeps its share of limits; cuts
+# between data centres rarely last longer, and those that do leave room for it.
+GATEWAY_MEMORY_SECONDS = 60.0
 # Seconds between looks at what is no longer needed.
 UPKEEP_INTERVAL = 5.0
 
@@ -80,6 +83,7 @@
         self.state.on_change.append(self._on_state)
         self._retry_share_by_service = {}
         self._data_centres_out = set()
+        self._gateway_seen_at = {}
         self.relay = WeightsRelay(self, make_origin)
 
     def _member(self):
@@ -126,10 +130,19 @@
         self.feed.seeds = tuple(settings.seeds)
 
     def gateway_names(self):
-        """Return the names of all gateways that are known, this one included."""
-        names = {row.instance for row in self.registry.members_of(GATEWAY_ROLE)}
-        names.add(self.settings.instance)
-        return names
+        """Return the names of the gateways that limits are shared among.
+
+        Those that are no longer heard of are counted on for a while: they may be cut
+        off, and use their shares.
+        """
+        now = time.monotonic()
+        seen = self._gateway_seen_at
+        seen[self.settings.instance] = now
+        for row in self.registry.members_of(GATEWAY_ROLE):
+            seen[row.instance] = now
+        for name in [n for n, at in seen.items() if now - at > GATEWAY_MEMORY_SECONDS]:
+            del seen[name]
+        return seen.keys()
 
     def retry_share(self, service):
         """Return the :class:`RetryShare` of a service."""
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from banyanshore.membership.registry import Departure, MemberRow
 from tests.gateway.deployment import (
     FAILED,
     NOT_RUN,
@@ -243,3 +244,20 @@
             status, answer = await ask(address)
     assert status == 503
     assert b"retry-after: " in answer
+
+
+async def test_gateway_that_is_cut_off_keeps_its_share_of_limits():
+    """Both sides of a cut took all of a cold target's rate for themselves."""
+    async with gateway_before() as (gateway, _):
+        rows = [
+            MemberRow(f"edge-{n}", "gateway", "dc", "r", f"10.0.0.{n}:1", 1, 1)
+            for n in range(1, 5)
+        ]
+        for row in rows:
+            gateway.registry.record(0.0, row)
+        assert len(gateway.gateway_names()) == 4
+        for row in rows[1:]:
+            gateway.registry.forget(1.0, Departure("member", row.key, 1))
+        assert len(gateway.gateway_names()) == 4
+        gateway._gateway_seen_at["edge-4"] -= 61
+        assert len(gateway.gateway_names()) == 3
