Refuse requests that crash the targets that run them

Ruled out: counting answers that break off, since reset connections look the same. Change: an answer that ended with its connection counts once its target turns out to have ended; gateways tell each other; refused from the second crash if it alone ran at both, from the third in any case; a whole answer clears.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -11,11 +11,14 @@
 from banyanshore.gateway.relay import WeightsRelay
 from banyanshore.gateway.run import RequestRun
 from banyanshore.gateway.screening import Rejection, Screening
+from banyanshore.gateway.suspects import GATEWAY_ROLE, Suspects
 from banyanshore.http.listener import Listener, ListenerLimits
 from banyanshore.http.wire import PeerClosedError
 from banyanshore.membership.feed import FeedClient, MemberRow, Registry
 from banyanshore.membership.load_reports import LoadReport, PlacementNotice
+from banyanshore.membership.messages import SuspectNews
 from banyanshore.routing.board import TargetBoard
+from banyanshore.routing.crashes import EXPIRY_SECONDS
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.shares import ColdShares, RetryShare
 from banyanshore.routing.version_switch import VersionSwitch
@@ -33,7 +36,6 @@
 
 logger = logging.getLogger(__name__)
 
-GATEWAY_ROLE = "gateway"
 # Seconds without a confirmed state after which callers are sent to other gateways,
 # shorter than the time after which their keys would be refused here.
 READY_SECONDS = 3.0
@@ -48,6 +50,12 @@
 GATEWAY_MEMORY_SECONDS = 60.0
 # Seconds between looks at what is no longer needed.
 UPKEEP_INTERVAL = 5.0
+# Seconds between looks for targets that have ended: well within the time in which that
+# explains an answer that broke off.
+SUSPECT_INTERVAL = 1.0
+# Seconds after which a caller may ask about a request that crashes targets: as long as
+# it is remembered.
+CRASHING_RETRY_SECONDS = EXPIRY_SECONDS
 
 
 class Gateway(TableHandler):
@@ -84,6 +92,7 @@
         self._retry_share_by_service = {}
         self._data_centres_out = set()
         self._gateway_seen_at = {}
+        self.suspects = Suspects(settings.instance, self.registry)
         self.relay = WeightsRelay(self, make_origin)
 
     def _member(self):
@@ -109,12 +118,14 @@
             self.links = LinkPool(
                 tasks, self, self.settings.instance, self.link_options
             )
+            self.suspects.links = self.links
             await tasks.start(self._serve_peers)
             await tasks.start(self.front.serve, self.settings.callers_bind)
             await tasks.start(self.ready.serve, self.settings.ready_bind)
             tasks.start_soon(self.link_options.ticker.run)
             tasks.start_soon(self.feed.run)
             tasks.start_soon(self._upkeep)
+            tasks.start_soon(self._look_for_ended)
             tasks.start_soon(self.relay.run)
             if self.settings.metrics_bind:
                 tasks.start_soon(
@@ -235,6 +246,10 @@
             return
         self.retry_share(screened.service).record_request(arrived_at)
         body = await exchange.read_body()
+        if self.suspects.is_refused(screened, body):
+            rejection = Rejection(503, "crashes targets", CRASHING_RETRY_SECONDS)
+            await self._reject(exchange, request, rejection)
+            return
         run = RequestRun(self, exchange, screened, body, arrived_at)
         try:
             ended = await exchange.run_while_connected(run.run)
@@ -279,6 +294,9 @@
     async def _on_piece_received(self, connection, receipt):
         await self.relay.on_piece_received(connection, receipt)
 
+    async def _on_suspect(self, connection, news):
+        self.suspects.record_news(news)
+
     call_by_type = MappingProxyType(
         {
             ChunkPush: _on_push,
@@ -292,6 +310,7 @@
             LoadReport: _on_load_report,
             PieceReceived: _on_piece_received,
             PlacementNotice: _on_placement,
+            SuspectNews: _on_suspect,
         }
     )
 
@@ -300,6 +319,11 @@
             await anyio.sleep(UPKEEP_INTERVAL)
             self.board.forget_departed()
 
+    async def _look_for_ended(self):
+        while True:
+            await anyio.sleep(SUSPECT_INTERVAL)
+            await self.suspects.look_for_ended()
+
     async def _leave(self, force_requested):
         """Take no new callers, finish what runs, then return."""
         self.leaving = True
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -146,8 +146,18 @@
         finally:
             board.end(row)
         self._judge_target(row, outcome)
+        await self._watch_for_crash(row, outcome)
         return outcome
 
+    async def _watch_for_crash(self, row, outcome):
+        suspects = self._gateway.suspects
+        if outcome is Outcome.UNREACHABLE:
+            await suspects.record_unreachable(row)
+        elif outcome in (Outcome.LOST, Outcome.BROKEN_OFF):
+            suspects.record_break(row, self._screened, self._body)
+        elif outcome is None:
+            await suspects.record_whole(self._screened, self._body)
+
     def _patience(self):
         """Return how long a target may be silent before another one is asked.
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -1,5 +1,7 @@
 """Requests through a gateway: what callers get when targets misbehave."""
 
+from dataclasses import replace
+
 import anyio
 import pytest
 
@@ -261,3 +263,21 @@
         assert len(gateway.gateway_names()) == 4
         gateway._gateway_seen_at["edge-4"] -= 61
         assert len(gateway.gateway_names()) == 3
+
+
+async def test_request_that_ended_two_targets_is_refused_and_others_are_not():
+    targets = Target(close, WHOLE), Target(close, WHOLE)
+    poison = make_request("POST", body=b"poison")
+    async with gateway_before(*targets) as (gateway, address):
+        status, _ = await ask(address, poison)
+        assert status == 502
+        for row in gateway.registry.targets.rows():
+            gateway.registry.record(1.0, replace(row, incarnation=2))
+        await gateway.suspects.look_for_ended()
+        status, answer = await ask(address, poison)
+        assert status == 503
+        assert b"retry-after: 300" in answer
+        assert sum(len(target.requests) for target in targets) == 2
+        await anyio.sleep(1.0)
+        status, _ = await ask(address, make_request("POST", body=b"sound"))
+        assert status == 200
