Give an engine no more than its slots and a quarter of an objective to read

Change: a target has room while its known load, with what other gateways have told of since its last report, is below its slots, and the reading it has been given takes less than a quarter of the route's objective.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -100,6 +100,7 @@
             gateway.versions.oldest_allowed(now, model),
             self._version if self._exchange.started else 0,
             frozenset(self._attempts.excluded),
+            self._screened.route.objective_seconds,
         )
         return gateway.board.choose(
             now, wish, gateway.state.desired, gateway.gateway_names()
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -17,9 +17,9 @@
 from banyanshore.routing.shares import USED_PART
 from banyanshore.routing.target_load import TargetLoad
 
-# Requests that may wait at an engine beyond those it works on; one waits for about a
-# sixteenth of a generation, so that a few still meet their objective.
-ENGINE_QUEUE = 3
+# Part of the objective that reading earlier prompts may take at an engine: the rest is
+# for the request's own prompt, a pass that is under way, and what is not known yet.
+BACKLOG_PART = 0.25
 # Requests that may wait at a plain target for each that it works on.
 PLAIN_QUEUE_FACTOR = 2
 # Seconds that a target in another data centre has to be faster by: what its way takes,
@@ -69,6 +69,7 @@
     :param oldest_version: oldest version of the weights that may run it.
     :param exact_version: the only version that may run it, 0 for any.
     :param excluded: ids of targets that it isn't offered to.
+    :param objective_seconds: time to its first event that is asked for, 0 for any.
     """
 
     service: str
@@ -77,6 +78,7 @@
     oldest_version: int = 0
     exact_version: int = 0
     excluded: frozenset = field(default_factory=frozenset)
+    objective_seconds: float = 0.0
 
 
 def connection_share(service, gateways):
@@ -95,7 +97,7 @@
 class TargetBoard:
     """The targets that one gateway sends to.
 
-    :param settings: the :class:`~banyanshore.conf.settings.GatewaySettings`.
+    :param settings: the :class:`~banyanshore.conf.registered.GatewaySettings`.
     :param table: the :class:`~banyanshore.membership.registry.RowTable` of targets.
     :param cold_shares: the :class:`~banyanshore.routing.shares.ColdShares`.
     :param rng: source of the noise.
@@ -125,9 +127,7 @@
             known.sequence,
         ):
             return
-        load.report = report
-        load.reported_at = now
-        load.own_at_report = load.own
+        load.record_report(now, report)
 
     def begin(self, now, row, read_seconds):
         """Count a request that is sent to a target."""
@@ -138,7 +138,7 @@
 
     def record_placement(self, now, notice):
         """Take a :class:`~banyanshore.membership.load_reports.PlacementNotice`."""
-        self.load(notice.address).add_reading(now, notice.seconds)
+        self.load(notice.address).record_placement(now, notice.seconds)
 
     def end(self, row):
         """Count a request that has left a target."""
@@ -219,7 +219,7 @@
         free = [
             known
             for known in usable
-            if self._has_room(now, known.row, service)
+            if self._has_room(now, known.row, service, wish)
             and self.load(known.row.address).own < connections
         ]
         if not free:
@@ -264,12 +264,19 @@
             return version == wish.exact_version
         return version >= max(1, wish.oldest_version)
 
-    def _has_room(self, now, row, service):
-        if service.get("engine"):
-            limit = row.slots + ENGINE_QUEUE
-        else:
-            limit = row.slots * (1 + PLAIN_QUEUE_FACTOR)
-        return self.load(row.address).estimate(now) < limit
+    def _has_room(self, now, row, service, wish):
+        """Tell whether a target can begin with another request in time.
+
+        Load pattern: more requests than the targets bear, for seconds. What waits in an
+        engine makes all that come after it late, so that a short queue there costs more
+        callers their objective than it serves.
+        """
+        load = self.load(row.address)
+        if not service.get("engine"):
+            return load.estimate(now) < row.slots * (1 + PLAIN_QUEUE_FACTOR)
+        backlog = load.reading_seconds(now)
+        longest = BACKLOG_PART * wish.objective_seconds or math.inf
+        return load.estimate(now) < row.slots and backlog <= longest
 
     def _bears(self, now, known, service, gateways):
         per_second = service.get("cold_per_second", 0)
@@ -289,7 +296,7 @@
         else:
             pace = load.report.pace if load.report is not None else 1.0
             waiting = max(0, count + 1 - known.row.slots)
-            seconds = max(0.0, load.read_until - now)
+            seconds = load.reading_seconds(now)
             seconds += waiting * model.slot_seconds(known.row.slots)
             seconds += count * model.steps_per_pass * model.request_seconds
             seconds *= max(1.0, pace)
--- a/banyanshore/routing/target_load.py
+++ b/banyanshore/routing/target_load.py
@@ -16,6 +16,7 @@
     :ivar own: requests of this gateway that are there.
     :ivar report: the last report, or ``None``.
     :ivar own_at_report: ``own`` when the report arrived.
+    :ivar told_since_report: requests that other gateways have told of since then.
     :ivar suspended_until: time until which it is left alone.
     :ivar read_until: time until which it reads the prompts that it has been given.
     :ivar fault_level: part of the last answers that were failures, newest first.
@@ -25,6 +26,7 @@
     report: object = None
     reported_at: float = -math.inf
     own_at_report: int = 0
+    told_since_report: int = 0
     failures: int = 0
     suspended_until: float = -math.inf
     read_until: float = -math.inf
@@ -38,9 +40,28 @@
         """Take note of a prompt that the target has been given."""
         self.read_until = max(now, self.read_until) + seconds
 
+    def record_report(self, now, report):
+        """Take a report, which counts all that were there when it was made."""
+        self.report = report
+        self.reported_at = now
+        self.own_at_report = self.own
+        self.told_since_report = 0
+
+    def record_placement(self, now, seconds):
+        """Take note of a request that another gateway has sent there.
+
+        :param seconds: time that the target needs to read it.
+        """
+        self.told_since_report += 1
+        self.add_reading(now, seconds)
+
+    def reading_seconds(self, now):
+        """Return the time that the target needs for the prompts it has been given."""
+        return max(0.0, self.read_until - now)
+
     def estimate(self, now):
         """Return how many requests are there now, as far as is known."""
         if now - self.reported_at > REPORT_SECONDS:
             return self.own
-        total = self.report.active + self.report.queued
+        total = self.report.active + self.report.queued + self.told_since_report
         return max(self.own, total - self.own_at_report + self.own)
--- a/tests/routing/engine_replay.py
+++ b/tests/routing/engine_replay.py
@@ -23,7 +23,7 @@
 MODEL = EngineModel.from_row(ENGINE)
 READ_PER_PASS = ENGINE["steps_per_pass"] * ENGINE["read_tokens_per_step"]
 NOTICE_SECONDS = 0.003
-WISH = Wish("llm", "m")
+WISH = Wish("llm", "m", objective_seconds=0.405)
 REPORT_SECONDS = 0.15
 # Seconds for which a caller waits, from its first attempt.
 PATIENCE_SECONDS = 6.0
--- a/tests/routing/test_board.py
+++ b/tests/routing/test_board.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from banyanshore.membership.load_reports import LoadReport
+from banyanshore.membership.load_reports import LoadReport, PlacementNotice
 from banyanshore.membership.registry import RowTable, TargetRow
 from banyanshore.routing.board import Choice, TargetBoard, Wish
 from banyanshore.routing.returns import Reason
@@ -105,13 +105,27 @@
 
 def test_full_target_is_told_by_its_report_and_by_what_was_sent_since():
     board = make_board(ROW)
-    board.record_report(1.0, LoadReport(ROW.address, 1, 1, "m", 2, 16, 16, 1))
+    board.record_report(1.0, LoadReport(ROW.address, 1, 1, "m", 2, 16, 13, 1))
     assert isinstance(choose(board), Choice)
     board.begin(1.0, ROW, 0.0)
     board.begin(1.0, ROW, 0.0)
     assert choose(board).reason is Reason.FULL
     board.end(ROW)
     assert isinstance(choose(board), Choice)
+    # Another gateway has sent one there.
+    board.record_placement(1.0, PlacementNotice(ROW.address, 0.0))
+    assert choose(board).reason is Reason.FULL
+    board.record_report(1.1, LoadReport(ROW.address, 1, 2, "m", 2, 16, 13, 1))
+    assert isinstance(choose(board), Choice)
+
+
+def test_target_that_has_much_to_read_gets_no_more_until_it_has_read():
+    board = make_board(ROW)
+    quick, patient = (replace(WISH, objective_seconds=s) for s in (0.4, 2.0))
+    board.begin(1.0, ROW, 0.3)
+    assert choose(board, quick).reason is Reason.FULL
+    assert isinstance(choose(board, patient), Choice)
+    assert isinstance(choose(board, quick, now=1.25), Choice)
 
 
 def test_older_report_changes_nothing():
@@ -206,3 +220,15 @@
     assert replay.refused
     served = [r for r in requests if r not in replay.refused]
     assert late_share(served, 2.0) < 0.05
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("rate", [100, 120, 150])
+def test_what_is_admitted_beyond_the_targets_capacity_meets_its_objective(rate, seed):
+    requests = make_requests(rate, 10, seed)
+    replay = Replay(targets=10, seed=seed)
+    replay.run(requests)
+    admitted = [r for r in requests if r not in replay.refused]
+    # Ten targets read about 100 such prompts a second.
+    assert len(admitted) > 900
+    assert late_share(admitted, 0.405) < 0.05
