Count only targets that started again as crashed, one after the other

Cause: the first version of this took a target that could not be connected to for one that had ended. Change: a crash needs a newer start at the target's address; crashes count one after the other only, so that targets that end at once make one; any whole answer clears; refused from the third, for 60 s after the last. Gateways tell each other with ages of times.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -15,8 +15,7 @@
 from banyanshore.http.listener import Listener, ListenerLimits
 from banyanshore.http.wire import PeerClosedError
 from banyanshore.membership.feed import FeedClient, MemberRow, Registry
-from banyanshore.membership.load_reports import LoadReport, PlacementNotice
-from banyanshore.membership.messages import SuspectNews
+from banyanshore.membership.load_reports import CrashNews, LoadReport, PlacementNotice
 from banyanshore.routing.board import TargetBoard
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.returns import Reason, return_seconds
@@ -47,9 +46,9 @@
 GATEWAY_MEMORY_SECONDS = 60.0
 # Seconds between looks at what is no longer needed.
 UPKEEP_INTERVAL = 5.0
-# Seconds between looks for targets that have ended: well within the time in which that
-# explains an answer that broke off.
-SUSPECT_INTERVAL = 1.0
+# Seconds between looks for targets that have started again: well within the time in
+# which that explains an answer that broke off.
+EXPLAIN_INTERVAL = 0.5
 
 
 class Gateway(TableHandler):
@@ -126,7 +125,7 @@
             tasks.start_soon(self.link_options.ticker.run)
             tasks.start_soon(self.feed.run)
             tasks.start_soon(self._upkeep)
-            tasks.start_soon(self._look_for_ended)
+            tasks.start_soon(self._explain_breaks)
             tasks.start_soon(self.relay.run)
             start_metrics(tasks, self.settings.metrics_bind, self.metrics.registry)
             logger.info("started", extra={"role": GATEWAY_ROLE})
@@ -291,7 +290,7 @@
     async def _on_piece_received(self, connection, receipt):
         await self.relay.on_piece_received(connection, receipt)
 
-    async def _on_suspect(self, connection, news):
+    async def _on_crash(self, connection, news):
         self.suspects.record_news(news)
 
     call_by_type = MappingProxyType(
@@ -303,11 +302,11 @@
     )
     notice_by_type = MappingProxyType(
         {
+            CrashNews: _on_crash,
             HaveUpdate: _on_have,
             LoadReport: _on_load_report,
             PieceReceived: _on_piece_received,
             PlacementNotice: _on_placement,
-            SuspectNews: _on_suspect,
         }
     )
 
@@ -316,10 +315,10 @@
             await anyio.sleep(UPKEEP_INTERVAL)
             self.board.forget_departed()
 
-    async def _look_for_ended(self):
+    async def _explain_breaks(self):
         while True:
-            await anyio.sleep(SUSPECT_INTERVAL)
-            await self.suspects.look_for_ended()
+            await anyio.sleep(EXPLAIN_INTERVAL)
+            await self.suspects.explain()
 
     async def _leave(self, force_requested):
         """Take no new callers, finish what runs, then return."""
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -146,15 +146,13 @@
         finally:
             board.end(row)
         self._judge_target(row, outcome)
-        await self._watch_for_crash(row, outcome)
+        await self._watch_for_crash(row, outcome, now)
         return outcome
 
-    async def _watch_for_crash(self, row, outcome):
+    async def _watch_for_crash(self, row, outcome, offered_at):
         suspects = self._gateway.suspects
-        if outcome is Outcome.UNREACHABLE:
-            await suspects.record_unreachable(row)
-        elif outcome in (Outcome.LOST, Outcome.BROKEN_OFF):
-            suspects.record_break(row, self._screened, self._body)
+        if outcome in (Outcome.LOST, Outcome.BROKEN_OFF):
+            suspects.record_break(row, self._screened, self._body, offered_at)
         elif outcome is None:
             await suspects.record_whole(self._screened, self._body)
 
--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -3,7 +3,8 @@
 import logging
 import time
 
-from banyanshore.routing.crashes import CrashWatch
+from banyanshore.membership.load_reports import CrashNews
+from banyanshore.routing.crashes import Crash, CrashWatch
 from banyanshore.routing.quarantine import request_fingerprint
 
 logger = logging.getLogger(__name__)
@@ -27,57 +28,70 @@
 
     def is_refused(self, screened, body):
         """Tell whether a request is known to crash its targets."""
-        if not self._watch.knows_suspects:
+        if not self._watch.knows_any:
             return False
         return self._watch.is_refused(time.monotonic(), _fingerprint(screened, body))
 
-    def record_break(self, row, screened, body):
+    def record_break(self, row, screened, body, offered_at):
         """Take an answer of a target that ended with its connection."""
-        now = time.monotonic()
-        self._watch.record_break(now, _incarnation(row), _fingerprint(screened, body))
-
-    async def record_end(self, incarnation):
-        """Take a target that takes no connections any more, or is gone."""
-        news = self._watch.record_end(time.monotonic(), incarnation)
-        if news:
-            logger.warning(
-                "target ended while it ran requests",
-                extra={"target": incarnation[0], "suspects": len(news)},
-            )
-        await self._tell(news)
-
-    async def record_unreachable(self, row):
-        """Take a target that refuses connections."""
-        await self.record_end(_incarnation(row))
+        fingerprint = _fingerprint(screened, body)
+        crash_id = (row.address, row.incarnation)
+        crash = Crash(crash_id, fingerprint, offered_at, time.monotonic())
+        self._watch.record_break(crash)
 
     async def record_whole(self, screened, body):
         """Take a whole answer, which clears the request."""
-        if self._watch.knows_suspects:
-            fingerprint = _fingerprint(screened, body)
-            await self._tell(self._watch.record_whole(time.monotonic(), fingerprint))
-
-    async def look_for_ended(self):
-        """Find the targets that have gone since they broke answers off."""
-        by_key = self._registry.targets.by_key
-        for incarnation in self._watch.unexplained():
-            known = by_key.get(incarnation[0])
-            if known is None or known.row.incarnation != incarnation[1]:
-                await self.record_end(incarnation)
+        if not self._watch.knows_any:
+            return
+        fingerprint = _fingerprint(screened, body)
+        if self._watch.record_whole(fingerprint):
+            await self._tell(CrashNews(fingerprint))
+
+    async def explain(self):
+        """Find the targets that started again after they broke answers off."""
+        if not self._watch.knows_any:
+            return
+        now = time.monotonic()
+        incarnations = {
+            row.address: row.incarnation for row in self._registry.targets.rows()
+        }
+        for crash in self._watch.explain(now, incarnations):
+            logger.warning(
+                "target ended while it ran a request",
+                extra={"target": crash.id[0], "request": crash.fingerprint.hex()},
+            )
+            address, incarnation = crash.id
+            await self._tell(
+                CrashNews(
+                    crash.fingerprint,
+                    address,
+                    incarnation,
+                    now - crash.offered_at,
+                    now - crash.ended_at,
+                )
+            )
 
     def record_news(self, news):
         """Take the news of another gateway."""
-        self._watch.record_news(time.monotonic(), news)
+        if not news.address:
+            self._watch.record_whole(news.fingerprint)
+            return
+        now = time.monotonic()
+        crash_id = (news.address, news.incarnation)
+        self._watch.record_crash(
+            Crash(
+                crash_id,
+                news.fingerprint,
+                now - news.offered_seconds_ago,
+                now - news.ended_seconds_ago,
+            )
+        )
 
     async def _tell(self, news):
-        for item in news:
-            for member in self._registry.members_of(GATEWAY_ROLE):
-                if member.instance != self._instance:
-                    link = self.links.get(member.address, member.instance)
-                    await link.notify_or_drop(item)
-
-
-def _incarnation(row):
-    return row.id, row.incarnation
+        for member in self._registry.members_of(GATEWAY_ROLE):
+            if member.instance != self._instance:
+                link = self.links.get(member.address, member.instance)
+                await link.notify_or_drop(news)
 
 
 def _fingerprint(screened, body):
--- a/banyanshore/membership/load_reports.py
+++ b/banyanshore/membership/load_reports.py
@@ -1,4 +1,4 @@
-"""What gateways learn of a target's load, from its loader and from each other."""
+"""What gateways learn of targets, from their loaders and from each other."""
 
 from banyanshore.transport.codec import message
 
@@ -37,3 +37,21 @@
 
     address: str
     seconds: float
+
+
+@message(114)
+class CrashNews:
+    """Tell other gateways of a request that was lost with its target, or is cleared.
+
+    Times are ages, since the clocks of instances differ.
+
+    :param fingerprint: digest of the request.
+    :param address: HTTP address of the target; empty if the request is cleared.
+    :param incarnation: start of the target that ended.
+    """
+
+    fingerprint: bytes
+    address: str = ""
+    incarnation: int = 0
+    offered_seconds_ago: float = 0.0
+    ended_seconds_ago: float = 0.0
--- a/banyanshore/routing/quarantine.py
+++ b/banyanshore/routing/quarantine.py
@@ -74,11 +74,6 @@
             return Verdict.QUARANTINED
         return Verdict.ALONE
 
-    def crash_count(self, fingerprint):
-        """Return how many crashes a request ran at, 0 if it is no suspect."""
-        row = self._by_fingerprint.get(fingerprint)
-        return len(row.crash_ids) if row else 0
-
     def settled_at(self, fingerprint):
         """Return the time from which a suspect may run again."""
         row = self._by_fingerprint.get(fingerprint)
--- a/banyanshore/routing/returns.py
+++ b/banyanshore/routing/returns.py
@@ -56,7 +56,7 @@
         Reason.CUT_OFF: Span(0.1, 0.3),
         Reason.LEAVING: Span(0.02, 0.1),
         # As long as it is remembered.
-        Reason.CRASHES_TARGETS: Span(300.0, 300.0),
+        Reason.CRASHES_TARGETS: Span(60.0, 60.0),
     }
 )
 
