Have a gateway that has just started count on others that it can't have heard of

Ruled out: keeping the names in the replicated state, which is more than this needs. Change: routing/roster.py keeps who is counted on: names for 60 s after they were last heard of, and 16 at least in the first 60 s after its own start, for cold rates only. With more than 16 gateways of which many are cut off while others start, the sum can still go beyond; not mended.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -19,6 +19,7 @@
 from banyanshore.routing.board import TargetBoard
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.returns import Reason, return_seconds
+from banyanshore.routing.roster import GatewayRoster
 from banyanshore.routing.shares import ColdShares, RetryShare
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.state import StateHolder
@@ -41,9 +42,6 @@
 # Seconds for which a leaving gateway takes new connections, until callers are no longer
 # sent to it: two readiness checks a second apart, and their way.
 LEAVE_SECONDS = 2.6
-# Seconds for which a gateway that is no longer heard of keeps its share of limits; cuts
-# between data centres rarely last longer, and those that do leave room for it.
-GATEWAY_MEMORY_SECONDS = 60.0
 # Seconds between looks at what is no longer needed.
 UPKEEP_INTERVAL = 5.0
 # Seconds between looks for targets that have started again: well within the time in
@@ -85,7 +83,7 @@
         self.state.on_change.append(self._on_state)
         self._retry_share_by_service = {}
         self._data_centres_out = set()
-        self._gateway_seen_at = {}
+        self._roster = GatewayRoster(settings.instance, time.monotonic())
         self.suspects = Suspects(settings.instance, self.registry)
         self.relay = WeightsRelay(self, make_origin)
 
@@ -138,19 +136,15 @@
         self.feed.seeds = tuple(settings.seeds)
 
     def gateway_names(self):
-        """Return the names of the gateways that limits are shared among.
+        """Return the names of the gateways that limits are shared among."""
+        return self._roster.names(time.monotonic(), self._heard_gateways())
 
-        Those that are no longer heard of are counted on for a while: they may be cut
-        off, and use their shares.
-        """
-        now = time.monotonic()
-        seen = self._gateway_seen_at
-        seen[self.settings.instance] = now
-        for row in self.registry.members_of(GATEWAY_ROLE):
-            seen[row.instance] = now
-        for name in [n for n, at in seen.items() if now - at > GATEWAY_MEMORY_SECONDS]:
-            del seen[name]
-        return seen.keys()
+    def cautious_names(self):
+        """Return the names that the rates of cold targets are shared among."""
+        return self._roster.cautious_names(time.monotonic(), self._heard_gateways())
+
+    def _heard_gateways(self):
+        return [row.instance for row in self.registry.members_of(GATEWAY_ROLE)]
 
     def retry_share(self, service):
         """Return the :class:`RetryShare` of a service."""
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -103,7 +103,11 @@
             self._screened.route.objective_seconds,
         )
         return gateway.board.choose(
-            now, wish, gateway.state.desired, gateway.gateway_names()
+            now,
+            wish,
+            gateway.state.desired,
+            gateway.gateway_names(),
+            gateway.cautious_names(),
         )
 
     def _try_retry(self):
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -193,12 +193,15 @@
         for target in self._expected_cold_until.keys() - ids:
             del self._expected_cold_until[target]
 
-    def choose(self, now, wish, desired, gateways):
+    def choose(self, now, wish, desired, gateways, cold_gateways=None):
         """Return a :class:`Choice` or a :class:`NoChoice`.
 
         :param desired: the :class:`~banyanshore.state.DesiredState` in force.
         :param gateways: names of all gateways.
+        :param cold_gateways: names that the rates of cold targets are shared among,
+            by default the same.
         """
+        cold_gateways = cold_gateways or gateways
         service = desired.service(wish.service) or {}
         allowed = [
             known
@@ -224,7 +227,9 @@
         ]
         if not free:
             return NoChoice(Reason.FULL)
-        warm = [known for known in free if self._bears(now, known, service, gateways)]
+        warm = [
+            known for known in free if self._bears(now, known, service, cold_gateways)
+        ]
         if not warm:
             return NoChoice(Reason.COLD)
         engine = service.get("engine")
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -266,7 +266,7 @@
         for row in rows[1:]:
             gateway.registry.forget(1.0, Departure("member", row.key, 1))
         assert len(gateway.gateway_names()) == 4
-        gateway._gateway_seen_at["edge-4"] -= 61
+        gateway._roster._seen_at["edge-4"] -= 61
         assert len(gateway.gateway_names()) == 3
 
 
--- /dev/null
+++ b/tests/routing/test_share_schedules.py
@@ -0,0 +1,145 @@
+"""Seeded schedules of gateways that come, go and are cut off, with one cold target.
+
+All gateways send as much as they believe they may. What arrives at the target in any
+second has to stay within what the target is said to bear, whatever each of them knows
+of the others. Each planted fault has to be caught.
+"""
+
+import random
+from collections import deque
+
+import pytest
+
+from banyanshore.routing import roster, shares
+from banyanshore.routing.roster import GatewayRoster
+from banyanshore.routing.shares import ColdShares
+
+STEP = 0.05
+PER_SECOND, OVERAGE, MARGIN = 36.0, 1.5, 5.0
+BOUND = PER_SECOND * OVERAGE + MARGIN
+# Seconds until control tells that a gateway has left.
+DEPARTURE_SECONDS = 1.0
+
+
+class Gateway:
+    """One gateway: what it has heard, and what it sends."""
+
+    def __init__(self, name, now):
+        self.name = name
+        self.started_at = now
+        self.roster = GatewayRoster(name, now)
+        self.shares = ColdShares(name, OVERAGE, MARGIN)
+        self.heard = set()
+        self.cut_until = 0.0
+        # Time at which it gets its first news.
+        self.joins_at = now
+
+    def send(self, now):
+        """Return how many requests it sends now; as many as it may."""
+        if now < self.joins_at:
+            # It knows no targets yet either.
+            return 0
+        names = self.roster.cautious_names(now, self.heard)
+        sent = 0
+        while self.shares.has_room(now, "cold", PER_SECOND, names):
+            self.shares.record_sent(now, "cold")
+            sent += 1
+        return sent
+
+
+class Schedule:
+    """Gateways under seeded faults."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.left_at = {}
+        self.gateways = {}
+        for number in range(self.rng.choice([3, 8, 8, 14])):
+            self.start(f"gateway-{number}")
+        self.arrivals = deque()
+        self.worst = 0
+
+    def start(self, name):
+        """Start a gateway, also in the place of one that has been cut off."""
+        gateway = Gateway(name, self.now)
+        gateway.joins_at = self.now + self.rng.uniform(0.1, 1.0)
+        self.gateways[name] = gateway
+
+    def run(self, seconds):
+        """Return the most requests that arrived in any second."""
+        for _ in range(int(seconds / STEP)):
+            self.now += STEP
+            if self.rng.random() < 0.02:
+                self.break_something()
+            self.tell()
+            for gateway in self.gateways.values():
+                self.arrivals.extend([self.now] * gateway.send(self.now))
+            while self.arrivals and self.now - self.arrivals[0] > 1.0:
+                self.arrivals.popleft()
+            self.worst = max(self.worst, len(self.arrivals))
+        return self.worst
+
+    def break_something(self):
+        action = self.rng.choice(
+            [self.restart_one, self.restart_all, self.cut_some, self.cut_all, self.add]
+        )
+        action()
+
+    def restart_one(self):
+        self.restart(self.rng.choice(list(self.gateways)))
+
+    def restart_all(self):
+        if self.rng.random() < 0.3:
+            for name in list(self.gateways):
+                self.restart(name)
+
+    def restart(self, name):
+        self.left_at[name] = self.now
+        self.start(name)
+
+    def cut_some(self):
+        until = self.now + self.rng.uniform(1.0, 20.0)
+        for gateway in self.gateways.values():
+            if self.rng.random() < 0.4:
+                gateway.cut_until = until
+
+    def cut_all(self):
+        for gateway in self.gateways.values():
+            gateway.cut_until = self.now + self.rng.uniform(1.0, 8.0)
+
+    def add(self):
+        if len(self.gateways) < 16:
+            self.start(f"gateway-{len(self.gateways)}")
+
+    def tell(self):
+        """Tell those in touch of the gateways that control hears of."""
+        in_touch = {
+            name
+            for name, gateway in self.gateways.items()
+            if gateway.cut_until < self.now and gateway.joins_at <= self.now
+        }
+        for name in in_touch:
+            self.gateways[name].heard = set(in_touch)
+
+
+def most_in_a_second(seeds):
+    return max(Schedule(seed).run(60.0) for seed in seeds)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_cold_target_gets_no_more_than_it_bears(seed):
+    assert Schedule(seed).run(60.0) <= BOUND
+
+
+@pytest.mark.parametrize(
+    ("module", "name", "value"),
+    [
+        (roster, "MEMORY_SECONDS", 0.0),
+        (roster, "START_GATEWAYS", 1),
+        (shares, "USED_PART", 1.4),
+    ],
+)
+def test_planted_fault_is_caught(monkeypatch, module, name, value):
+    monkeypatch.setattr(module, name, value)
+    assert most_in_a_second(range(40)) > BOUND
