--- a/banyanshore/state/document.py
+++ b/banyanshore/state/document.py
@@ -1,165 +1,23 @@
-"""The desired-state document: its schema, checks and merge patches (RFC 7396)."""
+"""The desired-state document: its checks and merge patches (RFC 7396)."""
 
 import copy
 import fnmatch
 import json
 import math
-from dataclasses import dataclass
 
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.state.schema import FIELDS_BY_PLACE, FIELDS_BY_TABLE, NAMES_BY_TABLE
 
 # Largest document accepted, in bytes of JSON.
 MAX_DOCUMENT_BYTES = 1024 * 1024
 # Deepest nesting of a patch.
 MAX_DEPTH = 16
-MAX_PRIORITY = 1000
 
 
 class DocumentError(BanyanshoreError):
     """Signal a document that may not come into force, naming the bad place."""
 
 
-@dataclass(frozen=True)
-class Field:
-    """One key of a table's rows.
-
-    :param types: accepted Python types of the JSON value.
-    :param expected: what to tell the operator.
-    :param minimum: least number, ``None`` for values that aren't numbers.
-    :param maximum: greatest number.
-    """
-
-    types: tuple
-    expected: str
-    required: bool = False
-    choices: tuple = ()
-    minimum: float | None = None
-    maximum: float = math.inf
-
-    def accepts(self, value):
-        """Tell whether a value may stand under the key."""
-        # In Python a truth value is a whole number too.
-        if isinstance(value, bool) and bool not in self.types:
-            return False
-        if not isinstance(value, self.types):
-            return False
-        if self.choices and value not in self.choices:
-            return False
-        if self.minimum is None:
-            return True
-        return math.isfinite(value) and self.minimum <= value <= self.maximum
-
-
-_TEXT = (str,)
-_NUMBER = (int, float)
-_WHOLE = (int,)
-_MODEL_FIELDS = {
-    "version": Field(_TEXT, "a text", required=True),
-    "manifest_digest": Field(_TEXT, "a SHA-256 in hexadecimal", required=True),
-    "manifest_url": Field(_TEXT, "a URL", required=True),
-    "weights_url": Field(_TEXT, "a URL", required=True),
-    "max_unavailable_ratio": Field(
-        _NUMBER, "a number from 0 to 1", minimum=0, maximum=1
-    ),
-    "max_failures": Field(_WHOLE, "a whole number, 1 or more", minimum=1),
-    "paused": Field((bool,), "true or false"),
-}
-SERVICE_KINDS = ("model", "plain", "direct", "origin")
-_SERVICE_FIELDS = {
-    "kind": Field(
-        _TEXT,
-        f"one of {', '.join(SERVICE_KINDS)}",
-        required=True,
-        choices=SERVICE_KINDS,
-    ),
-    "model": Field(_TEXT, "the name of a model"),
-    "non_repeatable": Field((list,), "a list of {method, path}"),
-    "max_queue_seconds": Field(_NUMBER, "a number of seconds", minimum=0),
-    # Targets that gateways send requests to themselves.
-    "health_path": Field(_TEXT, "a path"),
-    "max_connections": Field(_WHOLE, "a whole number, 0 or more", minimum=0),
-    "cold_seconds": Field(_NUMBER, "a number of seconds", minimum=0),
-    "cold_per_second": Field(_NUMBER, "requests a second", minimum=0),
-    "engine": Field((dict,), "the cost model of the engine"),
-    # Where weights come from.
-    "address": Field(_TEXT, "HOST:PORT"),
-    "data_centre": Field(_TEXT, "a data centre"),
-    "bytes_per_second": Field(_NUMBER, "bytes a second", minimum=0),
-}
-_IN_SERVICE_FIELDS = {
-    "in_service": Field((bool,), "true or false", required=True),
-    "reason": Field(_TEXT, "a text"),
-}
-_WORKSPACE_FIELDS = {
-    "max_in_flight": Field(_WHOLE, "a whole number, 0 or more", minimum=0),
-    "priority": Field(
-        _WHOLE,
-        f"a whole number from {-MAX_PRIORITY} to {MAX_PRIORITY}, lower goes first",
-        minimum=-MAX_PRIORITY,
-        maximum=MAX_PRIORITY,
-    ),
-    "keys": Field((list,), "a list of texts"),
-    "regions": Field((list,), "a list of regions"),
-}
-ROUTE_KINDS = ("streaming", "idempotent", "non_idempotent")
-_ROUTE_FIELDS = {
-    "host": Field(_TEXT, "a host name", required=True),
-    "prefix": Field(_TEXT, "a path that ends with a slash", required=True),
-    "kind": Field(
-        _TEXT, f"one of {', '.join(ROUTE_KINDS)}", required=True, choices=ROUTE_KINDS
-    ),
-    "services": Field((list,), "a list of {service, weight}", required=True),
-    "timeout_seconds": Field(_NUMBER, "seconds above 0", minimum=1e-3),
-    "objective_seconds": Field(_NUMBER, "a number of seconds", minimum=0),
-    "max_pause_seconds": Field(_NUMBER, "a number of seconds", minimum=0),
-    "max_attempts": Field(_WHOLE, "a whole number, 0 or more", minimum=0),
-    "priority": Field(_WHOLE, "a whole number", minimum=-MAX_PRIORITY),
-    "public": Field((bool,), "true or false"),
-    "sticky": Field((bool,), "true or false"),
-    "resumable": Field((bool,), "true or false"),
-    "regions": Field((list,), "a list of regions"),
-}
-_DECLARATION_FIELDS = {
-    "number": Field(_WHOLE, "a whole number, 0 or more", required=True, minimum=0),
-    "source": Field(_TEXT, "compressed text", required=True),
-}
-_ROLLOUT_FIELDS = {
-    "version": Field(_WHOLE, "a whole number, 1 or more", required=True, minimum=1),
-}
-_CALLER_LIMITS_FIELDS = {
-    "max_header_bytes": Field(_WHOLE, "a number of bytes", minimum=1),
-    "max_body_bytes": Field(_WHOLE, "a number of bytes", minimum=0),
-    "header_timeout_seconds": Field(_NUMBER, "a number of seconds", minimum=0),
-    "idle_timeout_seconds": Field(_NUMBER, "a number of seconds", minimum=0),
-}
-_LIMITS_FIELDS = {
-    "retention_seconds": Field(
-        _NUMBER, "a number of seconds from 60 to 604800", minimum=60, maximum=604_800
-    ),
-    "max_claims": Field(
-        _WHOLE, "a whole number from 1 to 1000000", minimum=1, maximum=1_000_000
-    ),
-    "max_answer_bytes": Field(
-        _WHOLE, "a whole number up to 1073741824", minimum=0, maximum=2**30
-    ),
-}
-FIELDS_BY_TABLE = {
-    "models": _MODEL_FIELDS,
-    "services": _SERVICE_FIELDS,
-    "data_centres": _IN_SERVICE_FIELDS,
-    "targets": _IN_SERVICE_FIELDS,
-    "workspaces": _WORKSPACE_FIELDS,
-    "limits": _LIMITS_FIELDS,
-    "routes": _ROUTE_FIELDS,
-    "declarations": _DECLARATION_FIELDS,
-    "rollouts": _ROLLOUT_FIELDS,
-}
-# Tables whose rows have fixed names.
-_NAMES_BY_TABLE = {"limits": ("claims", "callers"), "declarations": ("operator",)}
-# Rows whose fields differ from those of their table.
-_FIELDS_BY_PLACE = {"limits.callers": _CALLER_LIMITS_FIELDS}
-
-
 def empty_document():
     """Return the document of version 0, which holds nothing."""
     return {table: {} for table in FIELDS_BY_TABLE}
@@ -257,11 +115,11 @@
         if not isinstance(rows, dict):
             raise error_at(table, rows, "an object of rows by name")
         for name, row in rows.items():
-            names = _NAMES_BY_TABLE.get(table, (name,))
+            names = NAMES_BY_TABLE.get(table, (name,))
             if name not in names:
                 raise error_at(f"{table}.{name}", row, f"one of {', '.join(names)}")
             place = f"{table}.{name}"
-            _check_row(place, row, _FIELDS_BY_PLACE.get(place, fields))
+            _check_row(place, row, FIELDS_BY_PLACE.get(place, fields))
     _check_references(document)
     check_routes(document)
     check_keys(document)
@@ -340,7 +198,11 @@
         if share["service"] not in services:
             raise error_at(where, share["service"], "a service in the document")
         weight = share["weight"]
-        if isinstance(weight, bool) or not isinstance(weight, _NUMBER) or weight < 0:
+        if (
+            isinstance(weight, bool)
+            or not isinstance(weight, (int, float))
+            or weight < 0
+        ):
             raise error_at(where, weight, "a weight of 0 or more")
         total += weight
     if not 0 < total < math.inf:
--- a/banyanshore/weights/transfer.py
+++ b/banyanshore/weights/transfer.py
@@ -21,7 +21,8 @@
     PieceReceived,
 )
 from banyanshore.weights.placement import Member, Placement
-from banyanshore.weights.planner import Fetch, PlannerOptions, TransferPlanner
+from banyanshore.weights.planner import TransferPlanner
+from banyanshore.weights.planner_rows import Fetch, PlannerOptions
 
 logger = logging.getLogger(__name__)
 
--- a/benchmarks/link_model.py
+++ b/benchmarks/link_model.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass
 
 from banyanshore.weights.placement import ChunkRole, Member, Placement
-from banyanshore.weights.planner import ORIGIN, PlannerOptions, TransferPlanner
+from banyanshore.weights.planner import TransferPlanner
+from banyanshore.weights.planner_rows import ORIGIN, PlannerOptions
 
 REGIONS = 3
 DATA_CENTRES = 11
--- a/tests/weights/test_planner.py
+++ b/tests/weights/test_planner.py
@@ -5,7 +5,8 @@
 import pytest
 
 from banyanshore.weights.placement import Member, Placement
-from banyanshore.weights.planner import ORIGIN, PlannerOptions, TransferPlanner
+from banyanshore.weights.planner import TransferPlanner
+from banyanshore.weights.planner_rows import ORIGIN, PlannerOptions
 from benchmarks.link_model import Faults, LinkModel
 
 DIGESTS = [f"chunk-{index}" for index in range(40)]
