--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -14,6 +14,7 @@
     peer_address,
 )
 from banyanshore.membership.messages import StateChange, StateUpdate
+from banyanshore.membership.registry import TargetRow
 from banyanshore.routing.version_switch import FIRST_STATE_SECONDS, VersionSwitch
 from banyanshore.state.document import to_json
 
@@ -145,11 +146,15 @@
         message = RowNews((row,))
         await self._tell_control(message)
         if news:
+            _log_target("target told of itself", row)
             await self._tell_followers(message)
 
     async def forget(self, departure):
         """Take a departure that was told to this instance itself."""
+        known = self.find_target(departure.key)
         if self._registry.forget(time.monotonic(), departure):
+            if known is not None:
+                _log_target("target left", known)
             message = RowNews((), (departure,))
             await self._tell_control(message)
             await self._tell_followers(message)
@@ -240,3 +245,20 @@
             self._greeted_by_instance[address] = connection
             logger.info("control instance reached", extra={"peer": address})
             await link.notify_or_drop(RowNews(self._registry.rows()))
+
+
+def _log_target(message, row):
+    """Tell the log of a change of a target; instances are told of as followers."""
+    if isinstance(row, TargetRow):
+        logger.info(
+            message,
+            extra={
+                "target": row.id,
+                "service": row.service,
+                "address": row.address,
+                "target_data_centre": row.data_centre,
+                "state": row.state,
+                "model_version": row.model_version,
+                "incarnation": row.incarnation,
+            },
+        )
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -1,6 +1,7 @@
 """What control sends to its followers."""
 
 import json
+from dataclasses import replace
 
 import anyio
 import pytest
@@ -9,6 +10,7 @@
 from banyanshore.control.feed import FeedServer
 from banyanshore.membership.feed import ConfirmRequest, MemberRow, Registry, RowNews
 from banyanshore.membership.messages import StateChange, StateUpdate
+from banyanshore.membership.registry import Departure, TargetRow
 from banyanshore.state import Fence, PublishedState, StateHolder
 from banyanshore.state.document import empty_document, to_json
 from banyanshore.telemetry.control import ControlMetrics
@@ -124,3 +126,19 @@
         later = MemberRow("y", "gateway", "dc", "r", "10.0.0.2:7700", 1, 2)
         await server.on_peer_news(RowNews((later,)))
     assert not [d for body in other.of(RowNews) for d in body.departures]
+
+
+async def test_log_tells_of_targets_that_come_change_and_leave(server, caplog):
+    caplog.set_level("INFO")
+    row = TargetRow("t", "s", "10.0.0.2:80", "dc", "v", 4, "ready", 0.0, 1, 1)
+    await server.record(row)
+    # Nothing new.
+    await server.record(replace(row, sequence=2))
+    await server.record(replace(row, sequence=3, state="draining"))
+    await server.forget(Departure("target", "t", 1, is_final=True))
+    told = [(r.message, r.state) for r in caplog.records if hasattr(r, "target")]
+    assert told == [
+        ("target told of itself", "ready"),
+        ("target told of itself", "draining"),
+        ("target left", "draining"),
+    ]
