--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -11,10 +11,10 @@
 from banyanshore.gateway.relay import WeightsRelay
 from banyanshore.gateway.run import RequestRun
 from banyanshore.gateway.screening import Rejection, Screening
-from banyanshore.gateway.suspects import GATEWAY_ROLE, Suspects
+from banyanshore.gateway.suspects import Suspects
 from banyanshore.http.listener import Listener, ListenerLimits
 from banyanshore.http.wire import PeerClosedError
-from banyanshore.membership.feed import FeedClient, MemberRow, Registry
+from banyanshore.membership.feed import GATEWAY_ROLE, FeedClient, MemberRow, Registry
 from banyanshore.membership.load_reports import CrashNews, LoadReport, PlacementNotice
 from banyanshore.routing.board import TargetBoard
 from banyanshore.routing.engine_model import EngineModel
--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -3,14 +3,13 @@
 import logging
 import time
 
+from banyanshore.membership.feed import GATEWAY_ROLE
 from banyanshore.membership.load_reports import CrashNews
 from banyanshore.routing.crashes import Crash, CrashWatch
 from banyanshore.routing.quarantine import request_fingerprint
 
 logger = logging.getLogger(__name__)
 
-GATEWAY_ROLE = "gateway"
-
 
 class Suspects:
     """Requests that are suspected to crash the targets that run them.
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -9,7 +9,7 @@
 from banyanshore.loader.driver import LoadDriver
 from banyanshore.loader.target import TargetWatch
 from banyanshore.loader.transfer import StagedTransfer
-from banyanshore.membership.feed import FeedClient, MemberRow, Registry
+from banyanshore.membership.feed import LOADER_ROLE, FeedClient, MemberRow, Registry
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.state import StateHolder
 from banyanshore.state.views import ModelSpec
@@ -27,10 +27,7 @@
     PieceReceived,
 )
 from banyanshore.weights.relay_messages import ChunkPush, ChunkTaken
-from banyanshore.weights.relay_rosters import (
-    LOADER_ROLE,
-    RelayRosters,
-)
+from banyanshore.weights.relay_rosters import RelayRosters
 from banyanshore.weights.uploads import Uploads
 from banyanshore.weights.wanted import find_origin, find_wanted
 
--- a/banyanshore/loader/target.py
+++ b/banyanshore/loader/target.py
@@ -5,8 +5,8 @@
 
 import anyio
 
+from banyanshore.membership.feed import GATEWAY_ROLE
 from banyanshore.membership.load_reports import LoadReport
-from banyanshore.weights.relay_rosters import GATEWAY_ROLE
 from banyanshore.weights.staged import StagedEngineError
 
 logger = logging.getLogger(__name__)
--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -31,6 +31,8 @@
 # Seconds before another control instance is asked after a failure.
 RETRY_SECONDS = 0.1
 CONTROL_ROLE = "control"
+GATEWAY_ROLE = "gateway"
+LOADER_ROLE = "loader"
 
 
 @message(104)
--- a/banyanshore/simulation/policies.py
+++ b/banyanshore/simulation/policies.py
@@ -59,6 +59,7 @@
 class BoardPolicy(Policy):
     """The gateways of this product."""
 
+    # What the board reads of a gateway's settings.
     data_centre = DATA_CENTRE
     regions = {DATA_CENTRE: DATA_CENTRE}  # noqa: RUF012
 
--- a/banyanshore/weights/relay_rosters.py
+++ b/banyanshore/weights/relay_rosters.py
@@ -1,11 +1,9 @@
 """The members of the trees of one service, as its transfers want them."""
 
+from banyanshore.membership.feed import GATEWAY_ROLE, LOADER_ROLE
 from banyanshore.membership.messages import Roster, RosterRow
 from banyanshore.weights.tree import RelayTree, TreeMember
 
-LOADER_ROLE = "loader"
-GATEWAY_ROLE = "gateway"
-
 
 class RelayRosters:
     """The loaders of one service and the gateways that pass chunks on to them.
