Wait for the order to reach the gateway before counting what it sends

Traced in its logs: the order was accepted at 41.626, the gateway answered q-17 under version 3 at 41.743, version 4 was in force there at 41.748, 122 ms after the order; in the three passing runs whose logs are there 2 to 5 ms. Ruled out: that the gateway sends out of turn: all it decided under version 4 went elsewhere. Change: the test counted from the answer to the operator, which says that control obeys; gateways are given five seconds. It now waits for the order's version at the gateway, five seconds at most, and from then on allows no request, as before.

--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -142,6 +142,17 @@
             timeout=seconds,
         )
 
+    def log_rows(self, name, **fields):
+        """Return the rows of a process's log that have these fields."""
+        lines = self.processes[name].log().splitlines()
+        rows = [json.loads(line) for line in lines if line.endswith("}")]
+        return [row for row in rows if fields.items() <= row.items()]
+
+    def version_in_force(self, name):
+        """Return the version of the desired state that a process has come to."""
+        rows = self.log_rows(name, logger="banyanshore.state.holder")
+        return max((int(row["message"].split()[1]) for row in rows), default=0)
+
     def accepted(self, node, method, path, body=None):
         def check():
             return self.call(node, method, path, body).status_code == 200
@@ -225,6 +236,10 @@
 
 def test_data_centre_taken_out_gets_nothing_until_it_is_back(deployment):
     deployment.accepted(0, "POST", "/api/drain/a")
+    # The operator is answered once control obeys; gateways have five seconds.
+    order = wait_for(lambda: deployment.log_rows("core-0", order="data-centre"), 5)[-1]
+    assert order["in_service"] is False
+    wait_for(lambda: deployment.version_in_force("edge-0") >= order["version"], 5)
     before = len(deployment.stats(0)["runs"])
     for _ in range(10):
         assert deployment.is_served(0)
