Announce the close of a connection whose request was not read, and keep idle ones

The entry answered 413 before the body was whole, and the web server then closed the connection, without having said so; the client took it for its next request.

Ruled out: the server's own idle limit (60 s; the library gives up after 5), its limit of requests for a connection (1000; 138 had been sent), an entry that ended (later tests of the same deployment passed).

Change: an answer that goes out before the body is whole says 'connection: close', and the rest is read and dropped for up to 2 s, so that the answer is not lost. Clients of targets and of loads keep idle connections until the other side closes them.

--- a/banyanshore/engines/http.py
+++ b/banyanshore/engines/http.py
@@ -102,8 +102,11 @@
 
 
 def _make_client(settings, verify):
+    # The client library looks for connections to close while it gives others to
+    # requests, and can close one that a request has just got. Only those that the
+    # target has closed are given up; their number is bounded by the requests at once.
     limits = httpx.Limits(
-        max_connections=None, max_keepalive_connections=CONNECTIONS_PER_CLIENT
+        max_connections=None, max_keepalive_connections=None, keepalive_expiry=None
     )
     return httpx.AsyncClient(
         base_url=settings.url,
--- a/banyanshore/http/asgi.py
+++ b/banyanshore/http/asgi.py
@@ -7,6 +7,11 @@
 
 from banyanshore.core.exceptions import BanyanshoreError
 
+# Seconds and bytes for which a body goes on being read and dropped after its answer:
+# closing a connection with unread bytes would take the answer from the caller.
+DISCARD_SECONDS = 2.0
+DISCARD_BYTES = 16 * 1024 * 1024
+
 
 class BodyTooLargeError(BanyanshoreError):
     """Signal a request body beyond the limit."""
@@ -57,9 +62,10 @@
         self.headers = tuple(
             (bytes(name).lower(), bytes(value)) for name, value in scope["headers"]
         )
-        self._receive = receive
+        self._receive_event = receive
         self._send = send
         self.response_started = False
+        self._body_is_whole = not self._announces_body()
 
     def get_header(self, name, default=""):
         """Return a header's value as text."""
@@ -69,6 +75,18 @@
                 return value.decode("latin-1")
         return default
 
+    def _announces_body(self):
+        names = dict(self.headers)
+        return b"transfer-encoding" in names or (
+            names.get(b"content-length", b"0") != b"0"
+        )
+
+    async def _receive(self):
+        event = await self._receive_event()
+        if event["type"] == "http.request" and not event.get("more_body"):
+            self._body_is_whole = True
+        return event
+
     async def read_body(self, max_bytes):
         """Return the whole body.
 
@@ -96,10 +114,17 @@
                 return
 
     async def start(self, status, headers):
-        """Send the status line and headers."""
+        """Send the status line and headers.
+
+        The server closes the connection of a request whose body was not read, so the
+        caller is told not to use it again.
+        """
         self.response_started = True
+        all_headers = list(headers)
+        if not self._body_is_whole:
+            all_headers.append((b"connection", b"close"))
         await self._send(
-            {"type": "http.response.start", "status": status, "headers": list(headers)}
+            {"type": "http.response.start", "status": status, "headers": all_headers}
         )
 
     async def send_body(self, data, more=True):
@@ -116,8 +141,21 @@
             *headers,
         ]
         await self.start(status, all_headers)
+        if not self._body_is_whole:
+            await self.send_body(body)
+            await self._discard_body()
+            body = b""
         await self.send_body(body, more=False)
 
+    async def _discard_body(self):
+        dropped = 0
+        with anyio.move_on_after(DISCARD_SECONDS):
+            while not self._body_is_whole and dropped < DISCARD_BYTES:
+                event = await self._receive()
+                if event["type"] == "http.disconnect":
+                    return
+                dropped += len(event.get("body", b""))
+
     async def respond_json(self, status, document, headers=()):
         """Send a JSON response."""
         body = json.dumps(document).encode() + b"\n"
--- a/tests/load.py
+++ b/tests/load.py
@@ -15,6 +15,21 @@
 CLIENTS = 48
 
 
+def make_client(timeout):
+    """Return a client that never closes an idle connection on its own.
+
+    With an expiry the client library can close a connection that it has just given to
+    a request: tests/test_load.py.
+    """
+    return httpx.AsyncClient(
+        limits=httpx.Limits(max_connections=None, keepalive_expiry=None),
+        timeout=timeout,
+        trust_env=False,
+        # Loading certificates takes long, and none is needed.
+        verify=False,
+    )
+
+
 @dataclass(frozen=True)
 class Result:
     """One request.
@@ -70,15 +85,7 @@
         rng = random.Random(self.seed)
         async with AsyncExitStack() as stack:
             clients = [
-                await stack.enter_async_context(
-                    httpx.AsyncClient(
-                        limits=httpx.Limits(max_connections=None),
-                        timeout=self.deadline + 10,
-                        trust_env=False,
-                        # Loading certificates takes long, and none is needed.
-                        verify=False,
-                    )
-                )
+                await stack.enter_async_context(make_client(self.deadline + 10))
                 for _ in range(CLIENTS)
             ]
             tasks = await stack.enter_async_context(anyio.create_task_group())
