Have gateways that start know how many there have been lately

Change: gateways tell control how many they count on; control keeps the most of the last 60 s and tells it with the first rows, also to other control instances. Until a gateway has been in touch for 2.5 s it counts on 48, a share of one a second.

The schedules got a further fault (those in touch restart while others are cut off) and a control that forgets.

Planted: no settling time, and a control that forgets, are caught.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -8,6 +8,7 @@
 
 from banyanshore.membership.feed import (
     CONTROL_ROLE,
+    GATEWAY_ROLE,
     Departure,
     RolloutAges,
     RowNews,
@@ -15,6 +16,7 @@
 )
 from banyanshore.membership.messages import StateChange, StateUpdate
 from banyanshore.membership.registry import TargetRow
+from banyanshore.routing.roster import FleetSize
 from banyanshore.routing.version_switch import FIRST_STATE_SECONDS, VersionSwitch
 from banyanshore.state.document import to_json
 
@@ -75,6 +77,7 @@
         self._follower_by_connection = {}
         self._greeted_by_instance = {}
         self._state_changed = anyio.Event()
+        self._fleet_size = FleetSize()
         # Only the ages are of interest: control sends no requests.
         self._versions = VersionSwitch(FIRST_STATE_SECONDS)
         state.on_change.append(self._on_state)
@@ -96,12 +99,13 @@
 
     async def on_follower(self, connection, request):
         """Take note of a follower, and send it what it lacks."""
+        self._fleet_size.record(time.monotonic(), request.gateways)
         follower = self._follower_by_connection.get(connection)
         if follower is None:
             follower = Follower(request.member, request.state_version)
             self._follower_by_connection[connection] = follower
             logger.info("follower came", extra={"follower": request.member.instance})
-            await connection.notify(RowNews(self._registry.rows()))
+            await connection.notify(self._all_rows())
         if request.state_version < follower.version:
             # What was sent is on its way, or was a change that didn't fit.
             follower.lags += 1
@@ -131,6 +135,11 @@
             departure = Departure("member", key, follower.member.incarnation)
             await self.forget(departure)
 
+    def _all_rows(self):
+        now = time.monotonic()
+        self._fleet_size.record(now, len(self._registry.members_of(GATEWAY_ROLE)))
+        return RowNews(self._registry.rows(), (), self._fleet_size.most(now))
+
     def find_target(self, target_id):
         """Return the row of a target, or ``None``."""
         known = self._registry.targets.by_key.get(target_id)
@@ -162,6 +171,8 @@
     async def on_peer_news(self, news):
         """Take what another control instance has learnt."""
         now = time.monotonic()
+        if news.gateways:
+            self._fleet_size.record(now, news.gateways)
         rows = tuple(row for row in news.rows if self._registry.record(now, row))
         departures = tuple(
             departure
@@ -244,7 +255,7 @@
                 continue
             self._greeted_by_instance[address] = connection
             logger.info("control instance reached", extra={"peer": address})
-            await link.notify_or_drop(RowNews(self._registry.rows()))
+            await link.notify_or_drop(self._all_rows())
 
 
 def _log_target(message, row):
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -84,6 +84,9 @@
         self._retry_share_by_service = {}
         self._data_centres_out = set()
         self._roster = GatewayRoster(settings.instance, time.monotonic())
+        self.feed.count_gateways = lambda: len(self.gateway_names())
+        self.feed.on_rows.append(self._on_rows)
+        self.feed.on_confirmed.append(self._on_confirmed)
         self.suspects = Suspects(settings.instance, self.registry)
         self.relay = WeightsRelay(self, make_origin)
 
@@ -135,6 +138,13 @@
         """Take the control instances that changed settings name."""
         self.feed.seeds = tuple(settings.seeds)
 
+    def _on_rows(self, news):
+        if news.gateways:
+            self._roster.record_fleet(news.gateways)
+
+    def _on_confirmed(self):
+        self._roster.record_contact(time.monotonic())
+
     def gateway_names(self):
         """Return the names of the gateways that limits are shared among."""
         heard = [row.instance for row in self.registry.members_of(GATEWAY_ROLE)]
--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -37,10 +37,15 @@
 
 @message(104)
 class RowNews:
-    """Rows that are new or changed, and rows to forget."""
+    """Rows that are new or changed, and rows to forget.
+
+    :param gateways: how many gateways have been counted on lately, told with all rows;
+        0 where rows have changed.
+    """
 
     rows: tuple = ()
     departures: tuple = ()
+    gateways: int = 0
 
 
 @message(105)
@@ -48,10 +53,12 @@
     """Ask whether a version of the desired state is the newest.
 
     :param member: the row of the instance that asks.
+    :param gateways: how many gateways it counts on, 0 if it counts none.
     """
 
     member: MemberRow
     state_version: int
+    gateways: int = 0
 
 
 @message(106)
@@ -129,6 +136,9 @@
         self.confirmed_at = float("-inf")
         self.seeds = tuple(settings.seeds)
         self.on_rows = []
+        self.on_confirmed = []
+        # Returns how many gateways this instance counts on.
+        self.count_gateways = lambda: 0
         # Seconds by model and version, told just before the state that names them.
         self.rollout_ages = {}
         self._settings = settings
@@ -195,7 +205,8 @@
         self._sequence += 1
         member = replace(self._member, sequence=self._sequence)
         asked_at = boot_time()
-        request = ConfirmRequest(member, self._state.version)
+        gateways = self.count_gateways()
+        request = ConfirmRequest(member, self._state.version, gateways)
         reply = await connection.call(request, CONFIRM_TIMEOUT)
         if reply.is_current and self._state.version < reply.version:
             # The version is sent again after this question or the next.
@@ -214,6 +225,8 @@
         if self.confirmed_at == float("-inf"):
             logger.info("control reached", extra={"control": instance})
         self.confirmed_at = asked_at
+        for callback in self.on_confirmed:
+            callback()
         return True
 
     async def _on_ages(self, connection, ages):
--- a/banyanshore/routing/roster.py
+++ b/banyanshore/routing/roster.py
@@ -3,17 +3,44 @@
 Load pattern: gateways that are cut off, or have just started, send to the same cold
 target as those that don't hear of them. One that is no longer heard of is counted on
 for a while, since it may be cut off and use its share. One that has just started has
-not heard of those that were cut off before, and counts on more.
+not heard of those that were cut off before, and counts on as many as control or any
+other gateway has counted on lately.
 """
 
+import math
+from collections import deque
+
 # Seconds for which a gateway that is no longer heard of keeps its share of limits; cuts
 # between data centres rarely last longer, and those that do leave room for it.
 MEMORY_SECONDS = 60.0
-# Gateways that one counts on for that time after its own start, since it can't have
-# heard of those that were cut off before: more than most deployments have.
+# Gateways that one counts on at least for that time after its own start, since control
+# may have started as well and know of no others: more than most deployments have.
 START_GATEWAYS = 16
-# Stand for gateways that are counted on and not known.
-_UNHEARD_NAMES = tuple(f"not heard of {number}" for number in range(START_GATEWAYS))
+# Gateways that one counts on at least until it has been in touch with control for some
+# seconds, in which control hears of those that start beside it: a share of one request
+# a second for a usual target.
+SETTLING_GATEWAYS = 48
+SETTLING_SECONDS = 2.5
+
+
+class FleetSize:
+    """How many gateways have been counted on lately, as control hears of it."""
+
+    def __init__(self):
+        # Times and counts; each count is lower than those before it.
+        self._counts = deque()
+
+    def record(self, now, count):
+        """Take how many gateways somebody counts on."""
+        while self._counts and self._counts[-1][1] <= count:
+            self._counts.pop()
+        self._counts.append((now, count))
+
+    def most(self, now):
+        """Return the most that anybody has counted on while it is remembered."""
+        while self._counts and now - self._counts[0][0] > MEMORY_SECONDS:
+            self._counts.popleft()
+        return self._counts[0][1] if self._counts else 0
 
 
 class GatewayRoster:
@@ -27,6 +54,19 @@
         self._instance = instance
         self._started_at = started_at
         self._seen_at = {}
+        self._told = 0
+        self._first_contact_at = math.inf
+        self._is_settled = False
+
+    def record_contact(self, now):
+        """Take that control has answered."""
+        self._first_contact_at = min(self._first_contact_at, now)
+        if now - self._first_contact_at >= SETTLING_SECONDS:
+            self._is_settled = True
+
+    def record_fleet(self, count):
+        """Take how many gateways control says have been counted on lately."""
+        self._told = max(self._told, count)
 
     def names(self, now, heard):
         """Return the names of the gateways that are counted on, this one included.
@@ -45,7 +85,8 @@
 
         :param names: what :meth:`names` has returned.
         """
-        missing = START_GATEWAYS - len(names)
+        least = START_GATEWAYS if self._is_settled else SETTLING_GATEWAYS
+        missing = max(least, self._told) - len(names)
         if now - self._started_at > MEMORY_SECONDS or missing <= 0:
             return names
-        return {*names, *_UNHEARD_NAMES[:missing]}
+        return {*names, *(f"not heard of {number}" for number in range(missing))}
--- a/tests/routing/test_share_schedules.py
+++ b/tests/routing/test_share_schedules.py
@@ -11,12 +11,14 @@
 import pytest
 
 from banyanshore.routing import roster, shares
-from banyanshore.routing.roster import GatewayRoster
+from banyanshore.routing.roster import FleetSize, GatewayRoster
 from banyanshore.routing.shares import ColdShares
 
 STEP = 0.05
 PER_SECOND, OVERAGE, MARGIN = 36.0, 1.5, 5.0
 BOUND = PER_SECOND * OVERAGE + MARGIN
+# Numbers of gateways that schedules usually begin with.
+SIZES = (3, 8, 8, 20)
 
 
 class Gateway:
@@ -34,8 +36,8 @@
 
     def send(self, now):
         """Return how many requests it sends now; as many as it may."""
-        if now < self.joins_at:
-            # It knows no targets yet either.
+        if not self.heard:
+            # It has had no news from control and knows no targets either.
             return 0
         names = self.roster.cautious_names(now, self.roster.names(now, self.heard))
         sent = 0
@@ -51,10 +53,12 @@
     :param sizes: numbers of gateways, one of which the seed picks.
     """
 
-    def __init__(self, seed, sizes=(3, 8, 8, 20)):
+    def __init__(self, seed, sizes=SIZES):
         self.rng = random.Random(seed)
         self.now = 100.0
         self.left_at = {}
+        # What control remembers of how many gateways there were.
+        self.fleet_size = FleetSize()
         # Two may be added to the largest fleet.
         self.most = max(sizes) + 2
         self.gateways = {}
@@ -69,11 +73,14 @@
         gateway.joins_at = self.now + self.rng.uniform(0.1, 1.0)
         self.gateways[name] = gateway
 
-    def run(self, seconds):
-        """Return the most requests that arrived in any second."""
+    def run(self, seconds, fault_rate=0.02):
+        """Return the most requests that arrived in any second.
+
+        :param fault_rate: probability of a fault at each step.
+        """
         for _ in range(int(seconds / STEP)):
             self.now += STEP
-            if self.rng.random() < 0.02:
+            if self.rng.random() < fault_rate:
                 self.break_something()
             self.tell()
             for gateway in self.gateways.values():
@@ -85,7 +92,14 @@
 
     def break_something(self):
         action = self.rng.choice(
-            [self.restart_one, self.restart_all, self.cut_some, self.cut_all, self.add]
+            [
+                self.restart_one,
+                self.restart_all,
+                self.restart_those_in_touch,
+                self.cut_some,
+                self.cut_all,
+                self.add,
+            ]
         )
         action()
 
@@ -97,6 +111,12 @@
             for name in list(self.gateways):
                 self.restart(name)
 
+    def restart_those_in_touch(self):
+        if self.rng.random() < 0.3:
+            for name, gateway in list(self.gateways.items()):
+                if gateway.cut_until < self.now:
+                    self.restart(name)
+
     def restart(self, name):
         self.left_at[name] = self.now
         self.start(name)
@@ -116,14 +136,28 @@
             self.start(f"gateway-{len(self.gateways)}")
 
     def tell(self):
-        """Tell those in touch of the gateways that control hears of."""
+        """Tell those in touch of the gateways that control hears of.
+
+        Control remembers how many it and they have counted on; a restart of control
+        is as if it heard so for the first time, from those in touch.
+        """
+        if self.rng.random() < 0.001:
+            self.fleet_size = FleetSize()
         in_touch = {
             name
             for name, gateway in self.gateways.items()
             if gateway.cut_until < self.now and gateway.joins_at <= self.now
         }
+        self.fleet_size.record(self.now, len(in_touch))
+        for name in in_touch:
+            gateway = self.gateways[name]
+            counted = gateway.roster.names(self.now, gateway.heard)
+            self.fleet_size.record(self.now, len(counted))
         for name in in_touch:
-            self.gateways[name].heard = set(in_touch)
+            gateway = self.gateways[name]
+            gateway.heard = set(in_touch)
+            gateway.roster.record_contact(self.now)
+            gateway.roster.record_fleet(self.fleet_size.most(self.now))
 
 
 @pytest.mark.parametrize("seed", range(40))
@@ -137,14 +171,36 @@
     assert worst <= BOUND
 
 
+def restart_half_while_the_others_are_cut_off():
+    """Return the most requests in a second, in a fleet of 41 gateways."""
+    schedule = Schedule(0, (41,))
+    schedule.run(5.0, 0.0)
+    names = sorted(schedule.gateways)
+    for name in names[:20]:
+        schedule.gateways[name].cut_until = schedule.now + 20.0
+    for name in names[20:]:
+        schedule.restart(name)
+    return schedule.run(10.0, 0.0)
+
+
+def test_gateways_restarted_while_others_are_cut_off_count_on_them():
+    assert restart_half_while_the_others_are_cut_off() <= BOUND
+
+
+def test_control_that_forgets_gateways_at_once_is_caught(monkeypatch):
+    monkeypatch.setattr(FleetSize, "most", lambda size, now: 0)
+    assert restart_half_while_the_others_are_cut_off() > BOUND
+
+
 @pytest.mark.parametrize(
-    ("module", "name", "value"),
+    ("module", "name", "value", "sizes"),
     [
-        (roster, "MEMORY_SECONDS", 0.0),
-        (roster, "START_GATEWAYS", 1),
-        (shares, "USED_PART", 1.4),
+        (roster, "MEMORY_SECONDS", 0.0, SIZES),
+        (roster, "START_GATEWAYS", 1, SIZES),
+        (shares, "USED_PART", 1.4, SIZES),
+        (roster, "SETTLING_SECONDS", 0.0, (41,)),
     ],
 )
-def test_planted_fault_is_caught(monkeypatch, module, name, value):
+def test_planted_fault_is_caught(monkeypatch, module, name, value, sizes):
     monkeypatch.setattr(module, name, value)
-    assert any(Schedule(seed).run(60.0) > BOUND for seed in range(40))
+    assert any(Schedule(seed, sizes).run(60.0) > BOUND for seed in range(40))
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -69,11 +69,14 @@
 
 @pytest.mark.parametrize("gap", GAPS)
 async def test_client_of_a_load_keeps_a_connection_in_use(clock, gap):
-    async with scripted(answer_slowly) as one, scripted(answer_slowly) as other:
-        async with make_client(10.0) as client:
-            statuses = await send_as_connections_get_old(
-                client, one.address, other.address, clock, gap
-            )
+    async with (
+        scripted(answer_slowly) as one,
+        scripted(answer_slowly) as other,
+        make_client(10.0) as client,
+    ):
+        statuses = await send_as_connections_get_old(
+            client, one.address, other.address, clock, gap
+        )
     assert statuses == [200] * 4
 
 
@@ -81,14 +84,17 @@
     # If this passes with the library's own limits one day, the others may go.
     broken = 0
     for gap in GAPS:
-        async with scripted(answer_slowly) as one, scripted(answer_slowly) as other:
-            async with httpx.AsyncClient(trust_env=False) as client:
-                try:
-                    await send_as_connections_get_old(
-                        client, one.address, other.address, clock, gap
-                    )
-                except* httpx.ReadError:
-                    broken += 1
+        async with (
+            scripted(answer_slowly) as one,
+            scripted(answer_slowly) as other,
+            httpx.AsyncClient(trust_env=False) as client,
+        ):
+            try:
+                await send_as_connections_get_old(
+                    client, one.address, other.address, clock, gap
+                )
+            except* httpx.ReadError:
+                broken += 1
     assert broken
 
 
