--- a/banyanshore/consensus/leading.py
+++ b/banyanshore/consensus/leading.py
@@ -241,5 +241,6 @@
         if progress is None:
             self._add_progress(request.sender, now)
             self._replicate(now, request.sender, with_entries=True)
-        else:
+        elif request.sender not in self.members.voters:
+            # A voter is heard of by its replies: one that gets nothing is silent.
             progress.heard_at = now
--- a/banyanshore/consensus/member.py
+++ b/banyanshore/consensus/member.py
@@ -55,6 +55,15 @@
         """Tell whether this member's vote counts."""
         return self.member in self.members.voters
 
+    @property
+    def asks_to_join(self):
+        """Tell whether a leader has to be asked to replicate to this member.
+
+        One whose vote was taken while it was cut off still counts itself a voter, and
+        hears of no leader.
+        """
+        return not self.is_voter or not self.leader
+
     def compact(self, snapshot):
         """Replace applied entries by a snapshot of the state they led to."""
         self.log.compact(snapshot)
--- a/banyanshore/consensus/node.py
+++ b/banyanshore/consensus/node.py
@@ -277,7 +277,7 @@
             await self._send(
                 instance, RaftMessage("", self._formation.status(self.raft))
             )
-            if not self.raft.is_voter:
+            if self.raft.asks_to_join:
                 await self._send(
                     instance, RaftMessage("", JoinRequest(self.raft.member))
                 )
--- a/tests/consensus/test_repair.py
+++ b/tests/consensus/test_repair.py
@@ -49,6 +49,13 @@
     assert settle(VOTERS, learners, ("c/1",)) == {"a/1", "b/1", "c/2"}
 
 
+def test_silent_voter_goes_last_and_none_is_kept_beyond_the_target():
+    four = Members(("a/1", "b/1", "c/1", "d/1"))
+    assert pick(four, silent=("c/1",)) == {"a", "b", "d"}
+    # All answer: the one that was silent has come back.
+    assert len(pick(four)) == 3
+
+
 def test_only_one_of_two_silent_voters_is_given_up_for_one_learner():
     learners = [Learner("d/1", True)]
     assert len(settle(VOTERS, learners, ("b/1", "c/1")) & {"b/1", "c/1"}) == 1
--- /dev/null
+++ b/tests/consensus/test_replacement_schedules.py
@@ -0,0 +1,255 @@
+"""Schedules in which control instances are lost for good and others take their places.
+
+No settings name the voters. An instance that is lost, with its disk, is replaced by one
+with another name and an empty disk, which the others learn of only as it speaks.
+"""
+
+import os
+
+import pytest
+
+from banyanshore.consensus import repair
+from banyanshore.consensus.formation import Formation
+from banyanshore.consensus.messages import Members, instance_of
+from banyanshore.consensus.raft import Raft
+from banyanshore.consensus.repair import (
+    choose_voter_instances,
+    next_members,
+    should_hand_over,
+)
+from tests.consensus.cluster import Chaos, Cluster, Faults, Node
+
+SCHEDULES = int(os.environ.get("BANYANSHORE_SCHEDULES", "40"))
+VOTERS = 3
+# Seconds between two losses: those closer together count as at once, and three voters
+# bear one.
+LOSS_GAP_SECONDS = repair.REPLACE_AFTER + 1.0
+# Seconds from a loss within which the fleet has to have all its voters again, if it is
+# left alone: silence, catching up and three changes of members.
+REPAIR_SECONDS = 10.0
+
+
+class FleetNode(Node):
+    """A control instance that finds the others by what it hears."""
+
+    def __init__(self, cluster, instance):
+        super().__init__(cluster, instance)
+        self.known = set(cluster.instances)
+
+    def start(self):
+        super().start()
+        self.formation = Formation(self.disk.identity, self.cluster.seeds)
+
+    def step(self):
+        if self.cluster.now >= self.frozen_until:
+            for sender, message in self.inbox:
+                self.known.add(instance_of(sender or getattr(message, "sender", "")))
+            self.known.discard("")
+        super().step()
+
+    def announce(self):
+        known, self.cluster.instances = self.cluster.instances, sorted(self.known)
+        try:
+            super().announce()
+        finally:
+            self.cluster.instances = known
+
+    def change_members(self, now):
+        wanted = choose_voter_instances(self.raft, now, VOTERS)
+        if should_hand_over(self.raft, wanted):
+            self.raft.transfer(now)
+        members = next_members(self.raft, now, wanted)
+        if members:
+            self.raft.propose_members(now, members)
+
+
+class Fleet(Cluster):
+    """Control instances, the first of which are the seeds and form the log."""
+
+    node_class = FleetNode
+
+    def __init__(self, seed, size, faults=None):
+        self.seeds = [f"entry-{number}" for number in range(VOTERS)]
+        super().__init__(seed, size, faults)
+        self.next_number = size
+        self.replaced = 0
+
+    def replace(self, node):
+        """Lose an instance with its disk; start another one elsewhere."""
+        node.crash()
+        del self.nodes[node.instance]
+        self.instances.remove(node.instance)
+        name = f"entry-{self.next_number}"
+        self.next_number += 1
+        self.replaced += 1
+        self.instances.append(name)
+        self.nodes[name] = FleetNode(self, name)
+        self.nodes[name].start()
+
+
+class Replacements(Chaos):
+    """Faults of :class:`Chaos`, and instances replaced one at a time."""
+
+    def __init__(self, fleet):
+        super().__init__(fleet, lose_disks=False)
+        self.acts[self.replace_one] = 0.01
+        self.lost_at = float("-inf")
+
+    def replace_one(self):
+        node = self.pick()
+        if self.may_replace(node):
+            self.lost_at = self.cluster.now
+            self.cluster.replace(node)
+
+    def may_replace(self, lost):
+        """Allow a loss only while a majority of voters has all and lives on."""
+        if self.cluster.now - self.lost_at < LOSS_GAP_SECONDS:
+            return False
+        leader = self.cluster.leader()
+        if leader is None or leader is lost:
+            return False
+        voters = leader.raft.members.voters
+        nodes = self.cluster.nodes
+        living = {node.disk.identity: node for node in nodes.values()}
+        settled = leader.raft.commit_index >= leader.raft.members_index
+        same = all(
+            voter in living and living[voter].raft.members.voters == voters
+            for voter in voters
+        )
+        return settled and same and len(voters) == VOTERS
+
+
+def run_replacements(seed, size=4, faults=None):
+    fleet = Fleet(seed, size, faults)
+    fleet.run(3.0)
+    fleet.run(30.0, Replacements(fleet))
+    fleet.heal()
+    fleet.run(REPAIR_SECONDS + 5.0)
+    fleet.check_converged()
+    leader = fleet.leader()
+    living = {node.disk.identity for node in fleet.nodes.values()}
+    assert len(leader.raft.members.voters) == VOTERS
+    assert living.issuperset(leader.raft.members.voters), "a lost voter has its vote"
+    accepted = len(fleet.acked_version_by_request)
+    fleet.patch(leader)
+    fleet.run(2.0)
+    assert len(fleet.acked_version_by_request) == accepted + 1
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(SCHEDULES))
+def test_nothing_is_lost_while_voters_are_replaced(seed):
+    run_replacements(seed)
+
+
+def test_schedules_replace_instances():
+    assert sum(run_replacements(seed).replaced for seed in range(5)) >= 10
+
+
+class CountsAnyMember(Raft):
+    """Count what any two members have, with a vote or not, as committed."""
+
+    def _advance_commit(self):
+        rows = self.leadership.progress_by_member.values()
+        matched = sorted((row.match_index for row in rows), reverse=True)
+        if matched:
+            index = min(matched[0], self._durable_index)
+            if index > self.commit_index and self.log.term_at(index) == self.term:
+                self.commit_index = index
+        super()._advance_commit()
+
+
+class HearsOfNoLeader(Raft):
+    """Don't ask a leader to replicate while the own log says it is a voter."""
+
+    @property
+    def asks_to_join(self):
+        return not self.is_voter
+
+
+_plan = repair.plan_member_change
+
+
+def remove_first(members, learners, wanted, silent_for_by_member):
+    """Plan the removal of a voter before another one takes its place."""
+    unwanted = [v for v in members.voters if instance_of(v) not in wanted]
+    if unwanted and any(row.caught_up for row in learners):
+        return Members(tuple(v for v in members.voters if v != unwanted[0]))
+    return _plan(members, learners, wanted, silent_for_by_member)
+
+
+def is_caught(faults=None):
+    for seed in range(200):
+        try:
+            run_replacements(seed, faults=faults)
+        except AssertionError:
+            return True
+    return False
+
+
+@pytest.mark.parametrize("raft_class", [CountsAnyMember, HearsOfNoLeader])
+def test_planted_fault_of_the_log_is_caught(raft_class):
+    assert is_caught(Faults(raft_class=raft_class))
+
+
+def find_follower(fleet):
+    """Return a voter that doesn't lead."""
+    leader = fleet.leader()
+    return next(
+        node
+        for node in fleet.nodes.values()
+        if node is not leader and node.raft.is_voter
+    )
+
+
+def lose_a_voter_while_another_is_cut_off():
+    """Tell whether the fleet has a leader once the other is back.
+
+    The loss comes just as the one that is cut off is being replaced.
+    """
+    fleet = Fleet(1, 4)
+    fleet.run(3.0)
+    cut_off = find_follower(fleet)
+    cut_off.frozen_until = fleet.now + 60.0
+    leader = fleet.leader()
+    while leader.raft.members_index <= leader.raft.commit_index:
+        fleet.run(0.02)
+    lost = next(
+        node
+        for node in fleet.nodes.values()
+        if node not in (leader, cut_off) and node.instance in fleet.seeds
+    )
+    fleet.replace(lost)
+    fleet.heal()
+    fleet.run(REPAIR_SECONDS)
+    return fleet.leader() is not None
+
+
+def lose_a_voter_after_a_spare():
+    """Tell whether the fleet, of three voters and one more, has a leader."""
+    fleet = Fleet(1, 4)
+    fleet.run(3.0)
+    fleet.nodes["entry-3"].crash()
+    fleet.run(LOSS_GAP_SECONDS)
+    fleet.replace(find_follower(fleet))
+    fleet.run(REPAIR_SECONDS)
+    leader = fleet.leader()
+    return leader is not None and len(leader.raft.members.voters) == VOTERS
+
+
+def test_voter_may_be_lost_while_another_is_cut_off_and_replaced():
+    assert lose_a_voter_while_another_is_cut_off()
+
+
+def test_spare_that_has_died_is_given_no_vote():
+    assert lose_a_voter_after_a_spare()
+
+
+def test_removal_before_the_addition_is_caught(monkeypatch):
+    monkeypatch.setattr(repair, "plan_member_change", remove_first)
+    assert not lose_a_voter_while_another_is_cut_off()
+
+
+def test_vote_for_a_silent_spare_is_caught(monkeypatch):
+    monkeypatch.setattr(repair, "LEARNER_SILENCE", float("inf"))
+    assert not lose_a_voter_after_a_spare()
