--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -14,6 +14,7 @@
 
 from banyanshore.core.clock import boot_time
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.membership.lease import Confirmed, StateLease
 from banyanshore.membership.messages import StateChange, StateUpdate
 from banyanshore.membership.registry import Departure, MemberRow, RowTable, TargetRow
 from banyanshore.transport import LinkPool, TableHandler
@@ -128,12 +129,11 @@
     :param state: the :class:`~banyanshore.state.StateHolder` to keep up to date.
     :param registry: the :class:`Registry` to keep up to date.
     :param link_options: bounds of the connections to control.
-    :ivar confirmed_at: time of :func:`boot_time` at which the state was surely the
-        newest, ``-inf`` before.
+    :ivar lease: the :class:`~banyanshore.membership.lease.StateLease`.
     """
 
     def __init__(self, settings, member, state, registry, link_options):
-        self.confirmed_at = float("-inf")
+        self.lease = StateLease()
         self.seeds = tuple(settings.seeds)
         self.on_rows = []
         self.on_confirmed = []
@@ -154,7 +154,7 @@
     @property
     def confirmed_seconds_ago(self):
         """Return how long ago the state was surely the newest."""
-        return boot_time() - self.confirmed_at
+        return self.lease.seconds_ago(boot_time())
 
     async def run(self):
         """Follow control until cancelled."""
@@ -167,13 +167,15 @@
                 if instance != self._instance:
                     self._follow(instance)
                 try:
-                    is_current = await self._confirm(instance)
+                    confirmed = await self._confirm(instance)
                 except BanyanshoreError as error:
                     logger.warning("control not reached", extra={"why": str(error)})
-                    is_current = False
-                if not is_current:
+                    confirmed = Confirmed.UNKNOWN
+                if confirmed is Confirmed.UNKNOWN:
                     self._asked += 1
-                await anyio.sleep(CONFIRM_INTERVAL if is_current else RETRY_SECONDS)
+                    await anyio.sleep(RETRY_SECONDS)
+                else:
+                    await anyio.sleep(CONFIRM_INTERVAL)
 
     def candidates(self):
         """Return the control instances, those of the own data centre first."""
@@ -198,7 +200,7 @@
         self._links.keep_only({peer_address(instance, self._settings.peer_port)})
 
     async def _confirm(self, instance):
-        """Ask whether the state is the newest; tell whether it is."""
+        """Ask whether the state is the newest; return what the answer means."""
         address = peer_address(instance, self._settings.peer_port)
         link = self._links.get(address, instance)
         connection = await link.get_connection(CONNECT_TIMEOUT)
@@ -208,10 +210,11 @@
         gateways = self.count_gateways()
         request = ConfirmRequest(member, self._state.version, gateways)
         reply = await connection.call(request, CONFIRM_TIMEOUT)
-        if reply.is_current and self._state.version < reply.version:
-            # The version is sent again after this question or the next.
-            return True
-        if not reply.is_current:
+        is_first = self.lease.confirmed_at == float("-inf")
+        confirmed = self.lease.take(
+            asked_at, self._state.version, reply.version, reply.is_current
+        )
+        if confirmed is Confirmed.UNKNOWN:
             logger.warning(
                 "state not confirmed",
                 extra={
@@ -221,13 +224,13 @@
                     "is_current": reply.is_current,
                 },
             )
-            return False
-        if self.confirmed_at == float("-inf"):
-            logger.info("control reached", extra={"control": instance})
-        self.confirmed_at = asked_at
-        for callback in self.on_confirmed:
-            callback()
-        return True
+        elif confirmed is Confirmed.CURRENT:
+            if is_first:
+                logger.info("control reached", extra={"control": instance})
+            for callback in self.on_confirmed:
+                callback()
+        # A version that is behind is sent again after this question or the next.
+        return confirmed
 
     async def _on_ages(self, connection, ages):
         self.rollout_ages = {(model, version): age for model, version, age in ages.rows}
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -379,6 +379,8 @@
         self.cluster = cluster
         self.random = cluster.random
         self.lose_disks = lose_disks
+        # Probability of a client's call at each step.
+        self.call_rate = 0.6
         self.acts = {
             self.crash: 0.008,
             self.restart: 0.05,
@@ -395,7 +397,7 @@
         for act, probability in self.acts.items():
             if self.random.random() < probability:
                 act()
-        if self.random.random() < 0.6:
+        if self.random.random() < self.call_rate:
             node = cluster.any_leader()
             if node and cluster.now >= node.frozen_until:
                 call = self.random.choice([cluster.patch, cluster.claim, cluster.read])
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -83,7 +83,7 @@
     """Yield a gateway and the address of its front."""
     gateway = Gateway(parse_settings(SETTINGS), PlatformDialect(), None)
     gateway.state.apply(PublishedState(1, Fence(1, 1), to_json(make_document(**route))))
-    gateway.feed.confirmed_at = boot_time()
+    gateway.feed.lease.confirmed_at = boot_time()
     async with contextlib.AsyncExitStack() as stack:
         for number, target in enumerate(targets):
             script = await stack.enter_async_context(scripted(target.act))
