Drop rows that left while a follower was out of touch

Cause: a follower keeps each row until it is told of its departure. Whoever is out of touch when control tells of it is sent all rows that there are on its next connection, and kept the others for good: targets that are gone, and gateways that limits are shared with for 60 s at a time.

Change: a list of all rows says so. Rows that it lacks are doubted, and dropped after 8 s unless told of again; a control instance that has just started hears of all that live within 6 s, so that its short list takes nothing away.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -138,7 +138,8 @@
     def _all_rows(self):
         now = time.monotonic()
         self._fleet_size.record(now, len(self._registry.members_of(GATEWAY_ROLE)))
-        return RowNews(self._registry.rows(), (), self._fleet_size.most(now))
+        rows = self._registry.rows()
+        return RowNews(rows, (), True, self._fleet_size.most(now))
 
     def find_target(self, target_id):
         """Return the row of a target, or ``None``."""
--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -40,12 +40,13 @@
 class RowNews:
     """Rows that are new or changed, and rows to forget.
 
-    :param gateways: how many gateways have been counted on lately, told with all rows;
-        0 where rows have changed.
+    :param is_whole: whether these are all rows that the sender knows.
+    :param gateways: how many gateways have been counted on lately, told with all rows.
     """
 
     rows: tuple = ()
     departures: tuple = ()
+    is_whole: bool = False
     gateways: int = 0
 
 
@@ -116,6 +117,15 @@
         """Drop silent rows and return their departures."""
         return [*self.targets.expire(now), *self.members.expire(now)]
 
+    def doubt_all_but(self, now, rows):
+        """Doubt the rows that a list of all rows lacks."""
+        for kind, table in self._table_by_type.items():
+            table.doubt_all_but(now, [row.key for row in rows if isinstance(row, kind)])
+
+    def drop_doubted(self, now):
+        """Drop rows that are doubted for long and return their departures."""
+        return [*self.targets.drop_doubted(now), *self.members.drop_doubted(now)]
+
     def members_of(self, role):
         """Return the rows of the instances that have a role."""
         return [row for row in self.members.rows() if row.role == role]
@@ -175,6 +185,7 @@
                     self._asked += 1
                     await anyio.sleep(RETRY_SECONDS)
                 else:
+                    self.drop_doubted()
                     await anyio.sleep(CONFIRM_INTERVAL)
 
     def candidates(self):
@@ -245,11 +256,25 @@
         now = time.monotonic()
         for departure in news.departures:
             self._registry.forget(now, departure)
+        if news.is_whole:
+            self._registry.doubt_all_but(now, news.rows)
         for row in news.rows:
             self._registry.record(now, row)
         for callback in self.on_rows:
             callback(news)
 
+    def drop_doubted(self):
+        """Drop rows that left while this instance was out of touch."""
+        departures = self._registry.drop_doubted(time.monotonic())
+        for departure in departures:
+            logger.info(
+                "row dropped that control knows nothing of",
+                extra={"table": departure.table, "key": departure.key},
+            )
+        if departures:
+            for callback in self.on_rows:
+                callback(RowNews((), tuple(departures)))
+
     notice_by_type = MappingProxyType(
         {
             StateUpdate: _on_update,
--- a/banyanshore/membership/registry.py
+++ b/banyanshore/membership/registry.py
@@ -12,6 +12,9 @@
 
 # Seconds for which a row that has left is remembered: longer than news is held up.
 DEPARTED_SECONDS = 120.0
+# Seconds for which a follower keeps a row that a list of all lacked: a control instance
+# that has just started hears of all that live within the expiry of rows.
+DOUBT_SECONDS = 8.0
 # Rise of the rest of a cold start, in seconds, that counts as a new cold start.
 COLD_RISE_SECONDS = 0.5
 
@@ -148,6 +151,7 @@
         self.by_key = {}
         self._expiry = expiry
         self._departed_by_key = {}
+        self._doubted_at_by_key = {}
 
     def record(self, now, row):
         """Take a row; tell whether others have to hear of it.
@@ -155,6 +159,7 @@
         :return: ``None`` if the row is older than what is known, else whether it
             brings anything new.
         """
+        self._doubted_at_by_key.pop(row.key, None)
         departed = self._departed_by_key.get(row.key)
         if departed is not None and row.incarnation <= departed[0]:
             return None
@@ -190,6 +195,21 @@
             del self.by_key[key]
         return True
 
+    def doubt_all_but(self, now, keys):
+        """Doubt the rows that a list of all lacks; stop doubting the others."""
+        self._doubted_at_by_key = dict.fromkeys(self.by_key.keys() - set(keys), now)
+
+    def drop_doubted(self, now):
+        """Drop the rows that nobody has told of since; return their departures."""
+        dropped = []
+        for key, at in list(self._doubted_at_by_key.items()):
+            if now - at > DOUBT_SECONDS:
+                del self._doubted_at_by_key[key]
+                known = self.by_key.pop(key, None)
+                if known is not None:
+                    dropped.append(Departure(self.name, key, known.row.incarnation))
+        return dropped
+
     def expire(self, now):
         """Drop the rows that have been silent and return their departures."""
         for key, (_, at) in list(self._departed_by_key.items()):
