Work a change of the state out once for all followers

Cause: control worked out the change from the version before for each follower anew, and compared all leaves of both documents as JSON: 19.6 ms for 400 routes, 72 times on a grown fleet.

Ruled out: the transfers (two versions 2 s apart while 13 targets are added and pieces rot, on the same fleet: whole after 6.6 s, loaded after 8.9), links, faults of machines.

Change: the feed keeps the change; leaves are compared as values.

Before and after: 20 followers, two versions: 40 diffs, 2.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -78,6 +78,8 @@
         self._greeted_by_instance = {}
         self._state_changed = anyio.Event()
         self._fleet_size = FleetSize()
+        # Leads from the version before to the newest, for all followers alike.
+        self._change = None
         # Only the ages are of interest: control sends no requests.
         self._versions = VersionSwitch(FIRST_STATE_SECONDS)
         state.on_change.append(self._on_state)
@@ -230,9 +232,11 @@
     def _news_for(self, follower):
         """Return what leads a follower to the newest version, as a message."""
         desired, previous = self._state.desired, self._state.previous
-        if previous is not None and 0 < previous.version == follower.version:
-            return StateChange(desired.delta_from(previous))
-        return StateUpdate(desired.published)
+        if previous is None or not 0 < previous.version == follower.version:
+            return StateUpdate(desired.published)
+        if self._change is None or self._change.delta.version != desired.version:
+            self._change = StateChange(desired.delta_from(previous))
+        return self._change
 
     async def _upkeep(self):
         while True:
--- a/banyanshore/state/document.py
+++ b/banyanshore/state/document.py
@@ -55,11 +55,22 @@
             inner = diff_documents(known, value)
             if inner:
                 patch[key] = inner
-        elif key not in before or to_json(known) != to_json(value):
+        elif key not in before or not _is_same(known, value):
             patch[key] = value
     return patch
 
 
+def _is_same(one, other):
+    """Tell whether two values are the same in JSON, where 1 and true differ."""
+    if type(one) is not type(other) or one != other:
+        return False
+    if isinstance(one, dict):
+        return all(_is_same(value, other[key]) for key, value in one.items())
+    if isinstance(one, list):
+        return all(map(_is_same, one, other))
+    return True
+
+
 def parse_patch(data):
     """Return the merge patch in some JSON.
 
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -13,6 +13,7 @@
 from banyanshore.membership.registry import Departure, TargetRow
 from banyanshore.state import Fence, PublishedState, StateHolder
 from banyanshore.state.document import empty_document, to_json
+from banyanshore.state.views import DesiredState
 from banyanshore.telemetry.control import ControlMetrics
 
 pytestmark = pytest.mark.anyio
@@ -85,6 +86,28 @@
     assert isinstance(change, StateChange)
 
 
+async def test_change_is_worked_out_once_for_all_followers(server, state, monkeypatch):
+    """At a leader with 72 followers it took 1.4 s of processor for each version."""
+    worked_out = []
+    delta_from = DesiredState.delta_from
+
+    def count(desired, base):
+        worked_out.append(desired.version)
+        return delta_from(desired, base)
+
+    monkeypatch.setattr(DesiredState, "delta_from", count)
+    publish(state, 1, 3)
+    connections = [await follow(server, "gateway", 1) for _ in range(20)]
+    for version in (2, 3):
+        publish(state, version, 3 + version)
+        for connection in connections:
+            await follow(server, "gateway", version - 1, version, connection)
+    assert worked_out == [2, 3]
+    for connection in connections:
+        changes = [body.delta.version for body in connection.of(StateChange)]
+        assert changes == [2, 3]
+
+
 async def test_follower_that_did_not_apply_a_change_is_sent_the_whole(server, state):
     publish(state, 1, 3)
     connection = await follow(server, "gateway", 1)
