Split what does two jobs, and write the start of followers once

Read as a newcomer: gateway and loader opened links, served peers, followed control and took changed seeds by the same lines; the node of the log also kept who waits for what; the seeded schedules of membership held a whole fleet, those of the log their faults.

The order in which processes open and serve is as before; a gateway and a loader say that they have started after their own tasks, as they did.

The waits of the command line and of benchmarks between two looks are what those do; no event loop runs there.

--- a/banyanshore/consensus/node.py
+++ b/banyanshore/consensus/node.py
@@ -37,6 +37,7 @@
 )
 from banyanshore.consensus.rpc import RaftMessage
 from banyanshore.consensus.storage import StorageError
+from banyanshore.consensus.waiters import Waiters
 from banyanshore.core.exceptions import NotAcceptedError, OutcomeUnknownError
 from banyanshore.state.commands import TimedCommand
 from banyanshore.transport.codec import decode, encode
@@ -90,9 +91,7 @@
         self._send = send
         self._on_applied = on_applied
         self._inbox_sender, self._inbox = anyio.create_memory_object_stream(10_000)
-        self._waiter_by_index = {}
-        self._read_by_context = {}
-        self._next_context = 1
+        self._waiters = Waiters()
         self._next_join_at = 0.0
         self._next_repair_at = 0.0
         self._failure = ""
@@ -221,7 +220,7 @@
         if isinstance(item, Proposal):
             self._start_proposal(now, item)
         elif isinstance(item, PendingRead):
-            self._start_read(now, item)
+            self.raft.read(now, self._waiters.add_read(item))
         elif isinstance(item, Transfer):
             self.raft.transfer(now)
             item.waiter.resolve()
@@ -246,22 +245,7 @@
             )
             proposal.waiter.resolve(error=error)
             return
-        proposal.waiter.term = entry.term
-        self._displace(entry.index)
-        self._waiter_by_index[entry.index] = proposal.waiter
-
-    def _displace(self, index):
-        # An entry that this one replaced at the same index was not accepted.
-        waiter = self._waiter_by_index.pop(index, None)
-        if waiter is not None:
-            error = NotAcceptedError("another leader's entry came first")
-            waiter.resolve(error=error)
-
-    def _start_read(self, now, read):
-        context = self._next_context
-        self._next_context += 1
-        self._read_by_context[context] = read
-        self.raft.read(now, context)
+        self._waiters.add_proposal(entry, proposal.waiter)
 
     async def _join(self, now):
         if now < self._next_join_at:
@@ -335,29 +319,12 @@
                 outcome = self._machine.apply(
                     entry.index, entry.term, decode(entry.data)
                 )
-            self._resolve(entry, outcome)
+            self._waiters.finish_entry(entry, outcome)
         for read in ready.reads:
-            self._finish_read(read)
+            self._waiters.finish_read(read, self._machine)
         if ready.snapshot or ready.committed:
             self._on_applied()
 
-    def _resolve(self, entry, outcome):
-        waiter = self._waiter_by_index.pop(entry.index, None)
-        if waiter is None:
-            return
-        if waiter.term == entry.term:
-            waiter.resolve(outcome)
-        else:
-            waiter.resolve(error=NotAcceptedError("another leader's entry came first"))
-
-    def _finish_read(self, read):
-        pending = self._read_by_context.pop(read.context)
-        if read.index < 0:
-            error = NotAcceptedError("this instance does not lead a quorum")
-            pending.waiter.resolve(error=error)
-        else:
-            pending.waiter.resolve(pending.result(self._machine))
-
     async def _compact(self):
         log = self.raft.log
         index = self.raft.applied_index
@@ -376,11 +343,9 @@
         await anyio.to_thread.run_sync(self._storage.save_snapshot, snapshot, durable)
 
     def _fail_waiters(self):
-        error = OutcomeUnknownError(f"the log has stopped: {self._failure}")
-        reads = [read.waiter for read in self._read_by_context.values()]
-        waiters = (*self._waiter_by_index.values(), *reads)
-        for waiter in waiters:
-            waiter.resolve(error=error)
+        self._waiters.fail_all(
+            OutcomeUnknownError(f"the log has stopped: {self._failure}")
+        )
         while True:
             try:
                 item = self._inbox.receive_nowait()
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -15,6 +15,7 @@
 from banyanshore.http.listener import Listener, ListenerLimits
 from banyanshore.http.wire import PeerClosedError
 from banyanshore.membership.feed import GATEWAY_ROLE, FeedClient, MemberRow, Registry
+from banyanshore.membership.follower import Follower
 from banyanshore.membership.load_reports import CrashNews, LoadReport, PlacementNotice
 from banyanshore.routing.board import TargetBoard
 from banyanshore.routing.engine_model import EngineModel
@@ -24,8 +25,7 @@
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.state import StateHolder
 from banyanshore.telemetry.gateway import GatewayMetrics
-from banyanshore.telemetry.listener import start_metrics
-from banyanshore.transport import LinkOptions, LinkPool, TableHandler, serve_peers
+from banyanshore.transport import LinkOptions
 from banyanshore.weights.messages import (
     ChunkRequest,
     HaveUpdate,
@@ -49,7 +49,7 @@
 EXPLAIN_INTERVAL = 0.5
 
 
-class Gateway(TableHandler):
+class Gateway(Follower):
     """Everything that runs on one gateway instance.
 
     :param settings: the :class:`~banyanshore.conf.registered.GatewaySettings`.
@@ -110,34 +110,19 @@
         self.front = Listener(self._handle, self._limits)
         self.ready = Listener(self._handle_ready)
         async with anyio.create_task_group() as tasks:
-            self.links = LinkPool(
-                tasks, self, self.settings.instance, self.link_options
-            )
+            self._open_links(tasks)
             self.suspects.links = self.links
-            await tasks.start(
-                serve_peers,
-                self.settings.peers_bind,
-                self,
-                self.settings.instance,
-                self.link_options,
-            )
+            await self._serve_peers(tasks)
             await tasks.start(self.front.serve, self.settings.callers_bind)
             await tasks.start(self.ready.serve, self.settings.ready_bind)
-            tasks.start_soon(self.link_options.ticker.run)
-            tasks.start_soon(self.feed.run)
             tasks.start_soon(self._upkeep)
             tasks.start_soon(self._explain_breaks)
             tasks.start_soon(self.relay.run)
-            start_metrics(tasks, self.settings.metrics_bind, self.metrics.registry)
-            logger.info("started", extra={"role": GATEWAY_ROLE})
+            self._follow(tasks, GATEWAY_ROLE)
             await stop_requested.wait()
             await self._leave(force_requested)
             tasks.cancel_scope.cancel()
 
-    def reload(self, settings):
-        """Take the control instances that changed settings name."""
-        self.feed.seeds = tuple(settings.seeds)
-
     def _on_rows(self, news):
         if news.gateways:
             self._roster.record_fleet(news.gateways)
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -10,12 +10,12 @@
 from banyanshore.loader.target import TargetWatch
 from banyanshore.loader.transfer import StagedTransfer
 from banyanshore.membership.feed import LOADER_ROLE, FeedClient, MemberRow, Registry
+from banyanshore.membership.follower import Follower
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.state import StateHolder
 from banyanshore.state.views import ModelSpec
-from banyanshore.telemetry.listener import start_metrics
 from banyanshore.telemetry.weights import LoaderMetrics
-from banyanshore.transport import LinkOptions, LinkPool, TableHandler, serve_peers
+from banyanshore.transport import LinkOptions
 from banyanshore.weights.chunks import MemoryChunkStore
 from banyanshore.weights.messages import (
     Availability,
@@ -34,7 +34,7 @@
 logger = logging.getLogger(__name__)
 
 
-class Loader(TableHandler):
+class Loader(Follower):
     """Everything that runs in one target's slot.
 
     :param settings: the :class:`~banyanshore.conf.registered.LoaderSettings`.
@@ -80,32 +80,17 @@
         :param force_requested: not needed: nothing here is waited for.
         """
         async with anyio.create_task_group() as tasks:
-            self.links = LinkPool(
-                tasks, self, self.settings.instance, self.link_options
-            )
+            self._open_links(tasks)
             self.target.links = self.links
-            await tasks.start(
-                serve_peers,
-                self.settings.peers_bind,
-                self,
-                self.settings.instance,
-                self.link_options,
-            )
-            tasks.start_soon(self.link_options.ticker.run)
-            tasks.start_soon(self.feed.run)
+            await self._serve_peers(tasks)
             tasks.start_soon(self.target.run)
             tasks.start_soon(self._transfer_forever)
             tasks.start_soon(self.driver.run)
-            start_metrics(tasks, self.settings.metrics_bind, self.metrics.registry)
-            logger.info("started", extra={"role": LOADER_ROLE})
+            self._follow(tasks, LOADER_ROLE)
             await stop_requested.wait()
             logger.info("stopping")
             tasks.cancel_scope.cancel()
 
-    def reload(self, settings):
-        """Take the control instances that changed settings name."""
-        self.feed.seeds = tuple(settings.seeds)
-
     def _on_state(self, desired):
         rollouts = desired.document["rollouts"]
         self.versions.record(time.monotonic(), rollouts, self.feed.rollout_ages)
--- /dev/null
+++ b/banyanshore/membership/follower.py
@@ -0,0 +1,39 @@
+"""What processes that follow control have in common."""
+
+import logging
+
+from banyanshore.telemetry.listener import start_metrics
+from banyanshore.transport import LinkPool, TableHandler, serve_peers
+
+logger = logging.getLogger(__name__)
+
+
+class Follower(TableHandler):
+    """A process that follows control: a gateway or a loader.
+
+    Subclasses set ``settings``, ``link_options``, ``feed`` and ``metrics``.
+
+    :ivar links: the :class:`~banyanshore.transport.LinkPool` to other instances.
+    """
+
+    def _open_links(self, tasks):
+        self.links = LinkPool(tasks, self, self.settings.instance, self.link_options)
+
+    async def _serve_peers(self, tasks):
+        await tasks.start(
+            serve_peers,
+            self.settings.peers_bind,
+            self,
+            self.settings.instance,
+            self.link_options,
+        )
+
+    def _follow(self, tasks, role):
+        tasks.start_soon(self.link_options.ticker.run)
+        tasks.start_soon(self.feed.run)
+        start_metrics(tasks, self.settings.metrics_bind, self.metrics.registry)
+        logger.info("started", extra={"role": role})
+
+    def reload(self, settings):
+        """Take the control instances that changed settings name."""
+        self.feed.seeds = tuple(settings.seeds)
--- a/tests/consensus/test_replacement_schedules.py
+++ b/tests/consensus/test_replacement_schedules.py
@@ -17,7 +17,8 @@
     next_members,
     should_hand_over,
 )
-from tests.consensus.cluster import Chaos, Cluster, Faults, Node
+from tests.consensus.chaos import Chaos
+from tests.consensus.cluster import Cluster, Faults, Node
 
 SCHEDULES = int(os.environ.get("BANYANSHORE_SCHEDULES", "40"))
 VOTERS = 3
--- a/tests/consensus/test_schedules.py
+++ b/tests/consensus/test_schedules.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.consensus.cluster import Chaos, Cluster
+from tests.consensus.chaos import Chaos
+from tests.consensus.cluster import Cluster
 
 # More schedules can be asked for by the environment, for a long run by hand.
 SCHEDULES = int(os.environ.get("BANYANSHORE_SCHEDULES", "40"))
--- a/tests/control/test_lease_schedules.py
+++ b/tests/control/test_lease_schedules.py
@@ -12,7 +12,8 @@
 
 from banyanshore.gateway.screening import Screened, Screening
 from banyanshore.membership.lease import Confirmed, StateLease
-from tests.consensus.cluster import Chaos, Cluster, Faults, Node
+from tests.consensus.chaos import Chaos
+from tests.consensus.cluster import Cluster, Faults, Node
 from tests.consensus.test_planted_faults import ReadsWithoutQuorum
 from tests.gateway.test_screening import DOCUMENT, request
 
