Derive times from the deployment's bounds, and take a bound of retries that is a fraction

Cause: a deployment states its bounds as whole numbers or fractions. Change: bursts are numbers; version_bound_ms and key_bound_ms come from the deployment, and nine tenths of them are used (7.2 and 4.5 s where it was so before). Conclusion: more such constants are to be looked at (heartbeats, grace).

--- a/banyanshore/conf/registered.py
+++ b/banyanshore/conf/registered.py
@@ -9,6 +9,10 @@
     WeightsSettings,
 )
 
+# Part of a bound of the deployment after which a process acts, so that what is under way
+# then still ends within the bound.
+USED_BOUND_PART = 0.9
+
 
 @dataclass(frozen=True)
 class ControlSettings:
@@ -50,12 +54,30 @@
     transport: TransportSettings = setting("Peer connections.", TransportSettings)
 
 
+def _version_bound_ms():
+    return setting(
+        "Milliseconds after a new version of a model is named within which the last "
+        "request has to begin on an older one.",
+        8000.0,
+        minimum=0.0,
+    )
+
+
+def _version_switch_seconds(settings):
+    """Return the seconds for which older versions are used after a name."""
+    return USED_BOUND_PART * settings.version_bound_ms / 1000
+
+
 @dataclass(frozen=True)
 class RetrySettings:
     """Requests to a further target, summed over all gateways."""
 
     ratio: float = setting("Retries allowed for each request.", 0.1, minimum=0.0)
-    burst: int = setting("Retries allowed beyond the ratio.", 20, minimum=0)
+    burst: float = setting(
+        "Retries allowed beyond the ratio; deployments may state a part of one.",
+        20.0,
+        minimum=0.0,
+    )
     window_seconds: float = setting(
         "Time over which they are counted.", 10.0, minimum=0.1
     )
@@ -95,23 +117,25 @@
     stop_timeout: float = setting(
         "Longest time that a planned stop waits for requests.", 7.5, minimum=0.0
     )
-    key_lease_seconds: float = setting(
-        "Time without a confirmed state after which requests with keys are refused; "
-        "0: never.",
-        4.5,
-        minimum=0.0,
-    )
-    version_switch_seconds: float = setting(
-        "Time after a new version of a model is named until which targets with an "
-        "older one are used.",
-        7.0,
+    key_bound_ms: float = setting(
+        "Milliseconds within which a key that was taken away has to be refused also by "
+        "a gateway that is cut off; 0: never.",
+        5000.0,
         minimum=0.0,
     )
+    version_bound_ms: float = _version_bound_ms()
     retries: RetrySettings = setting("Retries.", RetrySettings)
     cold_start: ColdStartSettings = setting("Cold targets.", ColdStartSettings)
     weights: WeightsSettings = setting("Weights passed on.", WeightsSettings)
     transport: TransportSettings = setting("Peer connections.", TransportSettings)
 
+    version_switch_seconds = property(_version_switch_seconds)
+
+    @property
+    def key_lease_seconds(self):
+        """Return the seconds without a confirmed state after which keys are refused."""
+        return USED_BOUND_PART * self.key_bound_ms / 1000
+
 
 @dataclass(frozen=True)
 class LoaderSettings:
@@ -142,14 +166,11 @@
     report_interval: float = setting(
         "Time between readings of the target's load.", 0.15, minimum=0.02
     )
-    version_switch_seconds: float = setting(
-        "Time after a new version of a model is named until which targets with an "
-        "older one are used.",
-        7.0,
-        minimum=0.0,
-    )
+    version_bound_ms: float = _version_bound_ms()
     stop_timeout: float = setting(
         "Longest time that a planned stop takes.", 2.0, minimum=0.0
     )
     weights: WeightsSettings = setting("Fetching of weights.", WeightsSettings)
     transport: TransportSettings = setting("Peer connections.", TransportSettings)
+
+    version_switch_seconds = property(_version_switch_seconds)
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -107,7 +107,7 @@
                 "service": "llm",
                 "target_address": f"127.0.0.1:{port}",
                 "target_wait_seconds": 5.0,
-                "version_switch_seconds": 1.0,
+                "version_bound_ms": 1111.0,
                 **self.peers(f"127.0.0.{31 + number}"),
             },
         )
