Pass news of loads on by two gateways of each data centre, in batches

Ruled out: requests themselves, some 3 a second and gateway. Change: membership/hubs.py chooses two gateways of each data centre by rendezvous; they gather for 4 to 60 ms by how many they tell, and pass on to their own data centre and to the two of each other one. A batch is encoded once for all; control does the same with rows. Rosters of weights are worked out when a member has changed, not ten times a second. Crash news goes the same way.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -19,6 +19,7 @@
 from banyanshore.routing.roster import FleetSize
 from banyanshore.routing.version_switch import FIRST_STATE_SECONDS, VersionSwitch
 from banyanshore.state.document import to_json
+from banyanshore.transport import encode_notice
 
 logger = logging.getLogger(__name__)
 
@@ -186,8 +187,9 @@
             await self._tell_followers(RowNews(rows, departures))
 
     async def _tell_followers(self, message):
+        data = encode_notice(message)
         for connection in list(self._follower_by_connection):
-            await connection.notify(message)
+            await connection.notify_encoded(data)
 
     async def _tell_control(self, message):
         for address in self.control_addresses():
--- /dev/null
+++ b/banyanshore/gateway/news.py
@@ -0,0 +1,181 @@
+"""Carry the news of loads and crashes between loaders and gateways, in batches."""
+
+import logging
+import time
+
+import anyio
+
+from banyanshore.membership.feed import GATEWAY_ROLE
+from banyanshore.membership.hubs import (
+    Gathered,
+    NewsFilter,
+    Numbering,
+    choose_hubs,
+    gather_seconds,
+    hubs_for,
+    items_for,
+)
+from banyanshore.membership.load_reports import (
+    CrashNews,
+    LoadReport,
+    NewsBatch,
+    PlacementNotice,
+)
+from banyanshore.transport import LinkPool, notify_all_or_drop
+
+logger = logging.getLogger(__name__)
+
+
+class LoadNews:
+    """The news that this gateway tells, hears and passes on.
+
+    :param member: row of this gateway.
+    :param registry: the :class:`~banyanshore.membership.feed.Registry`.
+    :param board: the :class:`~banyanshore.routing.board.TargetBoard` to tell.
+    :param suspects: the :class:`~banyanshore.gateway.suspects.Suspects` to tell.
+    """
+
+    def __init__(self, member, registry, board, suspects):
+        self._member = member
+        self._registry = registry
+        self._board = board
+        self._suspects = suspects
+        self._links = None
+        self._filter = NewsFilter(member.instance)
+        self._numbering = Numbering(member.instance, member.incarnation)
+        # What is told in the own data centre, and what others are told too.
+        self._gathered = Gathered()
+        self._gathered_for_others = Gathered()
+        self._something_gathered = anyio.Event()
+        self._hubs_by_data_centre = {}
+        self._neighbours = ()
+        self._refreshed_for = None
+
+    def refresh(self):
+        """Take the gateways that are known now, and open the links to hubs."""
+        revision = self._registry.members.revision
+        if revision == self._refreshed_for:
+            return
+        self._refreshed_for = revision
+        members = self._registry.members_of(GATEWAY_ROLE)
+        self._hubs_by_data_centre = choose_hubs(members)
+        own = self._member
+        self._neighbours = tuple(
+            row
+            for row in members
+            if row.data_centre == own.data_centre and row.instance != own.instance
+        )
+        if self._links is None:
+            return
+        peers = {row.address: row.instance for row in self._own_hubs()}
+        if self._is_hub():
+            told = [*self._neighbours]
+            for _, hubs in self._other_hubs():
+                told += hubs
+            peers.update((row.address, row.instance) for row in told)
+        self._links.keep_only(peers.keys())
+        # News is dropped while its link opens, so that none may wait for the first.
+        for address, instance in peers.items():
+            self._links.get(address, instance)
+
+    def _is_hub(self):
+        hubs = self._hubs_by_data_centre.get(self._member.data_centre, ())
+        return any(row.instance == self._member.instance for row in hubs)
+
+    def _own_hubs(self):
+        own = self._member
+        hubs = hubs_for(own.data_centre, self._hubs_by_data_centre)
+        return [row for row in hubs if row.instance != own.instance]
+
+    def _other_hubs(self):
+        own = self._member.data_centre
+        return [pair for pair in self._hubs_by_data_centre.items() if pair[0] != own]
+
+    async def tell(self, item):
+        """Tell the other gateways an item of this one."""
+        if isinstance(item, PlacementNotice):
+            item = self._numbering.number(item)
+        if self._is_hub():
+            self._gather(item)
+        for row in self._own_hubs():
+            link = self._links.get(row.address, row.instance)
+            await link.notify_or_drop(item)
+
+    async def on_item(self, connection, item):
+        """Take an item from an instance of this data centre, and pass it on."""
+        if self._take(item):
+            self._gather(item)
+
+    async def on_batch(self, connection, batch):
+        """Take what a hub passes on."""
+        for item in batch.items:
+            if self._take(item) and batch.is_for_hub:
+                self._gathered.add(item)
+        if self._gathered:
+            self._something_gathered.set()
+
+    def _gather(self, item):
+        self._gathered.add(item)
+        self._gathered_for_others.add(item)
+        self._something_gathered.set()
+
+    def _take(self, item):
+        """Use an item; tell whether it was news."""
+        if not self._filter.is_news(item):
+            return False
+        _USE_BY_TYPE[type(item)](self, time.monotonic(), item)
+        return True
+
+    def _use_report(self, now, report):
+        self._board.record_report(now, report)
+
+    def _use_placement(self, now, notice):
+        self._board.record_placement(now, notice)
+
+    def _use_crash(self, now, news):
+        self._suspects.record_news(news)
+
+    async def run(self, links_options, handler):
+        """Pass on what is gathered, until cancelled.
+
+        :param handler: the :class:`~banyanshore.transport.Handler` of what comes back.
+        """
+        async with anyio.create_task_group() as tasks:
+            self._links = LinkPool(tasks, handler, self._member.instance, links_options)
+            self._refreshed_for = None
+            self.refresh()
+            while True:
+                await self._something_gathered.wait()
+                listeners = len(self._neighbours) + sum(
+                    len(hubs) for _, hubs in self._other_hubs()
+                )
+                await anyio.sleep(gather_seconds(listeners))
+                await self._pass_on()
+
+    async def _pass_on(self):
+        self._something_gathered = anyio.Event()
+        items = self._gathered.take()
+        items_for_others = self._gathered_for_others.take()
+        if items:
+            await self._send(self._neighbours, NewsBatch(items))
+        for data_centre, hubs in self._other_hubs():
+            told = items_for(data_centre, items_for_others)
+            if told:
+                await self._send(hubs, NewsBatch(told, True))
+
+    async def _send(self, rows, batch):
+        links = [self._links.get(row.address, row.instance) for row in rows]
+        await notify_all_or_drop(links, batch)
+
+    def forget_departed(self):
+        """Forget senders and targets that are no longer known."""
+        senders = {row.instance for row in self._registry.members_of(GATEWAY_ROLE)}
+        addresses = {row.address for row in self._registry.targets.rows()}
+        self._filter.forget_all_but(senders, addresses)
+
+
+_USE_BY_TYPE = {
+    LoadReport: LoadNews._use_report,
+    PlacementNotice: LoadNews._use_placement,
+    CrashNews: LoadNews._use_crash,
+}
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from banyanshore.gateway.news import LoadNews
 from banyanshore.gateway.relay import WeightsRelay
 from banyanshore.gateway.run import RequestRun
 from banyanshore.gateway.screening import Rejection, Screening
@@ -16,7 +17,12 @@
 from banyanshore.http.wire import PeerClosedError
 from banyanshore.membership.feed import GATEWAY_ROLE, FeedClient, MemberRow, Registry
 from banyanshore.membership.follower import Follower
-from banyanshore.membership.load_reports import CrashNews, LoadReport, PlacementNotice
+from banyanshore.membership.load_reports import (
+    CrashNews,
+    LoadReport,
+    NewsBatch,
+    PlacementNotice,
+)
 from banyanshore.routing.board import TargetBoard
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.returns import Reason, return_seconds
@@ -77,8 +83,9 @@
             self._random,
         )
         self.link_options = LinkOptions.from_settings(settings.transport)
+        member = self._member()
         self.feed = FeedClient(
-            settings, self._member(), self.state, self.registry, self.link_options
+            settings, member, self.state, self.registry, self.link_options
         )
         self.state.on_change.append(self._on_state)
         self._retry_share_by_service = {}
@@ -87,7 +94,9 @@
         self.feed.count_gateways = lambda: len(self.gateway_names())
         self.feed.on_rows.append(self._on_rows)
         self.feed.on_confirmed.append(self._on_confirmed)
-        self.suspects = Suspects(settings.instance, self.registry)
+        self.suspects = Suspects(self.registry)
+        self.news = LoadNews(member, self.registry, self.board, self.suspects)
+        self.suspects.tell = self.news.tell
         self.relay = WeightsRelay(self, make_origin)
 
     def _member(self):
@@ -111,13 +120,13 @@
         self.ready = Listener(self._handle_ready)
         async with anyio.create_task_group() as tasks:
             self._open_links(tasks)
-            self.suspects.links = self.links
             await self._serve_peers(tasks)
             await tasks.start(self.front.serve, self.settings.callers_bind)
             await tasks.start(self.ready.serve, self.settings.ready_bind)
             tasks.start_soon(self._upkeep)
             tasks.start_soon(self._explain_breaks)
             tasks.start_soon(self.relay.run)
+            tasks.start_soon(self.news.run, self.link_options, self)
             self._follow(tasks, GATEWAY_ROLE)
             await stop_requested.wait()
             await self._leave(force_requested)
@@ -126,6 +135,7 @@
     def _on_rows(self, news):
         if news.gateways:
             self._roster.record_fleet(news.gateways)
+        self.news.refresh()
 
     def _on_confirmed(self):
         self._roster.record_contact(time.monotonic())
@@ -152,21 +162,12 @@
         return share
 
     async def place(self, now, row, screened):
-        """Count a request that is sent to a target, and tell other gateways.
-
-        Those are told that choose among the same targets: the gateways of this data
-        centre, and of the target's.
-        """
+        """Count a request that is sent to a target, and tell other gateways."""
         seconds = self._read_seconds(screened)
         self.board.begin(now, row, seconds)
-        if not seconds:
-            return
-        near = {self.settings.data_centre, row.data_centre}
-        notice = PlacementNotice(row.address, seconds)
-        for member in self.registry.members_of(GATEWAY_ROLE):
-            if member.data_centre in near and member.instance != self.settings.instance:
-                link = self.links.get(member.address, member.instance)
-                await link.notify_or_drop(notice)
+        if seconds:
+            notice = PlacementNotice(row.address, seconds, row.data_centre)
+            await self.news.tell(notice)
 
     def _read_seconds(self, screened):
         service = self.state.desired.service(screened.service) or {}
@@ -259,11 +260,11 @@
         headers = self.dialect.refusal_headers(request, retry_after)
         await exchange.respond(rejection.status, headers)
 
-    async def _on_load_report(self, connection, report):
-        self.board.record_report(time.monotonic(), report)
+    async def _on_news_item(self, connection, item):
+        await self.news.on_item(connection, item)
 
-    async def _on_placement(self, connection, notice):
-        self.board.record_placement(time.monotonic(), notice)
+    async def _on_news_batch(self, connection, batch):
+        await self.news.on_batch(connection, batch)
 
     async def _on_chunk_request(self, body, responder):
         await self.relay.on_chunk_request(body, responder)
@@ -280,9 +281,6 @@
     async def _on_piece_received(self, connection, receipt):
         await self.relay.on_piece_received(connection, receipt)
 
-    async def _on_crash(self, connection, news):
-        self.suspects.record_news(news)
-
     call_by_type = MappingProxyType(
         {
             ChunkPush: _on_push,
@@ -292,11 +290,12 @@
     )
     notice_by_type = MappingProxyType(
         {
-            CrashNews: _on_crash,
+            CrashNews: _on_news_item,
             HaveUpdate: _on_have,
-            LoadReport: _on_load_report,
+            LoadReport: _on_news_item,
+            NewsBatch: _on_news_batch,
             PieceReceived: _on_piece_received,
-            PlacementNotice: _on_placement,
+            PlacementNotice: _on_news_item,
         }
     )
 
@@ -304,6 +303,7 @@
         while True:
             await anyio.sleep(UPKEEP_INTERVAL)
             self.board.forget_departed()
+            self.news.forget_departed()
 
     async def _explain_breaks(self):
         while True:
--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -3,7 +3,6 @@
 import logging
 import time
 
-from banyanshore.membership.feed import GATEWAY_ROLE
 from banyanshore.membership.load_reports import CrashNews
 from banyanshore.routing.crashes import Crash, CrashWatch
 from banyanshore.routing.quarantine import request_fingerprint
@@ -14,14 +13,13 @@
 class Suspects:
     """Requests that are suspected to crash the targets that run them.
 
-    :param instance: name of this gateway.
     :param registry: the :class:`~banyanshore.membership.feed.Registry`.
-    :ivar links: the :class:`~banyanshore.transport.LinkPool` to the other gateways.
+    :ivar tell: coroutine function that tells the other gateways a
+        :class:`~banyanshore.membership.load_reports.CrashNews`.
     """
 
-    def __init__(self, instance, registry):
-        self.links = None
-        self._instance = instance
+    def __init__(self, registry):
+        self.tell = None
         self._registry = registry
         self._watch = CrashWatch()
 
@@ -44,7 +42,7 @@
             return
         fingerprint = _fingerprint(screened, body)
         if self._watch.record_whole(fingerprint):
-            await self._tell(CrashNews(fingerprint))
+            await self.tell(CrashNews(fingerprint))
 
     async def explain(self):
         """Find the targets that started again after they broke answers off."""
@@ -60,7 +58,7 @@
                 extra={"target": crash.id[0], "request": crash.fingerprint.hex()},
             )
             address, incarnation = crash.id
-            await self._tell(
+            await self.tell(
                 CrashNews(
                     crash.fingerprint,
                     address,
@@ -86,12 +84,6 @@
             )
         )
 
-    async def _tell(self, news):
-        for member in self._registry.members_of(GATEWAY_ROLE):
-            if member.instance != self._instance:
-                link = self.links.get(member.address, member.instance)
-                await link.notify_or_drop(news)
-
 
 def _fingerprint(screened, body):
     request = screened.request
--- a/banyanshore/loader/target.py
+++ b/banyanshore/loader/target.py
@@ -6,6 +6,7 @@
 import anyio
 
 from banyanshore.membership.feed import GATEWAY_ROLE
+from banyanshore.membership.hubs import choose_hubs, hubs_for
 from banyanshore.membership.load_reports import LoadReport
 from banyanshore.weights.staged import StagedEngineError
 
@@ -71,7 +72,8 @@
         self._last_sent = (content, now)
         self._sequence += 1
         message = self._make_message(report)
-        for row in self._registry.members_of(GATEWAY_ROLE):
+        hubs = choose_hubs(self._registry.members_of(GATEWAY_ROLE))
+        for row in hubs_for(self._settings.data_centre, hubs):
             link = self.links.get(row.address, row.instance)
             await link.notify_or_drop(message)
 
--- a/banyanshore/membership/load_reports.py
+++ b/banyanshore/membership/load_reports.py
@@ -26,6 +26,11 @@
     pace: float = 1.0
     is_loading: bool = False
 
+    @property
+    def order(self):
+        """Return what orders the reports of one target."""
+        return self.incarnation, self.sequence
+
 
 @message(112)
 class PlacementNotice:
@@ -33,10 +38,23 @@
 
     :param address: HTTP address of the target.
     :param seconds: time that the target needs to read it.
+    :param data_centre: where the target is.
+    :param sender: the gateway that has sent the request.
+    :param incarnation: its start, in nanoseconds since the epoch.
+    :param sequence: rises with each notice of that start.
     """
 
     address: str
     seconds: float
+    data_centre: str = ""
+    sender: str = ""
+    incarnation: int = 0
+    sequence: int = 0
+
+    @property
+    def order(self):
+        """Return what orders the notices of one sender."""
+        return self.incarnation, self.sequence
 
 
 @message(114)
@@ -55,3 +73,15 @@
     incarnation: int = 0
     offered_seconds_ago: float = 0.0
     ended_seconds_ago: float = 0.0
+
+
+@message(115)
+class NewsBatch:
+    """Pass on what has been gathered lately.
+
+    :param items: :class:`LoadReport`, :class:`PlacementNotice` and :class:`CrashNews`.
+    :param is_for_hub: whether the receiver is to pass it on in its data centre.
+    """
+
+    items: tuple
+    is_for_hub: bool = False
--- a/banyanshore/membership/registry.py
+++ b/banyanshore/membership/registry.py
@@ -144,11 +144,13 @@
 
     :param name: ``target`` or ``member``.
     :param expiry: seconds of silence after which a row is dropped; 0 for never.
+    :ivar revision: rises whenever a row comes, goes or has another content.
     """
 
     def __init__(self, name, expiry):
         self.name = name
         self.by_key = {}
+        self.revision = 0
         self._expiry = expiry
         self._departed_by_key = {}
         self._doubted_at_by_key = {}
@@ -171,6 +173,7 @@
         cold_until = now + row.cold_seconds
         self.by_key[row.key] = KnownRow(row, now, cold_until)
         if known is None or known.row.content != row.content:
+            self.revision += 1
             return True
         is_cold = row.cold_seconds > 0
         return is_cold and cold_until > known.cold_until + COLD_RISE_SECONDS
@@ -182,7 +185,7 @@
         known = self.by_key.get(departure.key)
         if known is None or known.row.incarnation > departure.incarnation:
             return False
-        del self.by_key[departure.key]
+        self._drop(departure.key)
         return True
 
     def _depart(self, now, key, incarnation):
@@ -192,7 +195,7 @@
         self._departed_by_key[key] = (incarnation, now)
         known = self.by_key.get(key)
         if known is not None and known.row.incarnation <= incarnation:
-            del self.by_key[key]
+            self._drop(key)
         return True
 
     def doubt_all_but(self, now, keys):
@@ -205,8 +208,9 @@
         for key, at in list(self._doubted_at_by_key.items()):
             if now - at > DOUBT_SECONDS:
                 del self._doubted_at_by_key[key]
-                known = self.by_key.pop(key, None)
+                known = self.by_key.get(key)
                 if known is not None:
+                    self._drop(key)
                     dropped.append(Departure(self.name, key, known.row.incarnation))
         return dropped
 
@@ -224,7 +228,7 @@
         ]
         for row in silent:
             # No departure is remembered: a silent row may speak again.
-            del self.by_key[row.key]
+            self._drop(row.key)
         return [Departure(self.name, row.key, row.incarnation) for row in silent]
 
     def rows(self):
@@ -241,5 +245,9 @@
         if any(other.incarnation > row.incarnation for other in others):
             return False
         for other in others:
-            del self.by_key[other.key]
+            self._drop(other.key)
         return True
+
+    def _drop(self, key):
+        del self.by_key[key]
+        self.revision += 1
--- a/banyanshore/transport/__init__.py
+++ b/banyanshore/transport/__init__.py
@@ -1,9 +1,19 @@
 """Msgpack streams between the system's own processes."""
 
 from banyanshore.transport.codec import Decoder, decode, encode, message
-from banyanshore.transport.connection import Connection, byte_counter
+from banyanshore.transport.connection import (
+    Connection,
+    byte_counter,
+    encode_notice,
+)
 from banyanshore.transport.handlers import Handler, TableHandler
-from banyanshore.transport.links import Link, LinkOptions, LinkPool, serve_peers
+from banyanshore.transport.links import (
+    Link,
+    LinkOptions,
+    LinkPool,
+    notify_all_or_drop,
+    serve_peers,
+)
 from banyanshore.transport.replies import Responder
 
 __all__ = [
@@ -18,6 +28,8 @@
     "byte_counter",
     "decode",
     "encode",
+    "encode_notice",
     "message",
+    "notify_all_or_drop",
     "serve_peers",
 ]
--- a/banyanshore/transport/connection.py
+++ b/banyanshore/transport/connection.py
@@ -197,6 +197,10 @@
         """Send a message that wants no reply; drop it if the connection has ended."""
         await self.send_frame(Notice(body))
 
+    async def notify_encoded(self, data):
+        """Send a notice that :func:`encode_notice` has made."""
+        await self._send(data)
+
     async def forget_call(self, call_id, cancel):
         """Stop taking replies to a call."""
         known = self._stream_by_call_id.pop(call_id, None)
@@ -208,12 +212,14 @@
 
         :param may_wait: whether it may be held back for ``gather_seconds``.
         """
-        self._queue(frame, may_wait)
+        await self._send(encode(frame), may_wait)
+
+    async def _send(self, data, may_wait=False):
+        self._queue(data, may_wait)
         while self.pending_bytes > MAX_WAITING_BYTES and self.is_open:
             await self._drained.wait()
 
-    def _queue(self, frame, may_wait=False):
-        data = encode(frame)
+    def _queue(self, data, may_wait=False):
         self._pending.append(data)
         self.pending_bytes += len(data)
         now = self._clock()
@@ -258,7 +264,7 @@
         if self._is_silent():
             self.close()
         elif self._clock() - self._last_sent_at >= 0.9 * self._heartbeat_interval:
-            self._queue(Heartbeat())
+            self._queue(encode(Heartbeat()))
 
     def _is_silent(self):
         silent_for = self._clock() - self._last_received_at
@@ -344,6 +350,11 @@
         self._stream_by_call_id.clear()
 
 
+def encode_notice(body):
+    """Return a notice as bytes, to send the same one to many peers."""
+    return encode(Notice(body))
+
+
 _ACTION_BY_FRAME = {
     Heartbeat: Connection._on_heartbeat,
     Hello: Connection._on_hello,
--- a/banyanshore/transport/links.py
+++ b/banyanshore/transport/links.py
@@ -6,7 +6,11 @@
 import anyio
 
 from banyanshore.core.exceptions import BindError, UnavailableError
-from banyanshore.transport.connection import Connection, HeartbeatTicker
+from banyanshore.transport.connection import (
+    Connection,
+    HeartbeatTicker,
+    encode_notice,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -211,14 +215,29 @@
         It is dropped if the link is closed or the peer reads too slowly, so that the
         sender is never held back.
         """
-        if self.is_open and self.connection.pending_bytes < MAX_DROPPABLE_BYTES:
+        if self._has_room():
             await self.connection.notify(body)
 
+    async def notify_encoded_or_drop(self, data):
+        """Do the same with a notice that is encoded already."""
+        if self._has_room():
+            await self.connection.notify_encoded(data)
+
+    def _has_room(self):
+        return self.is_open and self.connection.pending_bytes < MAX_DROPPABLE_BYTES
+
     def close(self):
         """Stop the link and its connection."""
         self._scope.cancel()
 
 
+async def notify_all_or_drop(links, body):
+    """Send the same notice over many links, encoded once; it may be lost."""
+    data = encode_notice(body)
+    for link in links:
+        await link.notify_encoded_or_drop(data)
+
+
 class LinkPool:
     """Links by address, opened on first use and closed when no longer wanted.
 
--- a/banyanshore/weights/relay_rosters.py
+++ b/banyanshore/weights/relay_rosters.py
@@ -18,6 +18,7 @@
         self._rows_by_instance = {}
         self.by_data_centre = {}
         self.digest = 0
+        self._refreshed_for = None
         self.home = ""
         self.tree = RelayTree((), "")
 
@@ -26,6 +27,10 @@
 
         :param home: data centre of the origin, empty if it isn't known.
         """
+        cause = (home, self._registry.members.revision)
+        if cause == self._refreshed_for:
+            return
+        self._refreshed_for = cause
         members = {
             row.instance: row
             for row in self._registry.members.rows()
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -15,6 +15,7 @@
 from banyanshore.state.document import empty_document, to_json
 from banyanshore.state.views import DesiredState
 from banyanshore.telemetry.control import ControlMetrics
+from banyanshore.transport import decode
 
 pytestmark = pytest.mark.anyio
 
@@ -35,6 +36,9 @@
     async def notify(self, body):
         self.sent.append(body)
 
+    async def notify_encoded(self, data):
+        self.sent.append(decode(data).body)
+
     def of(self, *kinds):
         return [body for body in self.sent if isinstance(body, kinds)]
 
--- /dev/null
+++ b/tests/gateway/test_news.py
@@ -0,0 +1,80 @@
+"""Gateways in this process tell each other the loads of targets by hubs."""
+
+import contextlib
+import time
+
+import anyio
+import pytest
+
+from banyanshore.conf.loader import parse_settings
+from banyanshore.gateway.process import Gateway
+from banyanshore.membership.load_reports import CrashNews, LoadReport, PlacementNotice
+from banyanshore.platform.caller_dialect import PlatformDialect
+from banyanshore.transport import serve_peers
+from tests.gateway.deployment import SETTINGS
+from tests.ports import free_ports
+
+pytestmark = pytest.mark.anyio
+
+REPORT = LoadReport("10.0.0.9:1", 1, 1, "m", 1, 16, 3, 0)
+
+
+@contextlib.asynccontextmanager
+async def fleet(*data_centres):
+    """Yield gateways that know each other, one in each data centre named."""
+    gateways = []
+    for number, port in enumerate(free_ports(len(data_centres))):
+        settings = {
+            **SETTINGS,
+            "instance": f"edge-{number}",
+            "data_centre": data_centres[number],
+            "peers_bind": f"127.0.0.1:{port}",
+        }
+        gateways.append(Gateway(parse_settings(settings), PlatformDialect(), None))
+    async with anyio.create_task_group() as tasks:
+        for gateway in gateways:
+            for other in gateways:
+                gateway.registry.record(time.monotonic(), other._member())
+            settings = gateway.settings
+            await tasks.start(
+                serve_peers,
+                settings.peers_bind,
+                gateway,
+                settings.instance,
+                gateway.link_options,
+            )
+            tasks.start_soon(gateway.news.run, gateway.link_options, gateway)
+        await anyio.sleep(0.4)
+        yield gateways
+        tasks.cancel_scope.cancel()
+
+
+async def wait_until(is_true):
+    with anyio.fail_after(3.0):
+        while not is_true():
+            await anyio.sleep(0.01)
+
+
+async def test_report_told_in_one_data_centre_is_known_in_all():
+    async with fleet("a", "a", "a", "b", "b", "b") as gateways:
+        await gateways[0].news.on_item(None, REPORT)
+        await wait_until(
+            lambda: all(g.board.load(REPORT.address).report for g in gateways)
+        )
+
+
+async def test_placement_is_counted_once_at_each_gateway_but_its_own():
+    async with fleet("a", "a", "a", "a") as gateways:
+        for gateway in gateways:
+            gateway.board.record_report(time.monotonic(), REPORT)
+        await gateways[0].news.tell(PlacementNotice(REPORT.address, 0.2, "a"))
+        loads = [gateway.board.load(REPORT.address) for gateway in gateways]
+        await wait_until(lambda: sum(load.told_since_report for load in loads) == 3)
+        await anyio.sleep(0.2)
+        assert [load.told_since_report for load in loads] == [0, 1, 1, 1]
+
+
+async def test_crash_that_one_gateway_found_is_known_to_others():
+    async with fleet("a", "b", "b", "b") as gateways:
+        await gateways[0].suspects.tell(CrashNews(b"f", "10.0.0.9:1", 1, 1.0, 0.5))
+        await wait_until(lambda: all(g.suspects._watch.knows_any for g in gateways[1:]))
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -23,7 +23,7 @@
 )
 from banyanshore.state import StateHolder
 from banyanshore.telemetry.control import ControlMetrics
-from banyanshore.transport import LinkOptions
+from banyanshore.transport import LinkOptions, decode
 
 STEP = 0.05
 PEER_PORT = 7700
@@ -81,6 +81,9 @@
     async def notify(self, news):
         self.fleet.send(self.server_side, self.follower, lambda: self.take(news))
 
+    async def notify_encoded(self, data):
+        await self.notify(decode(data).body)
+
     async def take(self, news):
         if self.follower.connection is self:
             await self.follower.client._on_rows(self, news)
