Draw the rest of a version as soon as an origin that was away is back

Ruled out: the time of one copy over the links (5.2 s) does not bind a version that was 0.9 whole when the origin went.

--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -242,16 +242,18 @@
     return stream
 
 
-async def fetch(address, request, max_bytes, seconds):
+async def fetch(address, request, max_bytes, seconds, connect_seconds=math.inf):
     """Return the status, headers and whole body of an answer.
 
     :param seconds: time for all of it, the connection included.
+    :param connect_seconds: time for the connection, if it is less.
     :raises UnavailableError: no connection; the request was not sent.
     :raises BrokenAnswerError: no whole answer in that time.
     """
     try:
         with anyio.fail_after(seconds):
-            async with open_answer(address, request, seconds) as answer:
+            connect_seconds = min(seconds, connect_seconds)
+            async with open_answer(address, request, connect_seconds) as answer:
                 body = await answer.read_body(max_bytes)
                 return answer.status, answer.headers, body
     except TimeoutError:
--- a/banyanshore/loader/decisions.py
+++ b/banyanshore/loader/decisions.py
@@ -13,6 +13,8 @@
 DRAIN_SECONDS = 2.0
 # Seconds for the first targets to load and serve again.
 LOAD_SECONDS = 0.4
+# Longest time since the last chunk for which the rest is expected to come as before.
+FLOWING_SECONDS = 0.5
 # Longest time after its chunks are whole that a target waits for the others.
 MAX_TURN_SECONDS = 1.6
 
@@ -106,14 +108,20 @@
     return max(completed_at, min(switch_at, completed_at + MAX_TURN_SECONDS))
 
 
-def may_drain(turn, progress, seconds):
+def may_drain(turn, progress, seconds, seconds_without_chunk):
     """Tell whether a target that changes first should get no more requests.
 
+    Load pattern: the origin goes away with a version nearly whole; the targets that
+    would change first have to serve on, as long as nothing comes.
+
     :param progress: part of its chunks that is here.
     :param seconds: time since the transfer began.
+    :param seconds_without_chunk: time since the last chunk came.
     """
     if turn is not Turn.FIRST or not progress:
         return False
+    if progress < 1 and seconds_without_chunk > FLOWING_SECONDS:
+        return False
     return seconds * (1 - progress) / progress <= DRAIN_SECONDS
 
 
--- a/banyanshore/loader/driver.py
+++ b/banyanshore/loader/driver.py
@@ -63,8 +63,13 @@
         report = self._target.report
         if report is None or not 0 < report.model_version < wanted.version:
             return False
-        seconds = time.monotonic() - wanted.heard_at
-        return may_drain(turn, transfer.progress, seconds)
+        now = time.monotonic()
+        return may_drain(
+            turn,
+            transfer.progress,
+            now - wanted.heard_at,
+            transfer.seconds_without_chunk(now),
+        )
 
     async def _load(self, wanted, transfer):
         try:
--- a/banyanshore/platform/origin.py
+++ b/banyanshore/platform/origin.py
@@ -3,7 +3,7 @@
 from urllib.parse import quote
 
 from banyanshore.core.exceptions import BanyanshoreError
-from banyanshore.http.upstream import fetch
+from banyanshore.http.upstream import CONNECT_SECONDS, fetch
 from banyanshore.platform.engine import MAX_REPORT_BYTES, make_request
 from banyanshore.platform.values import DecodeError, Reader, parse_object
 from banyanshore.weights.exceptions import OriginError
@@ -42,7 +42,7 @@
         request = make_request(self.address, b"GET", path)
         try:
             status, _, body = await fetch(
-                self.address, request, max_bytes, ORIGIN_SECONDS
+                self.address, request, max_bytes, ORIGIN_SECONDS, CONNECT_SECONDS
             )
         except BanyanshoreError as error:
             raise self._error(step, error.message) from None
--- a/banyanshore/weights/planner.py
+++ b/banyanshore/weights/planner.py
@@ -257,7 +257,8 @@
         delay = self._options.retry_delay * self._random.uniform(0.8, 1.2)
         if fetch.source == ORIGIN:
             assignment.failures += 1
-            self._look_again(now + delay * min(2**assignment.failures, 16), fetch.index)
+            backoff = min(2**assignment.failures, self._options.max_backoff)
+            self._look_again(now + delay * backoff, fetch.index)
         elif fetch.index not in self._due:
             # A neighbour's offer, not what this agent has to bring in.
             return
--- a/banyanshore/weights/planner_rows.py
+++ b/banyanshore/weights/planner_rows.py
@@ -13,6 +13,7 @@
     :param busy_delay: seconds for which a neighbour that is busy isn't asked again.
     :param patience: seconds without a source after which an agent looks whether
         those before it have failed.
+    :param max_backoff: most times the retry delay between draws of a chunk in vain.
     """
 
     max_origin_fetches: int = 2
@@ -21,6 +22,7 @@
     patience: float = 4.0
     retry_delay: float = 0.25
     busy_delay: float = 0.5
+    max_backoff: int = 16
 
 
 @dataclass(frozen=True)
--- a/banyanshore/weights/relay.py
+++ b/banyanshore/weights/relay.py
@@ -7,6 +7,7 @@
 
 import logging
 import time
+from dataclasses import replace
 
 import anyio
 
@@ -14,6 +15,7 @@
 from banyanshore.weights.exceptions import OriginError
 from banyanshore.weights.manifest import Manifest, parse_manifest
 from banyanshore.weights.messages import HaveUpdate, ManifestRequest
+from banyanshore.weights.relay_fetches import MAX_BACKOFF, next_fetches
 from banyanshore.weights.relay_messages import ChunkPush, ChunkTaken
 from banyanshore.weights.transfer import Transfer
 
@@ -128,11 +130,16 @@
 
     def _next_fetches(self, now):
         self._refresh_children()
-        if now - self._progressed_at > STALL_SECONDS:
-            return self.planner.tick(now)
-        if self._rosters.tree.root == self._settings.instance:
-            return self.planner.tick_draws(now)
-        return []
+        is_root = self._rosters.tree.root == self._settings.instance
+        is_stalled = self.seconds_without_chunk(now) > STALL_SECONDS
+        return next_fetches(self.planner, now, is_root, is_stalled)
+
+    def seconds_without_chunk(self, now):
+        """Return how long ago the last chunk came, or the transfer began."""
+        return now - self._progressed_at
+
+    def _planner_options(self):
+        return replace(super()._planner_options(), max_backoff=MAX_BACKOFF)
 
     async def _tell_neighbours(self, now):
         await super()._tell_neighbours(now)
--- a/banyanshore/weights/transfer.py
+++ b/banyanshore/weights/transfer.py
@@ -179,19 +179,22 @@
         data = await anyio.to_thread.run_sync(self._store.get, digest)
         return data is not None and self.manifest.is_chunk(index, data)
 
-    def _start_planner(self, have):
+    def _planner_options(self):
         options = self._options
+        return PlannerOptions(
+            max_origin_fetches=options.max_origin_fetches,
+            max_peer_fetches=options.max_peer_fetches,
+            max_uploads=options.max_uploads,
+            patience=options.grant_seconds,
+        )
+
+    def _start_planner(self, have):
         self.planner = TransferPlanner(
             self._settings.instance,
             self._settings.data_centre,
             self.manifest.chunk_digests,
             self._build_placement(),
-            PlannerOptions(
-                max_origin_fetches=options.max_origin_fetches,
-                max_peer_fetches=options.max_peer_fetches,
-                max_uploads=options.max_uploads,
-                patience=options.grant_seconds,
-            ),
+            self._planner_options(),
             self._random,
             time.monotonic(),
             have,
--- a/tests/loader/test_decisions.py
+++ b/tests/loader/test_decisions.py
@@ -78,7 +78,14 @@
 
 
 def test_only_those_that_change_first_drain_before_their_chunks_are_whole():
-    assert not may_drain(Turn.FIRST, 0.0, 1.0)
-    assert not may_drain(Turn.FIRST, 0.5, 3.0)
-    assert may_drain(Turn.FIRST, 0.7, 4.0)
-    assert not may_drain(Turn.LAST, 0.9, 5.0)
+    assert not may_drain(Turn.FIRST, 0.0, 1.0, 0.0)
+    assert not may_drain(Turn.FIRST, 0.5, 3.0, 0.0)
+    assert may_drain(Turn.FIRST, 0.7, 4.0, 0.0)
+    assert not may_drain(Turn.LAST, 0.9, 5.0, 0.0)
+
+
+def test_targets_serve_on_while_no_chunks_come():
+    """Three tenths of all targets were idle while the origin was away for 6 s."""
+    assert may_drain(Turn.FIRST, 0.94, 2.5, 0.2)
+    assert not may_drain(Turn.FIRST, 0.94, 4.0, 1.5)
+    assert may_drain(Turn.FIRST, 1.0, 9.0, 6.0)
