Tell other data centres of loads less often than the own one

Change: a clock of its own for other data centres, 0.15 s, about as often as reports come; placements in the own data centre travel as before.

--- a/banyanshore/gateway/news.py
+++ b/banyanshore/gateway/news.py
@@ -7,6 +7,7 @@
 
 from banyanshore.membership.feed import GATEWAY_ROLE
 from banyanshore.membership.hubs import (
+    OTHERS_GATHER_SECONDS,
     Gathered,
     NewsFilter,
     Numbering,
@@ -46,7 +47,8 @@
         # What is told in the own data centre, and what others are told too.
         self._gathered = Gathered()
         self._gathered_for_others = Gathered()
-        self._something_gathered = anyio.Event()
+        self._has_news = anyio.Event()
+        self._has_news_for_others = anyio.Event()
         self._hubs_by_data_centre = {}
         self._neighbours = ()
         self._refreshed_for = None
@@ -112,12 +114,13 @@
             if self._take(item) and batch.is_for_hub:
                 self._gathered.add(item)
         if self._gathered:
-            self._something_gathered.set()
+            self._has_news.set()
 
     def _gather(self, item):
         self._gathered.add(item)
         self._gathered_for_others.add(item)
-        self._something_gathered.set()
+        self._has_news.set()
+        self._has_news_for_others.set()
 
     def _take(self, item):
         """Use an item; tell whether it was news."""
@@ -144,24 +147,26 @@
             self._links = LinkPool(tasks, handler, self._member.instance, links_options)
             self._refreshed_for = None
             self.refresh()
-            while True:
-                await self._something_gathered.wait()
-                listeners = len(self._neighbours) + sum(
-                    len(hubs) for _, hubs in self._other_hubs()
-                )
-                await anyio.sleep(gather_seconds(listeners))
-                await self._pass_on()
-
-    async def _pass_on(self):
-        self._something_gathered = anyio.Event()
-        items = self._gathered.take()
-        items_for_others = self._gathered_for_others.take()
-        if items:
-            await self._send(self._neighbours, NewsBatch(items))
-        for data_centre, hubs in self._other_hubs():
-            told = items_for(data_centre, items_for_others)
-            if told:
-                await self._send(hubs, NewsBatch(told, True))
+            tasks.start_soon(self._tell_neighbours_forever)
+            tasks.start_soon(self._tell_others_forever)
+
+    async def _tell_neighbours_forever(self):
+        while True:
+            await self._has_news.wait()
+            await anyio.sleep(gather_seconds(len(self._neighbours)))
+            self._has_news = anyio.Event()
+            await self._send(self._neighbours, NewsBatch(self._gathered.take()))
+
+    async def _tell_others_forever(self):
+        while True:
+            await self._has_news_for_others.wait()
+            await anyio.sleep(OTHERS_GATHER_SECONDS)
+            self._has_news_for_others = anyio.Event()
+            items = self._gathered_for_others.take()
+            for data_centre, hubs in self._other_hubs():
+                told = items_for(data_centre, items)
+                if told:
+                    await self._send(hubs, NewsBatch(told, True))
 
     async def _send(self, rows, batch):
         links = [self._links.get(row.address, row.instance) for row in rows]
--- a/banyanshore/membership/hubs.py
+++ b/banyanshore/membership/hubs.py
@@ -23,6 +23,9 @@
 # of what a prompt takes to read, so that few meet at one target unawares.
 MIN_GATHER_SECONDS = 0.004
 MAX_GATHER_SECONDS = 0.06
+# Time that news for other data centres waits, in seconds: reports come about as often,
+# few requests leave their data centre, and each batch is sent over a thin link.
+OTHERS_GATHER_SECONDS = 0.15
 
 
 def choose_hubs(members):
@@ -52,9 +55,9 @@
 
 
 def gather_seconds(listeners):
-    """Return how long news waits at a hub for more.
+    """Return how long news for its own data centre waits at a hub for more.
 
-    :param listeners: instances that it tells.
+    :param listeners: instances of that data centre that it tells.
 
     >>> gather_seconds(3), gather_seconds(28), gather_seconds(400)
     (0.0042857142857142855, 0.04, 0.06)
