Look at the lease on keys again before each offer, and log streams that end unresumed

Cause: a request was screened once; one whose body came slowly, or whose gateway stood still, was sent to a target by a permission that had run out. A stream that broke off with no other target left was answered a second time on its connection, which failed without a log line. Conclusion: what stands still between the choice and the first byte sent is not covered.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -75,7 +75,9 @@
         while True:
             choice = self._choose()
             if isinstance(choice, NoChoice):
-                await self._end(self._attempts.refusal(), choice.reason, choice)
+                started = self._exchange.started
+                step = Step.BREAK_OFF if started else self._attempts.refusal()
+                await self._end(step, choice.reason, choice)
                 return
             outcome = await self._offer(choice)
             if outcome is None:
@@ -90,6 +92,9 @@
 
     def _choose(self):
         gateway = self._gateway
+        unconfirmed = gateway.feed.confirmed_seconds_ago
+        if not gateway.screening.is_still_allowed(self._screened, unconfirmed):
+            return NoChoice(Reason.CUT_OFF)
         now = time.monotonic()
         model = self._request.model
         names = gateway.gateway_names()
--- a/banyanshore/gateway/screening.py
+++ b/banyanshore/gateway/screening.py
@@ -71,16 +71,27 @@
             return self._lacking(404, "no route", unconfirmed_seconds)
         workspace = self.table.find_workspace(request.key) if request.key else None
         if self.table.wants_keys and not route.public:
-            if (
-                self._key_lease_seconds < unconfirmed_seconds
-                and self._key_lease_seconds
-            ):
+            if not self.may_use_keys(unconfirmed_seconds):
                 return Rejection(503, "keys not confirmed", Reason.CUT_OFF)
             if workspace is None:
                 return self._lacking(401, "unknown key", unconfirmed_seconds)
         service = route.choose_service(_fraction(request.request_id))
         return Screened(request, route, workspace or _ANYBODY, service)
 
+    def may_use_keys(self, unconfirmed_seconds):
+        """Tell whether a key that this gateway knows may still be taken for valid."""
+        lease_seconds = self._key_lease_seconds
+        return not lease_seconds or unconfirmed_seconds <= lease_seconds
+
+    def is_still_allowed(self, screened, unconfirmed_seconds):
+        """Tell whether a screened request may still be sent to a target.
+
+        Load pattern: this process stands still, or its caller sends a body slowly,
+        after the request was screened and before it is offered.
+        """
+        is_open = screened.route.public or not self.table.wants_keys
+        return is_open or self.may_use_keys(unconfirmed_seconds)
+
     def _lacking(self, status, why, unconfirmed_seconds):
         if unconfirmed_seconds > STALE_SECONDS:
             return Rejection(503, f"{why}, state is stale", Reason.CUT_OFF)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -18,7 +18,7 @@
     hang,
     make_request,
 )
-from tests.http.raw import connect
+from tests.http.raw import connect, read_all
 
 pytestmark = pytest.mark.anyio
 
@@ -185,6 +185,20 @@
     assert not answer.endswith(b"0\r\n\r\n")
 
 
+async def test_stream_that_no_other_target_can_resume_is_told_of(caplog):
+    """A second answer on the same connection was tried, and nothing was logged."""
+
+    async def break_off(stream):
+        await stream.send(SIGNED + b"content-length: 99\r\n\r\n" + events(1, 2))
+
+    caplog.set_level("INFO")
+    async with gateway_before(Target(break_off), **STREAM) as (_, address):
+        status, answer = await ask(address)
+    assert status == 200
+    assert not answer.endswith(b"0\r\n\r\n")
+    assert "broken off" in [record.message for record in caplog.records]
+
+
 async def test_event_is_passed_on_as_it_arrives():
     go_on = anyio.Event()
 
@@ -270,6 +284,24 @@
         assert len(gateway.gateway_names()) == 3
 
 
+async def test_permission_that_ran_out_after_screening_is_not_used():
+    """The lease on keys was looked at once, however long ago that was."""
+    target = Target(WHOLE)
+    request = make_request("POST", body=b"text")
+    async with (
+        gateway_before(target) as (gateway, address),
+        await connect(address) as stream,
+    ):
+        await stream.send(request[:-2])
+        await anyio.sleep(0.1)
+        gateway.feed.lease.confirmed_at -= 10.0
+        await stream.send(request[-2:])
+        answer = await read_all(stream)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"retry-after: " in answer
+    assert not target.requests
+
+
 async def test_request_that_ends_one_target_after_the_other_is_refused():
     targets = [Target(close, WHOLE) for _ in range(4)]
     poison = make_request("POST", body=b"poison")
