Have an agent that comes late ask others before it draws from the origin

Change: in its first transfer an agent asks the first holders of other data centres for what it is to draw; who waits for that same data centre to bring a chunk answers 'missing', so that neither waits for the other.

--- a/banyanshore/agent/rollout.py
+++ b/banyanshore/agent/rollout.py
@@ -148,6 +148,8 @@
             self.uploads,
             self._serves_model(spec),
         )
+        # The first transfer of an agent may be one that others are in the middle of.
+        self.transfer.asks_first = not self._has_taken_over
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.transfer.run)
             if self._turn_spec is not None:
--- a/banyanshore/weights/planner.py
+++ b/banyanshore/weights/planner.py
@@ -137,14 +137,21 @@
             row.failures += 4
         self.record_failure(now, fetch)
 
-    def availability(self, index):
-        """Return what to tell an agent that asks for a chunk that isn't here."""
+    def availability(self, index, data_centre=""):
+        """Return what to tell an agent that asks for a chunk that isn't here.
+
+        :param data_centre: that of the agent; one that is to bring the chunk here
+            itself must not wait for this one.
+        """
         assignment = self._assignments.get(index)
         if assignment is None:
             return "missing"
         if assignment.failures >= 2:
             return "failing"
-        acts = assignment.role.rank == 0 or index in self.in_flight
+        is_coming = index in self.in_flight
+        if data_centre and not is_coming and assignment.role.upstream == data_centre:
+            return "missing"
+        acts = assignment.role.rank == 0 or is_coming
         return "queued" if acts else "missing"
 
     def may_upload(self, active):
@@ -255,7 +262,7 @@
             yield self._placement.holders(own, digest)[: role.rank]
         if role.upstream:
             yield self._placement.holders(role.upstream, digest)
-        if role.rank or role.upstream:
+        if role.rank or role.upstream or self._options.asks_first:
             yield self._placement.first_holders(own, digest)
 
     def _is_last_look(self, assignment):
--- a/banyanshore/weights/transfer.py
+++ b/banyanshore/weights/transfer.py
@@ -50,8 +50,11 @@
     :param rosters: the :class:`~banyanshore.agent.announcer.RosterHolder`.
     :param uploads: the :class:`~banyanshore.weights.uploads.Uploads`.
     :param serves_model: tells whether a service serves the model.
+    :ivar asks_first: whether others may have begun before this agent came.
     """
 
+    asks_first = False
+
     def __init__(
         self,
         settings,
@@ -134,7 +137,7 @@
         if not 0 <= request.index < self.manifest.count:
             return Availability.MISSING
         if not self.planner.have >> request.index & 1:
-            return self.planner.availability(request.index)
+            return self.planner.availability(request.index, request.data_centre)
         is_busy = not self.planner.may_upload(self._uploads.active)
         if is_busy or not self._uploads.has_room(request.data_centre):
             return Availability.BUSY
@@ -186,6 +189,7 @@
             max_peer_fetches=options.max_peer_fetches,
             max_uploads=options.max_uploads,
             patience=options.grant_seconds,
+            asks_first=self.asks_first,
         )
 
     def _start_planner(self, have):
--- a/tests/weights/test_planner.py
+++ b/tests/weights/test_planner.py
@@ -240,3 +240,46 @@
     assert outcome.completed == outcome.living
     assert outcome.slots < 2000
     assert outcome.origin_copies <= 4
+
+
+def count_draws(begun, **options):
+    """Return the draws of two data centres, the second of which comes late.
+
+    :param begun: chunks that the first has drawn when the second comes.
+    """
+    rows = members(2, 2, 2)
+    alone, both = Placement(rows[:1]), Placement(rows)
+    first = make_planner(rows[0], alone, max_peer_fetches=2)
+    planners = {rows[0].instance: first}
+    centres = {row.instance: row.data_centre for row in rows}
+    draws, now = 0, 0.0
+    while not all(planner.is_complete for planner in planners.values()):
+        now += 0.1
+        if first.have.bit_count() >= begun and len(planners) == 1:
+            first.set_placement(now, both)
+            late = rows[1]
+            planners[late.instance] = make_planner(late, both, **options)
+        for name, planner in planners.items():
+            for fetch in planner.tick(now):
+                source = planners.get(fetch.source)
+                if fetch.from_origin:
+                    draws += 1
+                    planner.record_received(fetch.index)
+                elif source.have >> fetch.index & 1:
+                    planner.record_received(fetch.index)
+                else:
+                    told = source.availability(fetch.index, centres[name])
+                    planner.record_failure(now, fetch, told)
+        assert now < 120.0
+    return draws
+
+
+@pytest.mark.parametrize("begun", [1, 10, 20, 38])
+def test_agent_that_comes_late_draws_only_what_no_one_has(begun):
+    """It drew its share though the first data centre had it: 1.67 copies."""
+    assert count_draws(begun, asks_first=True) == len(DIGESTS)
+
+
+def test_agent_that_asks_nobody_first_is_caught():
+    """A planted fault: the decision as it was."""
+    assert count_draws(30) > 1.1 * len(DIGESTS)
