Derive a gateway's planned stop and the expiry of targets from the deployment

Cause: 7.5 s for a stop and 6 s of silence of a target stood as defaults; a deployment that kills after less, or whose targets beat more slowly, would lose answers or targets. Change: grace_seconds and target_heartbeat_ms from the templates; nine tenths of the one (7.2 s where it was 7.5), five of the other (6 s as before). Tests: two that failed before.

--- a/banyanshore/conf/registered.py
+++ b/banyanshore/conf/registered.py
@@ -12,6 +12,8 @@
 # Part of a bound of the deployment after which a process acts, so that what is under
 # way then still ends within the bound.
 USED_BOUND_PART = 0.9
+# Heartbeats in a row that a target may miss; some are seconds late.
+MISSED_HEARTBEATS = 5
 
 
 @dataclass(frozen=True)
@@ -39,10 +41,11 @@
         "Lowest level logged.", "info", choices=["debug", "info", "warning", "error"]
     )
     log_file: str = setting("File for the log; empty: standard output.", "")
-    target_expiry_seconds: float = setting(
-        "Silence after which a registered target is dropped; five heartbeats.",
-        6.0,
-        minimum=0.1,
+    target_heartbeat_ms: float = setting(
+        "Milliseconds between heartbeats of a registered target; one that misses five "
+        "is dropped.",
+        1200.0,
+        minimum=1.0,
     )
     member_expiry_seconds: float = setting(
         "Silence after which an instance is dropped.", 5.0, minimum=0.1
@@ -53,6 +56,11 @@
     consensus: ConsensusSettings = setting("Replicated log.", ConsensusSettings)
     transport: TransportSettings = setting("Peer connections.", TransportSettings)
 
+    @property
+    def target_expiry_seconds(self):
+        """Return the silence in seconds after which a target is dropped."""
+        return MISSED_HEARTBEATS * self.target_heartbeat_ms / 1000
+
 
 def _version_bound_ms():
     return setting(
@@ -114,8 +122,10 @@
         "Lowest level logged.", "info", choices=["debug", "info", "warning", "error"]
     )
     log_file: str = setting("File for the log; empty: standard output.", "")
-    stop_timeout: float = setting(
-        "Longest time that a planned stop waits for requests.", 7.5, minimum=0.0
+    grace_seconds: float = setting(
+        "Time after which a process that was told to stop is killed.",
+        8.0,
+        minimum=0.1,
     )
     key_bound_ms: float = setting(
         "Milliseconds within which a key that was taken away has to be refused also by "
@@ -131,6 +141,11 @@
 
     version_switch_seconds = property(_version_switch_seconds)
 
+    @property
+    def stop_timeout(self):
+        """Return the longest time in seconds that a planned stop waits."""
+        return USED_BOUND_PART * self.grace_seconds
+
     @property
     def key_lease_seconds(self):
         """Return the seconds without a confirmed state after which keys are refused."""
--- a/tests/conf/test_templates.py
+++ b/tests/conf/test_templates.py
@@ -32,6 +32,8 @@
     "bounds.coldMargin": "5",
     "bounds.version_ms": "8000",
     "bounds.revokeMs": "5000",
+    "bounds.graceS": "8",
+    "heartbeatMs": "1200",
     "faultTolerance.machines": "1",
 }
 
@@ -71,3 +73,14 @@
 def test_keys_are_refused_within_the_bound_of_the_deployment():
     assert fill("gateway", revokeMs="3000").key_lease_seconds == pytest.approx(2.7)
     assert fill("gateway").key_lease_seconds == pytest.approx(4.5)
+
+
+def test_planned_stop_ends_before_the_process_is_killed():
+    assert fill("gateway", graceS="4").stop_timeout < 4.0
+    assert fill("gateway", graceS="8").stop_timeout == pytest.approx(7.2)
+
+
+def test_target_is_dropped_after_heartbeats_of_the_deployment(monkeypatch):
+    assert fill("control").target_expiry_seconds == pytest.approx(6.0)
+    monkeypatch.setitem(FIELDS, "heartbeatMs", "2500.5")
+    assert fill("control").target_expiry_seconds == pytest.approx(12.5025)
