Tell starts of loaders and gateways apart without comparing clocks

Change: another start counts as newer; within one, numbers decide. Before: the new test failed. Rows of members still compare starts; they are dropped after 5 s.

--- a/banyanshore/membership/hubs.py
+++ b/banyanshore/membership/hubs.py
@@ -13,7 +13,12 @@
 from dataclasses import replace
 from functools import lru_cache
 
-from banyanshore.membership.load_reports import CrashNews, LoadReport, PlacementNotice
+from banyanshore.membership.load_reports import (
+    CrashNews,
+    LoadReport,
+    PlacementNotice,
+    supersedes,
+)
 
 # Gateways of a data centre that pass news on: one may be lost unnoticed.
 HUBS_PER_DATA_CENTRE = 2
@@ -89,7 +94,7 @@
         """Take an item of news; a newer report replaces an older one."""
         if isinstance(item, LoadReport):
             known = self._report_by_address.get(item.address)
-            if known is None or known.order < item.order:
+            if supersedes(item, known):
                 self._report_by_address[item.address] = item
         else:
             self._notices.append(item)
@@ -123,8 +128,8 @@
 
     def __init__(self, instance):
         self._instance = instance
-        self._order_by_sender = {}
-        self._order_by_address = {}
+        self._placement_by_sender = {}
+        self._report_by_address = {}
 
     def is_news(self, item):
         """Tell whether an item has not been heard yet, and remember it."""
@@ -132,25 +137,23 @@
 
     def forget_all_but(self, senders, addresses):
         """Forget senders and targets that are gone."""
-        for name in self._order_by_sender.keys() - senders:
-            del self._order_by_sender[name]
-        for address in self._order_by_address.keys() - addresses:
-            del self._order_by_address[address]
+        for name in self._placement_by_sender.keys() - senders:
+            del self._placement_by_sender[name]
+        for address in self._report_by_address.keys() - addresses:
+            del self._report_by_address[address]
 
     def _is_new_placement(self, notice):
         if notice.sender == self._instance:
             return False
-        known = self._order_by_sender.get(notice.sender)
-        if known is not None and notice.order <= known:
+        if not supersedes(notice, self._placement_by_sender.get(notice.sender)):
             return False
-        self._order_by_sender[notice.sender] = notice.order
+        self._placement_by_sender[notice.sender] = notice
         return True
 
     def _is_new_report(self, report):
-        known = self._order_by_address.get(report.address)
-        if known is not None and report.order <= known:
+        if not supersedes(report, self._report_by_address.get(report.address)):
             return False
-        self._order_by_address[report.address] = report.order
+        self._report_by_address[report.address] = report
         return True
 
     def _is_new_crash(self, news):
@@ -169,7 +172,7 @@
     """Numbers the placements of one gateway.
 
     :param sender: its name.
-    :param incarnation: its start.
+    :param incarnation: tells its starts apart.
     """
 
     def __init__(self, sender, incarnation):
--- a/banyanshore/membership/load_reports.py
+++ b/banyanshore/membership/load_reports.py
@@ -3,6 +3,19 @@
 from banyanshore.transport.codec import message
 
 
+def supersedes(item, known):
+    """Tell whether an item of news is newer than what is known of its sender.
+
+    Starts are told apart and not compared: the clock of a machine may have been set
+    back before its process started again.
+
+    :param known: an earlier item, or ``None``.
+    """
+    if known is None or item.incarnation != known.incarnation:
+        return True
+    return item.sequence > known.sequence
+
+
 @message(109)
 class LoadReport:
     """Tell the load of a target as it is now.
@@ -26,11 +39,6 @@
     pace: float = 1.0
     is_loading: bool = False
 
-    @property
-    def order(self):
-        """Return what orders the reports of one target."""
-        return self.incarnation, self.sequence
-
 
 @message(112)
 class PlacementNotice:
@@ -40,7 +48,7 @@
     :param seconds: time that the target needs to read it.
     :param data_centre: where the target is.
     :param sender: the gateway that has sent the request.
-    :param incarnation: its start, in nanoseconds since the epoch.
+    :param incarnation: tells its starts apart.
     :param sequence: rises with each notice of that start.
     """
 
@@ -51,11 +59,6 @@
     incarnation: int = 0
     sequence: int = 0
 
-    @property
-    def order(self):
-        """Return what orders the notices of one sender."""
-        return self.incarnation, self.sequence
-
 
 @message(114)
 class CrashNews:
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -11,6 +11,7 @@
 import math
 from dataclasses import dataclass, field
 
+from banyanshore.membership.load_reports import supersedes
 from banyanshore.membership.registry import TargetState
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.returns import Reason
@@ -121,11 +122,7 @@
     def record_report(self, now, report):
         """Take a :class:`~banyanshore.membership.load_reports.LoadReport`."""
         load = self.load(report.address)
-        known = load.report
-        if known is not None and (report.incarnation, report.sequence) <= (
-            known.incarnation,
-            known.sequence,
-        ):
+        if not supersedes(report, load.report):
             return
         load.record_report(now, report)
 
--- a/tests/membership/test_hubs.py
+++ b/tests/membership/test_hubs.py
@@ -138,6 +138,15 @@
     assert heard.is_news(restarted.number(PlacementNotice("t", 0.1)))
 
 
+def test_process_that_starts_again_with_its_clock_set_back_is_heard():
+    """Its news was older than that of the start before, for as long as it ran."""
+    heard = NewsFilter("edge-1")
+    for incarnation in (5_000, 2_600):
+        numbers = Numbering("edge-0", incarnation)
+        assert heard.is_news(numbers.number(PlacementNotice("t", 0.1)))
+        assert heard.is_news(LoadReport("t", incarnation, 1, "m", 1, 16, 0, 0))
+
+
 def test_newest_report_of_a_target_is_kept_and_comes_last():
     gathered = Gathered()
     notice = PlacementNotice("t", 0.1)
