--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -199,6 +199,45 @@
     assert "broken off" in [record.message for record in caplog.records]
 
 
+async def test_slow_but_sound_stream_is_not_cut():
+    """After 1.2 s without a byte its request was run a second time elsewhere."""
+
+    async def act(stream):
+        await stream.send(SIGNED + b"\r\n" + events(1, 1))
+        await anyio.sleep(1.4)
+        await stream.send(events(2, 2))
+
+    targets = Target(act), Target(act)
+    async with gateway_before(
+        *targets, **STREAM, max_pause_seconds=0.4, timeout_seconds=4.0
+    ) as (_, address):
+        _, answer = await ask(address)
+    assert answer.endswith(b"0\r\n\r\n")
+    assert sum(len(target.requests) for target in targets) == 1
+
+
+async def test_stream_that_sends_a_byte_now_and_then_goes_on_elsewhere():
+    """Its time began anew with each byte, until the caller's deadline."""
+
+    async def drip(stream):
+        await stream.send(SIGNED + b"\r\n" + events(1, 2))
+        for _ in range(40):
+            await anyio.sleep(0.1)
+            await stream.send(b":")
+
+    rest = events(3, 4)
+    tail = SIGNED + b"content-length: %d\r\n\r\n" % len(rest) + rest
+    first, other = Target(), Target()
+    first.acts = other.acts = [drip, tail]
+    async with gateway_before(
+        first, other, **STREAM, max_pause_seconds=0.3, timeout_seconds=4.0
+    ) as (_, address):
+        _, answer = await ask(address)
+    texts = [line for line in answer.split(b"\n") if line.startswith(b"data: ")]
+    assert texts == [b"data: e1", b"data: e2", b"data: e3", b"data: e4"]
+    assert answer.endswith(b"0\r\n\r\n")
+
+
 async def test_event_is_passed_on_as_it_arrives():
     go_on = anyio.Event()
 
