Leave less of far targets to their own gateways where there are few of these

Cause: with 6 gateways few can meet at a far target before news of it, and half of it left idle sends requests to fuller ones at home. Change: what is left grows with the gateways, up to half from 40 on.

--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -30,6 +30,9 @@
 # own data centre has its share of targets. What is known of the others is some tenths
 # of a second old, and all gateways that find their own targets full turn to them.
 FAR_RESERVE = 0.5
+# Gateways from which on so much is left: each may send once before any hears of it, and
+# few can't fill what looked free.
+FAR_RESERVE_GATEWAYS = 40
 # Seconds that a cold target has to be faster by.
 COLD_SECONDS = 0.02
 # Spread of the noise on times, in seconds.
@@ -220,7 +223,7 @@
             if self.load(known.row.address).suspended_until <= now
         ]
         connections = connection_share(service, len(gateways))
-        far_part = self._far_part(serving)
+        far_part = self._far_part(serving, len(gateways))
         free = [
             known
             for known in usable
@@ -271,7 +274,7 @@
             return version == wish.exact_version
         return version >= max(1, wish.oldest_version)
 
-    def _far_part(self, serving):
+    def _far_part(self, serving, gateways):
         """Return the part of a target in another data centre that this one may fill.
 
         Load pattern: more requests than all data centres bear. Those refused at home
@@ -279,11 +282,13 @@
         data centre that has few targets left, or none, still fills those of others.
 
         :param serving: targets that may serve the request, full or not.
+        :param gateways: number of gateways.
         """
         data_centres = [known.row.data_centre for known in serving]
         near = data_centres.count(self._settings.data_centre)
         fair_share = len(serving) / len(set(data_centres))
-        return 1 - FAR_RESERVE * min(1.0, near / fair_share)
+        reserve = FAR_RESERVE * min(1.0, gateways / FAR_RESERVE_GATEWAYS)
+        return 1 - reserve * min(1.0, near / fair_share)
 
     def _has_room(self, now, row, service, wish, far_part):
         """Tell whether a target can begin with another request in time.
