Wait for each entry that a test asks

Cause: it waited for the first entry only and sent its next patches to the other four. Shown by a run with one entry started 2 s late: the same error without the wait, accepted with it. No check was changed.

--- a/tests/processes/test_control_failures.py
+++ b/tests/processes/test_control_failures.py
@@ -81,7 +81,9 @@
     options = {"consensus": {"snapshot_every_entries": 100}}
     with Deployment(DATA_CENTRES, ENTRIES, {0, 1, 2}, **options) as deployment:
         deployment.start_entries()
-        deployment.wait_for_leader()
+        # Each of them is asked below; the last ones may start late on a busy machine.
+        for entry in ENTRIES:
+            deployment.wait_for_leader(entry)
         first = deployment.send_patch({}, 0, request_id="first").json()
         for number in range(300):
             version = patch_number(deployment, number, f"entry-{number % 5 + 1}")
