--- a/tests/processes/test_control_failures.py
+++ b/tests/processes/test_control_failures.py
@@ -82,7 +82,7 @@
     with Deployment(DATA_CENTRES, ENTRIES, {0, 1, 2}, **options) as deployment:
         deployment.start_entries()
         # Each of them is asked below; the last ones may start late on a busy machine.
-        for entry in ENTRIES:
+        for entry in deployment.http_port:
             deployment.wait_for_leader(entry)
         first = deployment.send_patch({}, 0, request_id="first").json()
         for number in range(300):
