--- /dev/null
+++ b/tests/gateway/crashing.py
@@ -0,0 +1,214 @@
+"""Gateways in this process before targets that a request can end."""
+
+import contextlib
+import itertools
+import socket
+import time
+from dataclasses import dataclass
+
+import anyio
+
+from banyanshore.conf.loader import parse_settings
+from banyanshore.core.clock import boot_time
+from banyanshore.gateway.process import Gateway
+from banyanshore.http.listener import Listener
+from banyanshore.membership.registry import TargetRow
+from banyanshore.platform.caller_dialect import PlatformDialect
+from banyanshore.state import Fence, PublishedState
+from banyanshore.state.document import to_json
+from banyanshore.transport import serve_peers
+from tests.gateway.deployment import SETTINGS, WHOLE, ask, make_document, make_request
+from tests.http.raw import reset, running
+from tests.ports import free_ports
+
+POISON = make_request("POST", body=b"poison")
+SOUND = make_request("POST", body=b"sound")
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that a target has read.
+
+    :param at: monotonic time at which it was read.
+    """
+
+    at: float
+    target: int
+    is_poison: bool
+
+
+class CrashingTarget:
+    """A target that ends when it begins to run a request, with all that runs there.
+
+    :param fleet: the :class:`CrashingFleet` that it belongs to.
+    :param down_seconds: time until it is back, ``inf`` for never.
+    :param is_silent: whether its connections just fall silent, as those of a machine
+        without power do, instead of being reset.
+    """
+
+    def __init__(self, fleet, number, down_seconds, is_silent):
+        self.number = number
+        self.incarnation = 1
+        self._fleet = fleet
+        self._down_seconds = down_seconds
+        self._is_silent = is_silent
+        (self._port,) = free_ports(1)
+        self._ended = anyio.Event()
+
+    def row(self):
+        """Return the row by which it registers."""
+        return TargetRow(
+            f"i-{self.number}-{self.incarnation}", "s", f"127.0.0.1:{self._port}",
+            "dc", "v1", 16, "ready", 0.0, self.incarnation, 1,
+        )  # fmt: skip
+
+    async def run(self, *, task_status):
+        """Serve, end and come back until cancelled."""
+        while True:
+            self._ended = anyio.Event()
+            async with anyio.create_task_group() as tasks:
+                # Ports of ended targets are reused at once.
+                listener = await anyio.create_tcp_listener(
+                    local_host="127.0.0.1", local_port=self._port
+                )
+                tasks.start_soon(listener.serve, self._serve)
+                self._fleet.register(self.row())
+                with contextlib.suppress(RuntimeError):
+                    task_status.started()
+                await self._ended.wait()
+                tasks.cancel_scope.cancel()
+            await listener.aclose()
+            with self._blocked_port():
+                await anyio.sleep(self._down_seconds)
+            self.incarnation += 1
+
+    @contextlib.contextmanager
+    def _blocked_port(self):
+        """While it is down, have connections to it hang if it is silent."""
+        if not self._is_silent:
+            yield
+            return
+        with contextlib.ExitStack() as stack:
+            blocked = stack.enter_context(socket.socket())
+            blocked.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            blocked.bind(("127.0.0.1", self._port))
+            blocked.listen(0)
+            # Connections beyond the queue of a listener are not answered.
+            for _ in range(2):
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(("127.0.0.1", self._port))
+            yield
+
+    async def _serve(self, stream):
+        async with stream:
+            data = b""
+            while b"\r\n\r\n" not in data or data.endswith(b"\r\n\r\n"):
+                try:
+                    data += await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+            is_poison = data.endswith(b"poison")
+            arrival = Arrival(time.monotonic(), self.number, is_poison)
+            self._fleet.arrivals.append(arrival)
+            if not is_poison:
+                await anyio.sleep(self._fleet.work_seconds)
+                await stream.send(WHOLE)
+                return
+            if self._is_silent:
+                self._ended.set()
+                with anyio.CancelScope(shield=True):
+                    await anyio.sleep(self._fleet.silence_seconds)
+                return
+            reset(stream)
+            self._ended.set()
+
+
+class CrashingFleet:
+    """Gateways and targets, and what reached the targets.
+
+    :ivar arrivals: the :class:`Arrival` rows so far.
+    """
+
+    def __init__(self, work_seconds=0.05):
+        self.arrivals = []
+        self.work_seconds = work_seconds
+        self.silence_seconds = 6.0
+        self.gateways = []
+        self.fronts = []
+        self._rows_by_number = {}
+        self._statuses = []
+
+    def register(self, row):
+        """Have all gateways hear of a target, as they do from control."""
+        number = int(row.id.split("-")[1])
+        self._rows_by_number[number] = row
+        for gateway in self.gateways:
+            gateway.registry.record(time.monotonic(), row)
+
+    def poison_arrivals(self):
+        """Return the arrivals of the poisoned request."""
+        return [arrival for arrival in self.arrivals if arrival.is_poison]
+
+    async def start_gateway(self, stack, tasks, number, peers_port, route):
+        """Start a gateway that knows the targets and the other gateways."""
+        settings = {
+            **SETTINGS,
+            "instance": f"edge-{number}",
+            "peers_bind": f"127.0.0.1:{peers_port}",
+        }
+        gateway = Gateway(parse_settings(settings), PlatformDialect(), None)
+        document = to_json(make_document(**route))
+        gateway.state.apply(PublishedState(1, Fence(1, 1), document))
+        gateway.feed.lease.confirmed_at = boot_time() + 1000
+        for row in self._rows_by_number.values():
+            gateway.registry.record(time.monotonic(), row)
+        self.gateways.append(gateway)
+        for one, other in itertools.product(self.gateways, self.gateways):
+            one.registry.record(time.monotonic(), other._member())
+        await tasks.start(
+            serve_peers,
+            gateway.settings.peers_bind,
+            gateway,
+            gateway.settings.instance,
+            gateway.link_options,
+        )
+        tasks.start_soon(gateway.link_options.ticker.run)
+        tasks.start_soon(gateway.news.run, gateway.link_options, gateway)
+        tasks.start_soon(gateway._explain_breaks)
+        gateway.front = Listener(gateway._handle, gateway._limits)
+        self.fronts.append(await stack.enter_async_context(running(gateway.front)))
+
+    async def send(self, request, front):
+        """Send a request to a gateway, and forget what becomes of it."""
+        with contextlib.suppress(OSError, TimeoutError):
+            status, _ = await ask(self.fronts[front], request)
+            self._statuses.append(status)
+
+    async def send_repeatedly(self, request, times, gap_seconds):
+        """Send a request again and again, to one gateway after the other."""
+        async with anyio.create_task_group() as tasks:
+            for number in range(times):
+                tasks.start_soon(self.send, request, number % len(self.fronts))
+                await anyio.sleep(gap_seconds)
+
+
+@contextlib.asynccontextmanager
+async def crashing_fleet(
+    gateways=4, targets=24, down_seconds=4.5, is_silent=False, **route
+):
+    """Yield a :class:`CrashingFleet` whose gateways know each other and all targets.
+
+    :param down_seconds: time until an ended target is back.
+    """
+    fleet = CrashingFleet()
+    async with contextlib.AsyncExitStack() as stack:
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(tasks.cancel_scope.cancel)
+        for number in range(targets):
+            target = CrashingTarget(fleet, number, down_seconds, is_silent)
+            await tasks.start(target.run)
+        for number, port in enumerate(free_ports(gateways)):
+            await fleet.start_gateway(stack, tasks, number, port, route)
+        await anyio.sleep(0.4)
+        yield fleet
