Log what becomes of answers that are lost with their connection

Change: each has a line with the request's digest, the target's start and the count of ends, and a counter; lines at the end of a request say how long a target had it. No decision changes.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -94,7 +94,7 @@
         self.feed.count_gateways = lambda: len(self.gateway_names())
         self.feed.on_rows.append(self._on_rows)
         self.feed.on_confirmed.append(self._on_confirmed)
-        self.suspects = Suspects(self.registry)
+        self.suspects = Suspects(self.registry, self.metrics)
         self.news = LoadNews(member, self.registry, self.board, self.suspects)
         self.suspects.tell = self.news.tell
         self.relay = WeightsRelay(self, make_origin)
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -58,6 +58,8 @@
         self._address = ""
         self._load = 0
         self._first_at = None
+        # Time at which the offer was sent that is under way.
+        self._offered_at = None
 
     @property
     def _seconds_left(self):
@@ -140,6 +142,7 @@
         request = self._gateway.dialect.build(self._request, self._body, offer)
         await self._gateway.place(now, row, self._screened)
         self._is_offered = True
+        self._offered_at = now
         try:
             async with open_answer(
                 row.address, request, CONNECT_SECONDS, self._patience_for_head()
@@ -155,6 +158,7 @@
             outcome = Outcome.BROKEN_OFF if started else Outcome.LOST
         finally:
             board.end(row)
+        self._offered_at = None
         self._judge_target(row, outcome)
         await self._watch_for_crash(row, outcome, now)
         return outcome
@@ -314,6 +318,7 @@
         now = time.monotonic()
         gateway = self._gateway
         first = None if self._first_at is None else self._first_at - self._arrived_at
+        offered_at = self._offered_at
         gateway.metrics.record_end(
             self._screened.service, outcome, first, now - self._arrived_at
         )
@@ -325,6 +330,9 @@
             model_version=self._version,
             first_ms=None if first is None else round(first * 1000),
             total_ms=round((now - self._arrived_at) * 1000),
+            under_way_ms=None
+            if offered_at is None
+            else round((now - offered_at) * 1000),
             **details,
         )
 
--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -14,12 +14,14 @@
     """Requests that are suspected to crash the targets that run them.
 
     :param registry: the :class:`~banyanshore.membership.feed.Registry`.
+    :param metrics: the :class:`~banyanshore.telemetry.gateway.GatewayMetrics`.
     :ivar tell: coroutine function that tells the other gateways a
         :class:`~banyanshore.membership.load_reports.CrashNews`.
     """
 
-    def __init__(self, registry):
+    def __init__(self, registry, metrics):
         self.tell = None
+        self._metrics = metrics
         self._registry = registry
         self._watch = CrashWatch()
 
@@ -35,6 +37,7 @@
         crash_id = (row.address, row.incarnation)
         crash = Crash(crash_id, fingerprint, offered_at, time.monotonic())
         self._watch.record_break(crash)
+        self._log("answer lost", crash, request_id=screened.request.request_id)
 
     async def record_whole(self, screened, body):
         """Take a whole answer, which clears the request."""
@@ -42,6 +45,9 @@
             return
         fingerprint = _fingerprint(screened, body)
         if self._watch.record_whole(fingerprint):
+            logger.info(
+                "suspected request was answered", extra={"request": fingerprint.hex()}
+            )
             await self.tell(CrashNews(fingerprint))
 
     async def explain(self):
@@ -52,11 +58,11 @@
         incarnations = {
             row.address: row.incarnation for row in self._registry.targets.rows()
         }
-        for crash in self._watch.explain(now, incarnations):
-            logger.warning(
-                "target ended while it ran a request",
-                extra={"target": crash.id[0], "request": crash.fingerprint.hex()},
-            )
+        found, unexplained = self._watch.explain(now, incarnations)
+        for crash in unexplained:
+            self._log("lost answer not explained", crash)
+        for crash in found:
+            self._log("target ended while it ran a request", crash, logging.WARNING)
             address, incarnation = crash.id
             await self.tell(
                 CrashNews(
@@ -75,13 +81,30 @@
             return
         now = time.monotonic()
         crash_id = (news.address, news.incarnation)
-        self._watch.record_crash(
-            Crash(
-                crash_id,
-                news.fingerprint,
-                now - news.offered_seconds_ago,
-                now - news.ended_seconds_ago,
-            )
+        crash = Crash(
+            crash_id,
+            news.fingerprint,
+            now - news.offered_seconds_ago,
+            now - news.ended_seconds_ago,
+        )
+        self._watch.record_crash(crash)
+        self._log("told of a target that ended", crash)
+
+    def _log(self, message, crash, level=logging.INFO, **details):
+        """Log what became of an answer that was lost, and count it."""
+        address, incarnation = crash.id
+        self._metrics.lost_answers.labels(message).inc()
+        logger.log(
+            level,
+            message,
+            extra={
+                "request": crash.fingerprint.hex(),
+                "target_address": address,
+                "target_incarnation": incarnation,
+                "crashes": self._watch.count(crash.fingerprint),
+                "lost_ms_ago": round((time.monotonic() - crash.ended_at) * 1000),
+                **details,
+            },
         )
 
 
--- a/banyanshore/routing/crashes.py
+++ b/banyanshore/routing/crashes.py
@@ -75,18 +75,22 @@
         """Return the crashes among the answers that broke off, and count them.
 
         :param incarnation_by_address: incarnations of the targets that are known now.
+        :return: the crashes, and the answers that are no longer looked at.
         """
-        found = []
-        waiting = [b for b in self._breaks if now - b.ended_at <= EXPLAIN_SECONDS]
+        found, unexplained = [], []
+        waiting = list(self._breaks)
         self._breaks.clear()
         for crash in waiting:
+            if now - crash.ended_at > EXPLAIN_SECONDS:
+                unexplained.append(crash)
+                continue
             address, incarnation = crash.id
             if incarnation_by_address.get(address, incarnation) > incarnation:
                 found.append(crash)
                 self.record_crash(crash)
             else:
                 self._breaks.append(crash)
-        return found
+        return found, unexplained
 
     def record_crash(self, crash):
         """Count a crash that this or another gateway has found."""
@@ -106,6 +110,10 @@
             self._breaks.remove(crash)
         return self._crashes_by_fingerprint.pop(fingerprint, None) is not None
 
+    def count(self, fingerprint):
+        """Return how many crashes of a request count."""
+        return count_in_turn(self._crashes_by_fingerprint.get(fingerprint, {}).values())
+
     def is_refused(self, now, fingerprint):
         """Tell whether a request is known to crash its targets."""
         crashes = self._crashes_by_fingerprint.get(fingerprint)
@@ -114,4 +122,4 @@
         if now - max(crash.ended_at for crash in crashes.values()) > EXPIRY_SECONDS:
             del self._crashes_by_fingerprint[fingerprint]
             return False
-        return count_in_turn(crashes.values()) >= MOST_CRASHES
+        return self.count(fingerprint) >= MOST_CRASHES
--- a/banyanshore/telemetry/gateway.py
+++ b/banyanshore/telemetry/gateway.py
@@ -22,6 +22,11 @@
             "Requests answered before a target was looked for, by status.",
             ["status"],
         )
+        self.lost_answers = self.registry.counter(
+            "banyanshore_gateway_lost_answers",
+            "Answers lost with their connection, by what was found out of them.",
+            ["finding"],
+        )
         self.first_byte = self.registry.histogram(
             "banyanshore_gateway_first_byte_seconds",
             "Time to the first byte of an answer.",
--- a/tests/gateway/crashing.py
+++ b/tests/gateway/crashing.py
@@ -166,6 +166,8 @@
         self.gateways.append(gateway)
         for one, other in itertools.product(self.gateways, self.gateways):
             one.registry.record(time.monotonic(), other._member())
+        for known in self.gateways:
+            known.news.refresh()
         await tasks.start(
             serve_peers,
             gateway.settings.peers_bind,
--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -14,7 +14,8 @@
     """Have a target end with what it ran, and start again."""
     for fingerprint in fingerprints:
         watch.record_break(Crash((target, 1), fingerprint, offered_at, ended_at))
-    return watch.explain(ended_at + 1.0, {target: 2})
+    found, _ = watch.explain(ended_at + 1.0, {target: 2})
+    return found
 
 
 def test_request_that_ends_three_targets_in_turn_is_refused():
@@ -42,15 +43,18 @@
         crash = Crash((f"t-{number}", 1), OTHER, 10.0 * seconds, 10.0 * seconds + 1)
         watch.record_break(crash)
         # Known as before, or not known while it is cut off.
-        assert not watch.explain(10.0 * seconds + 2, {f"t-{number}": 1})
-        assert not watch.explain(10.0 * seconds + 2, {})
+        for incarnation_by_address in ({f"t-{number}": 1}, {}):
+            found, _ = watch.explain(10.0 * seconds + 2, incarnation_by_address)
+            assert not found
     assert not watch.is_refused(50.0, OTHER)
 
 
 def test_start_long_after_an_answer_broke_off_explains_nothing():
     watch = CrashWatch()
     watch.record_break(Crash(("t-1", 1), OTHER, 0.0, 1.0))
-    assert not watch.explain(1.1 + EXPLAIN_SECONDS, {"t-1": 2})
+    found, unexplained = watch.explain(1.1 + EXPLAIN_SECONDS, {"t-1": 2})
+    assert not found
+    assert [crash.id for crash in unexplained] == [("t-1", 1)]
 
 
 def test_whole_answer_clears_here_and_elsewhere():
