--- a/tests/gateway/crashing.py
+++ b/tests/gateway/crashing.py
@@ -34,6 +34,7 @@
 
     at: float
     target: int
+    service: str
     is_poison: bool
 
 
@@ -46,8 +47,9 @@
         without power do, instead of being reset.
     """
 
-    def __init__(self, fleet, number, down_seconds, is_silent):
+    def __init__(self, fleet, number, service, down_seconds, is_silent):
         self.number = number
+        self.service = service
         self.incarnation = 1
         self._fleet = fleet
         self._down_seconds = down_seconds
@@ -58,8 +60,9 @@
     def row(self):
         """Return the row by which it registers."""
         return TargetRow(
-            f"i-{self.number}-{self.incarnation}", "s", f"127.0.0.1:{self._port}",
-            "dc", "v1", 16, "ready", 0.0, self.incarnation, 1,
+            f"i-{self.number}-{self.incarnation}", self.service,
+            f"127.0.0.1:{self._port}", "dc", "v1", 16, "ready", 0.0,
+            self.incarnation, 1,
         )  # fmt: skip
 
     async def run(self, *, task_status):
@@ -109,7 +112,7 @@
                 except (anyio.EndOfStream, anyio.BrokenResourceError):
                     return
             is_poison = data.endswith(b"poison")
-            arrival = Arrival(time.monotonic(), self.number, is_poison)
+            arrival = Arrival(time.monotonic(), self.number, self.service, is_poison)
             self._fleet.arrivals.append(arrival)
             if not is_poison:
                 await anyio.sleep(self._fleet.work_seconds)
@@ -128,16 +131,20 @@
     """Gateways and targets, and what reached the targets.
 
     :ivar arrivals: the :class:`Arrival` rows so far.
+    :ivar statuses: what callers were answered so far.
     """
 
-    def __init__(self, work_seconds=0.05):
+    def __init__(self, stack, tasks, route):
         self.arrivals = []
-        self.work_seconds = work_seconds
+        self.work_seconds = 0.05
         self.silence_seconds = 6.0
         self.gateways = []
         self.fronts = []
+        self.statuses = []
         self._rows_by_number = {}
-        self._statuses = []
+        self._stack = stack
+        self._tasks = tasks
+        self._route = route
 
     def register(self, row):
         """Have all gateways hear of a target, as they do from control."""
@@ -150,16 +157,20 @@
         """Return the arrivals of the poisoned request."""
         return [arrival for arrival in self.arrivals if arrival.is_poison]
 
-    async def start_gateway(self, stack, tasks, number, peers_port, route):
+    async def add_gateway(self):
         """Start a gateway that knows the targets and the other gateways."""
+        number = len(self.gateways)
+        (peers_port,) = free_ports(1)
+        tasks = self._tasks
         settings = {
             **SETTINGS,
             "instance": f"edge-{number}",
             "peers_bind": f"127.0.0.1:{peers_port}",
         }
         gateway = Gateway(parse_settings(settings), PlatformDialect(), None)
-        document = to_json(make_document(**route))
-        gateway.state.apply(PublishedState(1, Fence(1, 1), document))
+        document = make_document(**self._route)
+        document["services"]["t"] = {"kind": "direct"}
+        gateway.state.apply(PublishedState(1, Fence(1, 1), to_json(document)))
         gateway.feed.lease.confirmed_at = boot_time() + 1000
         for row in self._rows_by_number.values():
             gateway.registry.record(time.monotonic(), row)
@@ -179,13 +190,15 @@
         tasks.start_soon(gateway.news.run, gateway.link_options, gateway)
         tasks.start_soon(gateway._explain_breaks)
         gateway.front = Listener(gateway._handle, gateway._limits)
-        self.fronts.append(await stack.enter_async_context(running(gateway.front)))
+        self.fronts.append(
+            await self._stack.enter_async_context(running(gateway.front))
+        )
 
     async def send(self, request, front):
         """Send a request to a gateway, and forget what becomes of it."""
         with contextlib.suppress(OSError, TimeoutError):
             status, _ = await ask(self.fronts[front], request)
-            self._statuses.append(status)
+            self.statuses.append(status)
 
     async def send_repeatedly(self, request, times, gap_seconds):
         """Send a request again and again, to one gateway after the other."""
@@ -197,20 +210,22 @@
 
 @contextlib.asynccontextmanager
 async def crashing_fleet(
-    gateways=4, targets=24, down_seconds=4.5, is_silent=False, **route
+    gateways=4, targets=60, down_seconds=4.5, is_silent=False, names=("s",), **route
 ):
     """Yield a :class:`CrashingFleet` whose gateways know each other and all targets.
 
     :param down_seconds: time until an ended target is back.
+    :param names: services that the targets are spread over.
     """
-    fleet = CrashingFleet()
     async with contextlib.AsyncExitStack() as stack:
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
+        fleet = CrashingFleet(stack, tasks, route)
         for number in range(targets):
-            target = CrashingTarget(fleet, number, down_seconds, is_silent)
+            service = names[number % len(names)]
+            target = CrashingTarget(fleet, number, service, down_seconds, is_silent)
             await tasks.start(target.run)
-        for number, port in enumerate(free_ports(gateways)):
-            await fleet.start_gateway(stack, tasks, number, port, route)
+        for _ in range(gateways):
+            await fleet.add_gateway()
         await anyio.sleep(0.4)
         yield fleet
--- /dev/null
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -0,0 +1,96 @@
+"""Requests that end the targets that run them, through gateways that all see a part."""
+
+import math
+
+import anyio
+import pytest
+
+from tests.gateway.crashing import POISON, SOUND, crashing_fleet
+
+pytestmark = pytest.mark.anyio
+
+# Seconds after the third end from which repeats are counted, and how many may still
+# reach a target then.
+CONTACT_SECONDS = 3.0
+MAX_REPEATS = 3
+GAP_SECONDS = 0.4
+# Until well after the bound, at that gap.
+REPEATS = 15
+
+ROUTE_BY_KIND = {
+    "non_idempotent": {"kind": "non_idempotent", "max_attempts": 1},
+    "idempotent": {"kind": "idempotent", "max_attempts": 2},
+}
+
+
+def late_repeats(fleet):
+    """Return the repeats that reached targets later than they may."""
+    arrivals = sorted(arrival.at for arrival in fleet.poison_arrivals())
+    return [at for at in arrivals[3:] if at > arrivals[2] + CONTACT_SECONDS]
+
+
+@pytest.mark.parametrize("kind", ROUTE_BY_KIND)
+@pytest.mark.parametrize(
+    ("down_seconds", "is_silent"),
+    [(4.5, False), (math.inf, False), (4.5, True)],
+    ids=["back-soon", "gone-for-good", "silent"],
+)
+async def test_repeats_stop_soon_after_the_third_end(kind, down_seconds, is_silent):
+    """Ends were counted only once targets had registered again, or never."""
+    options = {"down_seconds": down_seconds, "is_silent": is_silent}
+    route = {**ROUTE_BY_KIND[kind], "timeout_seconds": 3.0}
+    async with crashing_fleet(**options, **route) as fleet:
+        await fleet.send_repeatedly(POISON, REPEATS, GAP_SECONDS)
+        assert len(late_repeats(fleet)) <= MAX_REPEATS
+        before = len(fleet.poison_arrivals())
+        await fleet.send_repeatedly(POISON, 4, 0.05)
+        assert len(fleet.poison_arrivals()) == before
+        fleet.statuses.clear()
+        await fleet.send_repeatedly(SOUND, 4, 0.05)
+        assert fleet.statuses == [200] * 4
+
+
+async def test_gateway_that_starts_later_knows_what_the_others_know():
+    """News of ends was told once, to those that were there."""
+    route = ROUTE_BY_KIND["non_idempotent"]
+    async with crashing_fleet(gateways=2, down_seconds=0.5, **route) as fleet:
+        await fleet.send_repeatedly(POISON, 8, GAP_SECONDS)
+        # Long enough for all that is told once.
+        await anyio.sleep(6.0)
+        before = len(fleet.poison_arrivals())
+        await fleet.add_gateway()
+        await anyio.sleep(2.0)
+        fleet.fronts = fleet.fronts[-1:]
+        await fleet.send_repeatedly(POISON, 4, 0.5)
+        assert len(fleet.poison_arrivals()) == before
+
+
+async def test_further_offer_of_a_request_is_not_made_once_it_is_known():
+    """A request was looked up as it arrived, not before it was offered again."""
+    route = ROUTE_BY_KIND["idempotent"]
+    async with crashing_fleet(gateways=1, **route) as fleet:
+        await fleet.send_repeatedly(POISON, 2, 1.0)
+        assert len(fleet.poison_arrivals()) == 3
+        assert fleet.statuses == [502, 502]
+
+
+async def test_requests_that_a_route_sends_to_two_services_are_one():
+    """Ends were counted for each service apart."""
+    services = [{"service": name, "weight": 1} for name in ("s", "t")]
+    route = {**ROUTE_BY_KIND["non_idempotent"], "services": services}
+    async with crashing_fleet(gateways=1, names=("s", "t"), **route) as fleet:
+        for number in range(12):
+            await fleet.send(POISON.replace(b"id-1", b"id-%d" % number), 0)
+            await anyio.sleep(0.3)
+        services = {arrival.service for arrival in fleet.poison_arrivals()}
+        assert services == {"s", "t"}
+        assert len(fleet.poison_arrivals()) == 3
+
+
+async def test_three_ends_at_once_by_one_request_are_three():
+    """Ends at the same time counted as one, as if a data centre had lost power."""
+    async with crashing_fleet(**ROUTE_BY_KIND["non_idempotent"]) as fleet:
+        await fleet.send_repeatedly(POISON, 3, 0.0)
+        await anyio.sleep(1.0)
+        await fleet.send_repeatedly(POISON, 4, 0.1)
+        assert len(fleet.poison_arrivals()) == 3
