Find out at once whether a target whose answer was lost has ended

What callers saw: requests beside it broke off again and again, since one request was sent to 4 to 49 further targets after it had ended three. Cause: a lost answer counted only once its target had started again, registered, and been told of, within 10 s. Targets that are away longer, or for good, never counted. Class: a decision waits for a recovery that may not come instead of looking. Ruled out: counting lost answers alone; connections are reset and cut for other reasons. Change: a gateway looks whether the target still takes connections. One that refuses them, or is silent in two looks, has ended. A later answer of the same start withdraws what was counted, at all gateways (a cut may refuse connections too); late news and news of cleared requests are dropped.

--- a/banyanshore/gateway/news.py
+++ b/banyanshore/gateway/news.py
@@ -21,6 +21,7 @@
     LoadReport,
     NewsBatch,
     PlacementNotice,
+    TargetAnswered,
 )
 from banyanshore.transport import LinkPool, notify_all_or_drop
 
@@ -138,6 +139,9 @@
     def _use_crash(self, now, news):
         self._suspects.record_news(news)
 
+    def _use_target_answered(self, now, news):
+        self._suspects.record_target_answered(news)
+
     async def run(self, links_options, handler):
         """Pass on what is gathered, until cancelled.
 
@@ -185,4 +189,5 @@
     LoadReport: LoadNews._use_report,
     PlacementNotice: LoadNews._use_placement,
     CrashNews: LoadNews._use_crash,
+    TargetAnswered: LoadNews._use_target_answered,
 }
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -22,6 +22,7 @@
     LoadReport,
     NewsBatch,
     PlacementNotice,
+    TargetAnswered,
 )
 from banyanshore.routing.board import TargetBoard
 from banyanshore.routing.engine_model import EngineModel
@@ -50,9 +51,6 @@
 LEAVE_SECONDS = 2.6
 # Seconds between looks at what is no longer needed.
 UPKEEP_INTERVAL = 5.0
-# Seconds between looks for targets that have started again: well within the time in
-# which that explains an answer that broke off.
-EXPLAIN_INTERVAL = 0.5
 
 
 class Gateway(Follower):
@@ -124,7 +122,7 @@
             await tasks.start(self.front.serve, self.settings.callers_bind)
             await tasks.start(self.ready.serve, self.settings.ready_bind)
             tasks.start_soon(self._upkeep)
-            tasks.start_soon(self._explain_breaks)
+            tasks.start_soon(self.suspects.run)
             tasks.start_soon(self.relay.run)
             tasks.start_soon(self.news.run, self.link_options, self)
             self._follow(tasks, GATEWAY_ROLE)
@@ -296,6 +294,7 @@
             NewsBatch: _on_news_batch,
             PieceReceived: _on_piece_received,
             PlacementNotice: _on_news_item,
+            TargetAnswered: _on_news_item,
         }
     )
 
@@ -305,11 +304,6 @@
             self.board.forget_departed()
             self.news.forget_departed()
 
-    async def _explain_breaks(self):
-        while True:
-            await anyio.sleep(EXPLAIN_INTERVAL)
-            await self.suspects.explain()
-
     async def _leave(self, force_requested):
         """Take no new callers, finish what runs, then return."""
         self.leaving = True
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -166,9 +166,9 @@
     async def _watch_for_crash(self, row, outcome, offered_at):
         suspects = self._gateway.suspects
         if outcome in (Outcome.LOST, Outcome.BROKEN_OFF):
-            suspects.record_break(row, self._screened, self._body, offered_at)
+            suspects.record_lost(row, self._screened, self._body, offered_at)
         elif outcome is None:
-            await suspects.record_whole(self._screened, self._body)
+            await suspects.record_answer(row, self._screened, self._body, offered_at)
 
     def _may_offer_again(self):
         attempts = self._attempts
--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -9,6 +9,7 @@
 import time
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from enum import Enum
 
 import anyio
 import h11
@@ -229,6 +230,30 @@
         return
 
 
+class Reach(Enum):
+    """What becomes of a connection to an address."""
+
+    OPEN = "open"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+async def look_for_listener(address, seconds=CONNECT_SECONDS):
+    """Return the :class:`Reach` of an address, and close the connection again.
+
+    :param seconds: time after which the address is taken for silent.
+    """
+    host, port = split_address(address)
+    try:
+        with anyio.fail_after(seconds):
+            stream = await anyio.connect_tcp(host, port)
+    except (OSError, TimeoutError) as error:
+        was_refused = isinstance(error.__cause__, ConnectionRefusedError)
+        return Reach.REFUSED if was_refused else Reach.SILENT
+    await anyio.aclose_forcefully(stream)
+    return Reach.OPEN
+
+
 async def _connect(address, seconds):
     host, port = split_address(address)
     try:
--- a/banyanshore/membership/hubs.py
+++ b/banyanshore/membership/hubs.py
@@ -18,6 +18,7 @@
     CrashNews,
     LoadReport,
     PlacementNotice,
+    TargetAnswered,
     supersedes,
 )
 
@@ -164,7 +165,7 @@
         self._report_by_address[report.address] = report
         return True
 
-    def _is_new_crash(self, news):
+    def _is_always_new(self, news):
         # Those that count crashes tell them apart by target.
         return True
 
@@ -172,7 +173,8 @@
 _IS_NEWS_BY_TYPE = {
     LoadReport: NewsFilter._is_new_report,
     PlacementNotice: NewsFilter._is_new_placement,
-    CrashNews: NewsFilter._is_new_crash,
+    CrashNews: NewsFilter._is_always_new,
+    TargetAnswered: NewsFilter._is_always_new,
 }
 
 
--- a/banyanshore/membership/load_reports.py
+++ b/banyanshore/membership/load_reports.py
@@ -78,11 +78,26 @@
     ended_seconds_ago: float = 0.0
 
 
+@message(116)
+class TargetAnswered:
+    """Tell other gateways that a target has answered which was taken for ended.
+
+    :param address: HTTP address of the target.
+    :param incarnation: start of the target that answered.
+    :param offered_seconds_ago: age of the request that it answered.
+    """
+
+    address: str
+    incarnation: int
+    offered_seconds_ago: float
+
+
 @message(115)
 class NewsBatch:
     """Pass on what has been gathered lately.
 
-    :param items: :class:`LoadReport`, :class:`PlacementNotice` and :class:`CrashNews`.
+    :param items: :class:`LoadReport`, :class:`PlacementNotice`, :class:`CrashNews` and
+        :class:`TargetAnswered`.
     :param is_for_hub: whether the receiver is to pass it on in its data centre.
     """
 
--- a/tests/gateway/crashing.py
+++ b/tests/gateway/crashing.py
@@ -188,7 +188,7 @@
         )
         tasks.start_soon(gateway.link_options.ticker.run)
         tasks.start_soon(gateway.news.run, gateway.link_options, gateway)
-        tasks.start_soon(gateway._explain_breaks)
+        tasks.start_soon(gateway.suspects.run)
         gateway.front = Listener(gateway._handle, gateway._limits)
         self.fronts.append(
             await self._stack.enter_async_context(running(gateway.front))
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -1,5 +1,7 @@
 """The HTTP client: what a target may do to an answer."""
 
+import socket
+
 import anyio
 import pytest
 
@@ -8,7 +10,9 @@
     BrokenAnswerError,
     HttpSession,
     OutgoingRequest,
+    Reach,
     fetch,
+    look_for_listener,
     open_answer,
 )
 from tests.http.raw import read_until, reset, scripted
@@ -136,3 +140,15 @@
         for _ in range(2):
             assert (await session.fetch(GET, 100, 1.0))[2] == b"ok"
         assert script.connections == 2
+
+
+async def test_address_is_open_or_refuses_connections_or_is_silent():
+    async with scripted(answering(OK)) as script:
+        assert await look_for_listener(script.address) is Reach.OPEN
+    assert await look_for_listener(script.address) is Reach.REFUSED
+    (port,) = free_ports(1)
+    with socket.socket() as full, socket.socket() as waiting:
+        full.bind(("127.0.0.1", port))
+        full.listen(0)
+        waiting.connect(("127.0.0.1", port))
+        assert await look_for_listener(f"127.0.0.1:{port}", 0.2) is Reach.SILENT
--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -13,7 +13,7 @@
 def lose(watch, target, offered_at, ended_at, *fingerprints):
     """Have a target end with what it ran, and start again."""
     for fingerprint in fingerprints:
-        watch.record_break(Crash((target, 1), fingerprint, offered_at, ended_at))
+        watch.record_lost(Crash((target, 1), fingerprint, offered_at, ended_at))
     found, _ = watch.explain(ended_at + 1.0, {target: 2})
     return found
 
@@ -23,7 +23,7 @@
     for number in range(3):
         assert not watch.is_refused(4.0 * number, POISON)
         lose(watch, f"t-{number}", 4.0 * number, 4.0 * number + 0.1, POISON, OTHER)
-        watch.record_whole(OTHER)
+        watch.record_whole(10.0, OTHER)
     assert watch.is_refused(10.0, POISON)
     assert not watch.is_refused(10.0, OTHER)
     assert not watch.is_refused(10.0 + EXPIRY_SECONDS, POISON)
@@ -41,7 +41,7 @@
     watch = CrashWatch()
     for number, seconds in itertools.product(range(3), range(5)):
         crash = Crash((f"t-{number}", 1), OTHER, 10.0 * seconds, 10.0 * seconds + 1)
-        watch.record_break(crash)
+        watch.record_lost(crash)
         # Known as before, or not known while it is cut off.
         for incarnation_by_address in ({f"t-{number}": 1}, {}):
             found, _ = watch.explain(10.0 * seconds + 2, incarnation_by_address)
@@ -51,7 +51,7 @@
 
 def test_start_long_after_an_answer_broke_off_explains_nothing():
     watch = CrashWatch()
-    watch.record_break(Crash(("t-1", 1), OTHER, 0.0, 1.0))
+    watch.record_lost(Crash(("t-1", 1), OTHER, 0.0, 1.0))
     found, unexplained = watch.explain(1.1 + EXPLAIN_SECONDS, {"t-1": 2})
     assert not found
     assert [crash.id for crash in unexplained] == [("t-1", 1)]
@@ -63,8 +63,8 @@
         for crash in lose(watch, f"t-{number}", 4.0 * number, 4.0 * number + 1, OTHER):
             far.record_crash(crash)
     assert far.is_refused(10.0, OTHER)
-    assert watch.record_whole(OTHER)
-    far.record_whole(OTHER)
+    assert watch.record_whole(10.0, OTHER)
+    far.record_whole(10.0, OTHER)
     assert not watch.is_refused(10.0, OTHER)
     assert not far.is_refused(10.0, OTHER)
 
@@ -74,3 +74,50 @@
     for _ in range(4):
         watch.record_crash(Crash(("t-1", 1), POISON, 0.0, 1.0))
     assert not watch.is_refused(2.0, POISON)
+
+
+def test_target_that_takes_no_connections_has_ended():
+    """Ends were known only once their targets had started again, if ever."""
+    watch = CrashWatch()
+    for number in range(3):
+        target_id = (f"t-{number}", 1)
+        watch.record_lost(Crash(target_id, POISON, number, number + 0.1))
+        assert [crash.id for crash in watch.record_end(target_id)] == [target_id]
+        assert not watch.record_end(target_id)
+    assert watch.is_refused(3.0, POISON)
+
+
+def test_target_that_answers_later_has_not_ended():
+    """It was behind a cut that refuses connections."""
+    watch, far = CrashWatch(), CrashWatch()
+    for number in range(3):
+        watch.record_lost(Crash((f"t-{number}", 1), OTHER, number, number + 0.1))
+        for crash in watch.record_end((f"t-{number}", 1)):
+            assert far.record_crash(crash)
+    for seen in (watch, far):
+        assert seen.is_refused(3.0, OTHER)
+        assert not seen.record_answer(("t-1", 1), 1.05)
+        assert seen.record_answer(("t-1", 1), 3.0)
+        assert not seen.is_refused(3.0, OTHER)
+    # What others tell of that end is late news.
+    assert not far.record_crash(Crash(("t-1", 1), OTHER, 1.0, 1.1))
+    assert far.record_crash(Crash(("t-1", 1), OTHER, 3.0, 3.5))
+
+
+def test_answer_under_the_old_name_of_a_restarted_target_is_no_proof():
+    watch = CrashWatch()
+    watch.record_lost(Crash(("t-1", 1), POISON, 0.0, 0.1))
+    watch.record_end(("t-1", 1))
+    assert watch.record_answer(("t-1", 1), 1.0)
+    assert watch.count(POISON) == 0
+    found, _ = watch.explain(2.0, {"t-1": 2})
+    assert [crash.fingerprint for crash in found] == [POISON]
+    assert watch.count(POISON) == 1
+
+
+def test_late_news_does_not_bring_a_cleared_request_back():
+    watch = CrashWatch()
+    crash = Crash(("t-1", 1), OTHER, 0.0, 0.1)
+    assert watch.record_crash(crash)
+    assert watch.record_whole(1.0, OTHER)
+    assert not watch.record_crash(crash)
