Take offers that fall silent or are given up for possible ends of their targets

What callers saw: as before, where targets fall silent as they end (no power, a lost machine): 504 at their deadline, and the next target ended by the next repeat. Cause: an offer that may run once is waited for until its deadline, and one whose caller leaves is cancelled; both were forgotten without a look at the target. Class: evidence is kept in the path that ends well, and dropped on cancellation. Ruled out: ending such offers sooner; a ready answer is delivered, also late. Change: gateways keep the offers under way. One whose target has not begun to answer in the time of a sound target, and has begun no other answer for a second, has its target looked at while it waits on; one that is given up is kept until a restart explains it.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -58,8 +58,8 @@
         self._address = ""
         self._load = 0
         self._first_at = None
-        # Time at which the offer was sent that is under way.
-        self._offered_at = None
+        # The offer that a target has now.
+        self._under_way = None
 
     @property
     def _seconds_left(self):
@@ -142,33 +142,43 @@
         request = self._gateway.dialect.build(self._request, self._body, offer)
         await self._gateway.place(now, row, self._screened)
         self._is_offered = True
-        self._offered_at = now
+        suspects = self._gateway.suspects
+        silent_at = now + self._usual_patience()
+        under_way = suspects.begin(row, self._screened, self._body, now, silent_at)
+        self._under_way = under_way
+        is_over = False
+        try:
+            outcome = await self._send(row, request, under_way)
+            is_over = True
+        finally:
+            board.end(row)
+            suspects.end(under_way)
+            if not is_over:
+                suspects.record_given_up(under_way)
+        self._under_way = None
+        self._judge_target(row, outcome)
+        if outcome in (Outcome.LOST, Outcome.BROKEN_OFF):
+            suspects.record_lost(under_way)
+        elif outcome is None:
+            await suspects.record_answer(under_way)
+        return outcome
+
+    async def _send(self, row, request, under_way):
+        """Send a request to its target; return the outcome unless it is answered."""
         try:
             async with open_answer(
                 row.address, request, CONNECT_SECONDS, self._patience_for_head()
             ) as answer:
-                outcome = await self._take(answer)
+                self._gateway.suspects.record_heard(under_way)
+                return await self._take(answer)
         except UnavailableError as error:
             self._is_offered = False
             self._log("target not reached", why=error.message)
-            outcome = Outcome.UNREACHABLE
+            return Outcome.UNREACHABLE
         except BrokenAnswerError as error:
             self._log("answer broke off", why=error.message)
             started = self._exchange.started
-            outcome = Outcome.BROKEN_OFF if started else Outcome.LOST
-        finally:
-            board.end(row)
-        self._offered_at = None
-        self._judge_target(row, outcome)
-        await self._watch_for_crash(row, outcome, now)
-        return outcome
-
-    async def _watch_for_crash(self, row, outcome, offered_at):
-        suspects = self._gateway.suspects
-        if outcome in (Outcome.LOST, Outcome.BROKEN_OFF):
-            suspects.record_lost(row, self._screened, self._body, offered_at)
-        elif outcome is None:
-            await suspects.record_answer(row, self._screened, self._body, offered_at)
+            return Outcome.BROKEN_OFF if started else Outcome.LOST
 
     def _may_offer_again(self):
         attempts = self._attempts
@@ -179,8 +189,10 @@
 
         One that can't be asked again is waited for until the deadline.
         """
-        if not self._may_offer_again():
-            return math.inf
+        return self._usual_patience() if self._may_offer_again() else math.inf
+
+    def _usual_patience(self):
+        """Return how long a sound target takes at most to begin to answer."""
         route = self._screened.route
         return head_patience(route.objective_seconds, self._pace())
 
@@ -290,6 +302,7 @@
         self._log_end("broken off", 200, why=why)
 
     async def _on_deadline(self):
+        self._log("deadline", under_way_ms=self._under_way_ms())
         if self._exchange.started:
             await self._break_off("deadline", None)
         elif self._is_offered or self._attempts.may_have_run:
@@ -299,7 +312,13 @@
 
     def log_caller_left(self):
         """Tell the log that the caller closed the connection."""
-        self._log_end("caller left", 0)
+        self._log_end("caller left", 0, under_way_ms=self._under_way_ms())
+
+    def _under_way_ms(self):
+        """Return for how long a target has had the request that it has now."""
+        if self._under_way is None:
+            return None
+        return round((time.monotonic() - self._under_way.offered_at) * 1000)
 
     def _log(self, message, **details):
         logger.info(
@@ -318,7 +337,6 @@
         now = time.monotonic()
         gateway = self._gateway
         first = None if self._first_at is None else self._first_at - self._arrived_at
-        offered_at = self._offered_at
         gateway.metrics.record_end(
             self._screened.service, outcome, first, now - self._arrived_at
         )
@@ -330,9 +348,6 @@
             model_version=self._version,
             first_ms=None if first is None else round(first * 1000),
             total_ms=round((now - self._arrived_at) * 1000),
-            under_way_ms=None
-            if offered_at is None
-            else round((now - offered_at) * 1000),
             **details,
         )
 
--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -1,7 +1,9 @@
 """Find the requests that crash targets, and carry their news between the gateways."""
 
 import logging
+import math
 import time
+from dataclasses import dataclass
 
 import anyio
 
@@ -15,10 +17,39 @@
 # Seconds before each look at a target whose answer was lost. One that has ended refuses
 # connections at once; one that isn't reached at all is looked for again, since a full
 # queue or a lost packet looks the same.
-LOOK_DELAYS = (0.05, 0.5)
-# Seconds between looks for targets that have started again: well within the time in
-# which that explains an answer that was lost.
-EXPLAIN_INTERVAL = 0.5
+LOOK_DELAYS = (0.05, 0.25)
+# Seconds between looks for targets that have started again, and for offers that no
+# target has begun to answer: well within the time in which a restart explains an answer
+# that was lost.
+EXPLAIN_INTERVAL = 0.25
+# Seconds for which a target that has begun to answer any request isn't looked at for
+# being silent on another: a full target is slow.
+HEARD_SECONDS = 1.0
+
+
+@dataclass
+class UnderWay:
+    """An offer that a target has.
+
+    :param row: row of the target.
+    :param offered_at: time at which the request was sent to it.
+    :param silent_at: time at which a sound target would have begun to answer.
+    :ivar is_heard: whether the head of an answer has come.
+    :ivar is_lost: whether the answer has been given up, here or by the caller.
+    """
+
+    row: object
+    screened: object
+    body: bytes
+    offered_at: float
+    silent_at: float
+    is_heard: bool = False
+    is_lost: bool = False
+
+    @property
+    def target_id(self):
+        """Return what tells the target's starts apart."""
+        return self.row.address, self.row.incarnation
 
 
 class Suspects:
@@ -37,6 +68,8 @@
         self._tasks = None
         # Targets that are being looked at.
         self._looked_at = set()
+        self._offers_by_key = {}
+        self._heard_at_by_id = {}
 
     async def run(self):
         """Look for targets that have ended, until cancelled."""
@@ -44,6 +77,7 @@
             self._tasks = tasks
             while True:
                 await anyio.sleep(EXPLAIN_INTERVAL)
+                self._lose_silent()
                 await self.explain()
 
     def is_refused(self, screened, body):
@@ -52,17 +86,57 @@
             return False
         return self._watch.is_refused(time.monotonic(), _fingerprint(screened, body))
 
-    def record_lost(self, row, screened, body, offered_at):
-        """Take an answer of a target that ended with its connection."""
-        fingerprint = _fingerprint(screened, body)
-        target_id = (row.address, row.incarnation)
-        crash = Crash(target_id, fingerprint, offered_at, time.monotonic())
-        self._watch.record_lost(crash)
-        self._log("answer lost", crash, request_id=screened.request.request_id)
+    def begin(self, row, screened, body, offered_at, silent_at):
+        """Return the :class:`UnderWay` of an offer that is about to be sent."""
+        under_way = UnderWay(row, screened, body, offered_at, silent_at)
+        self._offers_by_key[id(under_way)] = under_way
+        return under_way
+
+    def record_heard(self, under_way):
+        """Take the head of an answer."""
+        under_way.is_heard = True
+        self._heard_at_by_id[under_way.target_id] = time.monotonic()
+
+    def end(self, under_way):
+        """Forget an offer; one that was given up may be a crash all the same."""
+        del self._offers_by_key[id(under_way)]
+
+    def record_lost(self, under_way):
+        """Take an answer that ended with its connection, and look at its target."""
+        self._lose(under_way, "answer lost")
+        target_id = under_way.target_id
         if self._tasks is not None and target_id not in self._looked_at:
             self._looked_at.add(target_id)
             self._tasks.start_soon(self._look_at, target_id)
 
+    def record_given_up(self, under_way):
+        """Take an offer that ended with its deadline, or since its caller left."""
+        if not under_way.is_lost:
+            self._lose(under_way, "answer not waited for")
+
+    def _lose(self, under_way, message):
+        under_way.is_lost = True
+        fingerprint = _fingerprint(under_way.screened, under_way.body)
+        crash = Crash(
+            under_way.target_id, fingerprint, under_way.offered_at, time.monotonic()
+        )
+        self._watch.record_lost(crash)
+        request_id = under_way.screened.request.request_id
+        self._log(message, crash, request_id=request_id)
+
+    def _lose_silent(self):
+        """Look at targets that have not begun to answer in their time.
+
+        An offer that may not be repeated is waited for until its deadline, which is too
+        late to find out that its target has ended.
+        """
+        now = time.monotonic()
+        for offer in list(self._offers_by_key.values()):
+            heard_at = self._heard_at_by_id.get(offer.target_id, -math.inf)
+            is_silent = now >= offer.silent_at and now - heard_at > HEARD_SECONDS
+            if is_silent and not (offer.is_heard or offer.is_lost):
+                self.record_lost(offer)
+
     async def _look_at(self, target_id):
         """Find out whether a target still takes connections."""
         address, _ = target_id
@@ -79,19 +153,19 @@
         finally:
             self._looked_at.discard(target_id)
 
-    async def record_answer(self, row, screened, body, offered_at):
+    async def record_answer(self, under_way):
         """Take a whole answer, which clears the request and shows the target alive."""
-        target_id = (row.address, row.incarnation)
-        if self._watch.record_answer(target_id, offered_at):
+        target_id = under_way.target_id
+        if self._watch.record_answer(target_id, under_way.offered_at):
             logger.info(
                 "target answers, and has not ended",
-                extra={"target": row.id, "target_address": row.address},
+                extra={"target": under_way.row.id, "target_address": target_id[0]},
             )
-            seconds_ago = time.monotonic() - offered_at
+            seconds_ago = time.monotonic() - under_way.offered_at
             await self.tell(TargetAnswered(*target_id, seconds_ago))
         if not self._watch.knows_any:
             return
-        fingerprint = _fingerprint(screened, body)
+        fingerprint = _fingerprint(under_way.screened, under_way.body)
         if self._watch.record_whole(time.monotonic(), fingerprint):
             logger.info(
                 "suspected request was answered", extra={"request": fingerprint.hex()}
@@ -100,10 +174,15 @@
 
     async def explain(self):
         """Find the targets that started again after their answers were lost."""
+        if not self._watch.knows_any:
+            return
         now = time.monotonic()
         incarnations = {
             row.address: row.incarnation for row in self._registry.targets.rows()
         }
+        for target_id in list(self._heard_at_by_id):
+            if incarnations.get(target_id[0]) != target_id[1]:
+                del self._heard_at_by_id[target_id]
         found, unexplained = self._watch.explain(now, incarnations)
         for crash in unexplained:
             self._log("lost answer not explained", crash)
--- a/tests/gateway/crashing.py
+++ b/tests/gateway/crashing.py
@@ -104,26 +104,27 @@
             yield
 
     async def _serve(self, stream):
-        async with stream:
-            data = b""
-            while b"\r\n\r\n" not in data or data.endswith(b"\r\n\r\n"):
-                try:
-                    data += await stream.receive()
-                except (anyio.EndOfStream, anyio.BrokenResourceError):
-                    return
-            is_poison = data.endswith(b"poison")
-            arrival = Arrival(time.monotonic(), self.number, self.service, is_poison)
-            self._fleet.arrivals.append(arrival)
-            if not is_poison:
-                await anyio.sleep(self._fleet.work_seconds)
-                await stream.send(WHOLE)
+        data = b""
+        while b"\r\n\r\n" not in data or data.endswith(b"\r\n\r\n"):
+            try:
+                data += await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                await stream.aclose()
                 return
-            if self._is_silent:
-                self._ended.set()
-                with anyio.CancelScope(shield=True):
-                    await anyio.sleep(self._fleet.silence_seconds)
-                return
-            reset(stream)
+        is_poison = data.endswith(b"poison")
+        arrival = Arrival(time.monotonic(), self.number, self.service, is_poison)
+        self._fleet.arrivals.append(arrival)
+        if not is_poison:
+            await anyio.sleep(self._fleet.work_seconds)
+            await stream.send(WHOLE)
+        if is_poison and self._is_silent:
+            # Kept open until the fleet ends.
+            self._fleet.silent_streams.append(stream)
+        else:
+            if is_poison:
+                reset(stream)
+            await stream.aclose()
+        if is_poison:
             self._ended.set()
 
 
@@ -137,7 +138,7 @@
     def __init__(self, stack, tasks, route):
         self.arrivals = []
         self.work_seconds = 0.05
-        self.silence_seconds = 6.0
+        self.silent_streams = []
         self.gateways = []
         self.fronts = []
         self.statuses = []
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.gateway.crashing import POISON, SOUND, crashing_fleet
+from tests.http.raw import connect
 
 pytestmark = pytest.mark.anyio
 
@@ -50,6 +51,19 @@
         assert fleet.statuses == [200] * 4
 
 
+async def test_caller_that_leaves_takes_no_evidence_along():
+    """An offer whose caller had left was forgotten, whatever became of its target."""
+    route = ROUTE_BY_KIND["non_idempotent"]
+    options = {"gateways": 1, "down_seconds": 0.3, "is_silent": True}
+    async with crashing_fleet(**options, **route) as fleet:
+        for _ in range(5):
+            async with await connect(fleet.fronts[0]) as stream:
+                await stream.send(POISON)
+                await anyio.sleep(0.1)
+            await anyio.sleep(0.8)
+        assert len(fleet.poison_arrivals()) == 3
+
+
 async def test_gateway_that_starts_later_knows_what_the_others_know():
     """News of ends was told once, to those that were there."""
     route = ROUTE_BY_KIND["non_idempotent"]
