Look a request up before each of its offers, not only as it arrives

What callers saw: an attempt whose first target had ended, and with it the third, was offered to a second target all the same. Cause: what is known of a request was asked once, at its arrival. Class: a permission is checked where work begins, not right before the act that uses it. Ruled out: refusing after two ends; too little evidence beside others that ran there. Change: the check is part of the choice of a target. Retry-After goes by the time that the caller states, not by the route's.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -229,10 +229,6 @@
             return
         self.retry_share(screened.service).record_request(arrived_at)
         body = await exchange.read_body()
-        if self.suspects.is_refused(screened, body):
-            rejection = Rejection(503, "crashes targets", Reason.CRASHES_TARGETS)
-            await self._reject(exchange, request, rejection)
-            return
         run = RequestRun(self, exchange, screened, body, arrived_at)
         try:
             ended = await exchange.run_while_connected(run.run)
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -97,6 +97,8 @@
         unconfirmed = gateway.feed.confirmed_seconds_ago
         if not gateway.screening.is_still_allowed(self._screened, unconfirmed):
             return NoChoice(Reason.CUT_OFF)
+        if gateway.suspects.is_refused(self._screened, self._body):
+            return NoChoice(Reason.CRASHES_TARGETS)
         now = time.monotonic()
         model = self._request.model
         names = gateway.gateway_names()
@@ -158,7 +160,7 @@
         self._under_way = None
         self._judge_target(row, outcome)
         if outcome in (Outcome.LOST, Outcome.BROKEN_OFF):
-            suspects.record_lost(under_way)
+            await suspects.record_lost(under_way)
         elif outcome is None:
             await suspects.record_answer(under_way)
         return outcome
@@ -278,7 +280,9 @@
 
     async def _refuse(self, why, choice):
         reason = choice.reason if choice else Reason.TARGET_REFUSED
-        retry_after = self._gateway.return_seconds(reason, self._seconds_left)
+        waited = time.monotonic() - self._arrived_at
+        caller_seconds_left = self._request.patience_seconds - waited
+        retry_after = self._gateway.return_seconds(reason, caller_seconds_left)
         headers = self._gateway.dialect.refusal_headers(self._request, retry_after)
         self._log_end("refused", 503, why=why, retry_after=retry_after)
         await self._exchange.respond(503, headers)
--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -9,7 +9,7 @@
 
 from banyanshore.http.upstream import Reach, look_for_listener
 from banyanshore.membership.load_reports import CrashNews, TargetAnswered
-from banyanshore.routing.crashes import Crash, CrashWatch
+from banyanshore.routing.crashes import MOST_CRASHES, Crash, CrashWatch
 from banyanshore.routing.quarantine import request_fingerprint
 
 logger = logging.getLogger(__name__)
@@ -101,10 +101,19 @@
         """Forget an offer; one that was given up may be a crash all the same."""
         del self._offers_by_key[id(under_way)]
 
-    def record_lost(self, under_way):
-        """Take an answer that ended with its connection, and look at its target."""
-        self._lose(under_way, "answer lost")
-        target_id = under_way.target_id
+    async def record_lost(self, under_way):
+        """Take an answer that ended with its connection, and look at its target.
+
+        Where one more crash has the request refused, this waits for what is found, so
+        that it isn't offered again before.
+        """
+        crash = self._lose(under_way, "answer lost")
+        if self._watch.count(crash.fingerprint) == MOST_CRASHES - 1:
+            await self._look_at(crash.id)
+        else:
+            self._start_look(crash.id)
+
+    def _start_look(self, target_id):
         if self._tasks is not None and target_id not in self._looked_at:
             self._looked_at.add(target_id)
             self._tasks.start_soon(self._look_at, target_id)
@@ -123,6 +132,7 @@
         self._watch.record_lost(crash)
         request_id = under_way.screened.request.request_id
         self._log(message, crash, request_id=request_id)
+        return crash
 
     def _lose_silent(self):
         """Look at targets that have not begun to answer in their time.
@@ -135,7 +145,8 @@
             heard_at = self._heard_at_by_id.get(offer.target_id, -math.inf)
             is_silent = now >= offer.silent_at and now - heard_at > HEARD_SECONDS
             if is_silent and not (offer.is_heard or offer.is_lost):
-                self.record_lost(offer)
+                crash = self._lose(offer, "no answer begun")
+                self._start_look(crash.id)
 
     async def _look_at(self, target_id):
         """Find out whether a target still takes connections."""
