Know a request again whatever service its route sends it to

Cause: the digest of a request held the service, which is drawn anew for each attempt. Class: an identity holds a choice of our own. Change: the digest holds the host that the caller addresses instead. Figures (pytest): test_requests_that_a_route_sends_to_two_services_are_one failed before (5 arrivals instead of 3) and passes now.

--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -258,7 +258,8 @@
     request = screened.request
     return request_fingerprint(
         screened.workspace.name or request.key,
-        screened.service,
+        # A route may send repeats of one request to different services.
+        request.host,
         request.method.decode("latin-1"),
         request.target.decode("latin-1"),
         body,
--- a/banyanshore/routing/quarantine.py
+++ b/banyanshore/routing/quarantine.py
@@ -141,10 +141,13 @@
             ran.discard(fingerprint)
 
 
-def request_fingerprint(workspace, service, method, path, body):
-    """Return a digest that is the same when a caller sends a request again."""
+def request_fingerprint(workspace, destination, method, path, body):
+    """Return a digest that is the same when a caller sends a request again.
+
+    :param destination: what the caller addresses it to, such as a service or a host.
+    """
     digest = hashlib.blake2b(digest_size=16)
-    for part in (workspace, service, method, path):
+    for part in (workspace, destination, method, path):
         digest.update(part.encode())
         digest.update(b"\0")
     digest.update(body)
