Count ends at the same time apart unless other targets ended with them

Cause: ends counted only one after the other, to spare requests that run in a data centre as it loses power. Class: a guard against one kind of false alarm that hides the true one. Ruled out: counting each end; a hot request would be refused after a power loss. Change: ends within a second count as one only if a target that did not run the request ended with them. Test replaced: test_targets_that_end_at_once_are_one_crash had five targets that all ran the one request and no other end; that is what a poisoned request looks like. Its case now has another target that ended, and the other case asserts the opposite.

--- a/banyanshore/routing/crashes.py
+++ b/banyanshore/routing/crashes.py
@@ -5,8 +5,9 @@
 alone, since connections are reset and cut for other reasons. It counts once its target
 is known to have ended: nobody takes connections there any more, or it has started
 again. A target that answers later after all has not ended, and what was counted of it
-is withdrawn. Many callers may send the same request, and many targets may end at once,
-so that only crashes one after the other count, with no whole answer in between.
+is withdrawn. Many callers may send the same request, and many targets may end at once
+for a reason of their own, so that crashes at the same time count as one if a target
+that did not run the request ended with them. A whole answer clears a request.
 """
 
 from dataclasses import dataclass
@@ -18,6 +19,8 @@
 MOST_CRASHES = 3
 # Seconds after its last crash at which a request is forgotten.
 EXPIRY_SECONDS = 60.0
+# Seconds between the ends of targets that may have a cause in common.
+SAME_TIME_SECONDS = 1.0
 # Lost answers that may still be explained; the oldest are forgotten.
 MAX_LOST = 2048
 # Requests that are suspected; the oldest are forgotten.
@@ -41,17 +44,20 @@
     ended_at: float
 
 
-def count_in_turn(crashes):
-    """Return how many crashes came one after the other.
+def count_crashes(crashes, shared_ids=None):
+    """Return how many crashes count.
 
-    >>> count_in_turn([Crash((), b"", 0.0, 1.0), Crash((), b"", 0.5, 1.1)])
-    1
-    >>> count_in_turn([Crash((), b"", 0.0, 1.0), Crash((), b"", 1.0, 1.1)])
-    2
+    :param shared_ids: ids of those that may have another cause, by default all. Of
+        these only those count that came one after the other.
+
+    >>> one, other = Crash(1, b"", 0.0, 1.0), Crash(2, b"", 0.5, 1.1)
+    >>> count_crashes([one, other]), count_crashes([one, other], {1})
+    (1, 2)
     """
     count, last_end = 0, float("-inf")
     for crash in sorted(crashes, key=lambda crash: crash.ended_at):
-        if crash.offered_at >= last_end:
+        is_shared = shared_ids is None or crash.id in shared_ids
+        if not is_shared or crash.offered_at >= last_end:
             count += 1
             last_end = crash.ended_at
     return count
@@ -163,7 +169,15 @@
     def count(self, fingerprint):
         """Return how many crashes of a request count."""
         crashes = self._crash_by_id_by_fingerprint.get(fingerprint, {})
-        return count_in_turn(crashes.values())
+        if len(crashes) < 2:
+            return len(crashes)
+        others = [at for key, at in self._ended_at_by_id.items() if key not in crashes]
+        shared_ids = {
+            crash.id
+            for crash in crashes.values()
+            if any(abs(at - crash.ended_at) <= SAME_TIME_SECONDS for at in others)
+        }
+        return count_crashes(crashes.values(), shared_ids)
 
     def is_refused(self, now, fingerprint):
         """Tell whether a request is known to crash its targets."""
--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -34,9 +34,20 @@
     watch = CrashWatch()
     for number in range(5):
         lose(watch, f"t-{number}", 1.0 + 0.1 * number, 2.0 + 0.1 * number, OTHER)
+    # Others ran at other targets there.
+    lose(watch, "t-9", 1.0, 2.3, b"third")
     assert not watch.is_refused(4.0, OTHER)
 
 
+def test_three_targets_that_alone_end_at_once_are_three_crashes():
+    watch = CrashWatch()
+    for number in range(3):
+        lose(watch, f"t-{number}", 1.0, 2.0 + 0.1 * number, POISON)
+    # A target that ended long before has nothing to do with them.
+    lose(watch, "t-9", 0.1, 0.5, OTHER)
+    assert watch.is_refused(4.0, POISON)
+
+
 def test_connections_that_are_cut_or_reset_make_no_suspect():
     watch = CrashWatch()
     for number, seconds in itertools.product(range(3), range(5)):
