Tell again what is known of requests that crash targets

What callers saw: a gateway that had just started, or had missed the news, sent a request to three more targets that the others refused. Cause: news of ends was told once, over links that drop what they can't take, and never to gateways that came later. Class: state spread by events alone, without repair. Ruled out: putting it into the replicated state; it has to hold while control is away, and a log entry for each lost answer costs more than it is worth. Change: who finds an end, or clears a request, tells it for 5 s; gateways that pass news on tell the ends of requests that are refused, or nearly so, each second (64 at most). What a gateway knows already isn't passed on again.

--- a/banyanshore/gateway/news.py
+++ b/banyanshore/gateway/news.py
@@ -104,6 +104,15 @@
             link = self._links.get(row.address, row.instance)
             await link.notify_or_drop(item)
 
+    def repeat(self, items):
+        """Tell again what all should know, if this gateway is one that passes news on.
+
+        News may be lost, and gateways start after it was told.
+        """
+        if self._is_hub():
+            for item in items:
+                self._gather(item)
+
     async def on_item(self, connection, item):
         """Take an item from an instance of this data centre, and pass it on."""
         if self._take(item):
@@ -127,20 +136,21 @@
         """Use an item; tell whether it was news."""
         if not self._filter.is_news(item):
             return False
-        _USE_BY_TYPE[type(item)](self, time.monotonic(), item)
-        return True
+        return _USE_BY_TYPE[type(item)](self, time.monotonic(), item)
 
     def _use_report(self, now, report):
         self._board.record_report(now, report)
+        return True
 
     def _use_placement(self, now, notice):
         self._board.record_placement(now, notice)
+        return True
 
     def _use_crash(self, now, news):
-        self._suspects.record_news(news)
+        return self._suspects.record_news(news)
 
     def _use_target_answered(self, now, news):
-        self._suspects.record_target_answered(news)
+        return self._suspects.record_target_answered(news)
 
     async def run(self, links_options, handler):
         """Pass on what is gathered, until cancelled.
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -95,6 +95,7 @@
         self.suspects = Suspects(self.registry, self.metrics)
         self.news = LoadNews(member, self.registry, self.board, self.suspects)
         self.suspects.tell = self.news.tell
+        self.suspects.repeat = self.news.repeat
         self.relay = WeightsRelay(self, make_origin)
 
     def _member(self):
--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -3,7 +3,9 @@
 import logging
 import math
 import time
+from collections import deque
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 
@@ -22,6 +24,12 @@
 # target has begun to answer: well within the time in which a restart explains an answer
 # that was lost.
 EXPLAIN_INTERVAL = 0.25
+# Seconds between repeats of the news of crashes.
+REPEAT_INTERVAL = 1.0
+# Seconds for which a gateway repeats what it has found itself, longer than a link takes
+# to be opened anew, and how many items at most.
+FOUND_SECONDS = 5.0
+MAX_FOUND = 64
 # Seconds for which a target that has begun to answer any request isn't looked at for
 # being silent on another: a full target is slow.
 HEARD_SECONDS = 1.0
@@ -58,10 +66,12 @@
     :param registry: the :class:`~banyanshore.membership.feed.Registry`.
     :param metrics: the :class:`~banyanshore.telemetry.gateway.GatewayMetrics`.
     :ivar tell: coroutine function that tells the other gateways an item of news.
+    :ivar repeat: function that tells them items again if this gateway passes news on.
     """
 
     def __init__(self, registry, metrics):
         self.tell = None
+        self.repeat = None
         self._metrics = metrics
         self._registry = registry
         self._watch = CrashWatch()
@@ -69,16 +79,39 @@
         # Targets that are being looked at.
         self._looked_at = set()
         self._offers_by_key = {}
+        self._found = deque(maxlen=MAX_FOUND)
         self._heard_at_by_id = {}
 
     async def run(self):
         """Look for targets that have ended, until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            repeat_at = -math.inf
             while True:
                 await anyio.sleep(EXPLAIN_INTERVAL)
                 self._lose_silent()
                 await self.explain()
+                if time.monotonic() >= repeat_at:
+                    repeat_at = time.monotonic() + REPEAT_INTERVAL
+                    await self._repeat_news()
+
+    async def _tell_found(self, make_news):
+        """Tell what this gateway has found, now and some times more.
+
+        :param make_news: function of the time that returns the news.
+        """
+        now = time.monotonic()
+        self._found.append((now, make_news))
+        await self.tell(make_news(now))
+
+    async def _repeat_news(self):
+        """Tell again what may have been lost, and what a new gateway has to know."""
+        now = time.monotonic()
+        while self._found and now - self._found[0][0] > FOUND_SECONDS:
+            self._found.popleft()
+        for _, make_news in self._found:
+            await self.tell(make_news(now))
+        self.repeat(_crash_news(crash, now) for crash in self._watch.convincing())
 
     def is_refused(self, screened, body):
         """Tell whether a request is known to crash its targets."""
@@ -181,7 +214,7 @@
             logger.info(
                 "suspected request was answered", extra={"request": fingerprint.hex()}
             )
-            await self.tell(CrashNews(fingerprint))
+            await self._tell_found(lambda now: CrashNews(fingerprint))
 
     async def explain(self):
         """Find the targets that started again after their answers were lost."""
@@ -200,30 +233,32 @@
         await self._tell_crashes(found)
 
     async def _tell_crashes(self, crashes):
-        now = time.monotonic()
         for crash in crashes:
             self._log("target ended while it ran a request", crash, logging.WARNING)
-            await self.tell(_crash_news(now, crash))
+            await self._tell_found(partial(_crash_news, crash))
 
     def record_news(self, news):
-        """Take the news of another gateway."""
+        """Take the news of another gateway; tell whether it was new here."""
         now = time.monotonic()
         if not news.address:
             self._watch.record_whole(now, news.fingerprint)
-            return
+            return True
         crash = Crash(
             (news.address, news.incarnation),
             news.fingerprint,
             now - news.offered_seconds_ago,
             now - news.ended_seconds_ago,
         )
-        if self._watch.record_crash(crash):
+        is_new = self._watch.record_crash(crash)
+        if is_new:
             self._log("told of a target that ended", crash)
+        return is_new
 
     def record_target_answered(self, news):
         """Take the news that a target has answered another gateway."""
         offered_at = time.monotonic() - news.offered_seconds_ago
         self._watch.record_answer((news.address, news.incarnation), offered_at)
+        return True
 
     def _log(self, message, crash, level=logging.INFO, **details):
         """Log what became of an answer that was lost, and count it."""
@@ -243,7 +278,7 @@
         )
 
 
-def _crash_news(now, crash):
+def _crash_news(crash, now):
     address, incarnation = crash.id
     return CrashNews(
         crash.fingerprint,
--- a/banyanshore/routing/crashes.py
+++ b/banyanshore/routing/crashes.py
@@ -25,6 +25,8 @@
 MAX_LOST = 2048
 # Requests that are suspected; the oldest are forgotten.
 MAX_SUSPECTS = 1024
+# Crashes that are told again and again; bytes between regions are few.
+MAX_CONVINCING = 64
 # Requests that were cleared lately, so that late news doesn't bring them back.
 MAX_CLEARED = 256
 
@@ -189,6 +191,16 @@
             return False
         return self.count(fingerprint) >= MOST_CRASHES
 
+    def convincing(self):
+        """Return the newest crashes of requests that are refused, or nearly so."""
+        found = []
+        for crashes in reversed(self._crash_by_id_by_fingerprint.values()):
+            if len(crashes) >= MOST_CRASHES - 1:
+                found += list(crashes.values())[-MOST_CRASHES:]
+            if len(found) >= MAX_CONVINCING:
+                break
+        return found
+
     def _keep_lost(self, target_id, kept):
         if kept:
             self._lost_by_id[target_id] = kept
