Refuse a request for longer the more targets it has ended

A request that comes for hours ended three more targets each minute, and one that comes each minute was never known. Cause: all that is known of a request was forgotten a minute after its last end. Ruled out: refusing for good; one that was blamed wrongly would never be cleared. Change: it is refused for a minute, eight times longer after each further end, and is remembered for a quarter of an hour or twice as long as that.

--- a/banyanshore/routing/crashes.py
+++ b/banyanshore/routing/crashes.py
@@ -17,8 +17,14 @@
 EXPLAIN_SECONDS = 10.0
 # Crashes from which a request is refused.
 MOST_CRASHES = 3
-# Seconds after its last crash at which a request is forgotten.
-EXPIRY_SECONDS = 60.0
+# Seconds after the last of so many crashes for which it is refused, and the factor
+# for each further one: one that goes on to crash targets gets to few of them in a day,
+# and one that was blamed wrongly is answered after a minute.
+REFUSAL_SECONDS = 60.0
+REFUSAL_FACTOR = 8
+MAX_REFUSAL_FACTORS = 3
+# Seconds after its last crash at which a request is forgotten that isn't refused.
+EXPIRY_SECONDS = 900.0
 # Seconds between the ends of targets that may have a cause in common.
 SAME_TIME_SECONDS = 1.0
 # Lost answers that may still be explained; the oldest are forgotten.
@@ -65,6 +71,19 @@
     return count
 
 
+def refusal_seconds(count):
+    """Return for how long a request is refused after its last crash.
+
+    >>> refusal_seconds(2), refusal_seconds(3), refusal_seconds(5)
+    (0.0, 60.0, 3840.0)
+    """
+    if count < MOST_CRASHES:
+        return 0.0
+    return REFUSAL_SECONDS * REFUSAL_FACTOR ** min(
+        MAX_REFUSAL_FACTORS, count - MOST_CRASHES
+    )
+
+
 class CrashWatch:
     """Lost answers, and the crashes that they turned out to be."""
 
@@ -187,9 +206,7 @@
         if not crashes:
             return False
         last_end = max(crash.ended_at for crash in crashes.values())
-        if now - last_end > EXPIRY_SECONDS:
-            return False
-        return self.count(fingerprint) >= MOST_CRASHES
+        return now - last_end < refusal_seconds(self.count(fingerprint))
 
     def convincing(self):
         """Return the newest crashes of requests that are refused, or nearly so."""
@@ -211,7 +228,8 @@
         """Forget old crashes, and targets that are no longer known."""
         for fingerprint, crashes in list(self._crash_by_id_by_fingerprint.items()):
             last_end = max(crash.ended_at for crash in crashes.values())
-            if now - last_end > EXPIRY_SECONDS:
+            refused_seconds = refusal_seconds(self.count(fingerprint))
+            if now - last_end > max(EXPIRY_SECONDS, 2 * refused_seconds):
                 del self._crash_by_id_by_fingerprint[fingerprint]
         for target_id, at in list(self._ended_at_by_id.items()):
             if now - at > EXPIRY_SECONDS:
--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -1,8 +1,8 @@
 import itertools
 
 from banyanshore.routing.crashes import (
-    EXPIRY_SECONDS,
     EXPLAIN_SECONDS,
+    REFUSAL_SECONDS,
     Crash,
     CrashWatch,
 )
@@ -26,7 +26,7 @@
         watch.record_whole(10.0, OTHER)
     assert watch.is_refused(10.0, POISON)
     assert not watch.is_refused(10.0, OTHER)
-    assert not watch.is_refused(10.0 + EXPIRY_SECONDS, POISON)
+    assert not watch.is_refused(10.0 + REFUSAL_SECONDS, POISON)
 
 
 def test_targets_that_end_at_once_are_one_crash():
@@ -132,3 +132,24 @@
     assert watch.record_crash(crash)
     assert watch.record_whole(1.0, OTHER)
     assert not watch.record_crash(crash)
+
+
+def test_request_that_crashes_targets_for_hours_gets_to_few_of_them():
+    """It was forgotten after a minute, and then ended three targets more."""
+    watch = CrashWatch()
+    crashed_at = []
+    for second in range(0, 4 * 3600, 5):
+        if not watch.is_refused(second, POISON):
+            lose(watch, f"t-{second}", second, second + 0.1, POISON)
+            crashed_at.append(second)
+        watch.explain(second + 4.0, {})
+    assert crashed_at[:3] == [0, 5, 10]
+    assert len(crashed_at) <= 3 + 3
+
+
+def test_request_that_comes_each_minute_is_known_again():
+    watch = CrashWatch()
+    for number in range(3):
+        lose(watch, f"t-{number}", 70.0 * number, 70.0 * number + 0.1, POISON)
+        watch.explain(70.0 * number + 60.0, {})
+    assert watch.is_refused(150.0, POISON)
