--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -151,5 +151,5 @@
     watch = CrashWatch()
     for number in range(3):
         lose(watch, f"t-{number}", 70.0 * number, 70.0 * number + 0.1, POISON)
-        watch.explain(70.0 * number + 60.0, {})
+        watch.explain(70.0 * number + 65.0, {})
     assert watch.is_refused(150.0, POISON)
