--- a/tests/processes/test_requests.py
+++ b/tests/processes/test_requests.py
@@ -108,6 +108,23 @@
     assert total_falls(deployment) <= 2
 
 
+def test_entry_that_starts_again_knows_which_requests_are_quarantined(deployment):
+    """News of crashes is told once, and not to entries that start later."""
+    for _ in range(8):
+        if deployment.chat("entry-1", "POISON", timeout=40).status_code == 422:
+            break
+        time.sleep(0.5)
+    before = total_falls(deployment)
+    process = deployment.processes["entry-5"]
+    process.kill()
+    process.start()
+    wait_for(lambda: deployment.chat("entry-5", "sound").status_code == 200, 20)
+    # Longer than any news is on its way.
+    time.sleep(3)
+    assert deployment.chat("entry-5", "POISON", timeout=40).status_code == 422
+    assert total_falls(deployment) == before
+
+
 def test_order_sent_again_after_its_entry_died_runs_once(deployment):
     def send():
         try:
