Withdraw the ends of targets that were only cut off

A request that many send, behind a cut that refuses or silences its targets, would be refused for a minute, or eight, after the cut had healed, as nothing else asks them. Cause: only an answer of the same start withdrew an end. Change: the gateway that has found an end looks at the target again each second, for a minute. Once it takes connections, and no newer start is told of within 3 s (two heartbeats and their way), the end is withdrawn at all gateways, and that is repeated.

--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -20,6 +20,13 @@
 # connections at once; one that isn't reached at all is looked for again, since a full
 # queue or a lost packet looks the same.
 LOOK_DELAYS = (0.05, 0.25)
+# Seconds between looks at a target that has ended, and for how long: a cut that looks
+# like the end of all targets behind it must not blame what ran there for longer.
+FOLLOW_UP_INTERVAL = 1.0
+FOLLOW_UP_SECONDS = 60.0
+# Seconds after which a target that takes connections again would be known by its new
+# start: two heartbeats and their way.
+START_NEWS_SECONDS = 3.0
 # Seconds between looks for targets that have started again, and for offers that no
 # target has begun to answer: well within the time in which a restart explains an answer
 # that was lost.
@@ -194,19 +201,29 @@
                     break
             if Reach.REFUSED in found or found == {Reach.SILENT}:
                 await self._tell_crashes(self._watch.record_end(target_id))
+                if self._tasks is not None:
+                    self._tasks.start_soon(self._follow_up, target_id)
         finally:
             self._looked_at.discard(target_id)
 
+    async def _follow_up(self, target_id):
+        """Withdraw an end if the target is back as the same start, as after a cut."""
+        address, incarnation = target_id
+        with anyio.move_on_after(FOLLOW_UP_SECONDS):
+            while await look_for_listener(address) is not Reach.OPEN:
+                await anyio.sleep(FOLLOW_UP_INTERVAL)
+            await anyio.sleep(START_NEWS_SECONDS)
+            starts = {
+                row.incarnation
+                for row in self._registry.targets.rows()
+                if row.address == address
+            }
+            if starts == {incarnation}:
+                await self._withdraw(target_id, time.monotonic())
+
     async def record_answer(self, under_way):
         """Take a whole answer, which clears the request and shows the target alive."""
-        target_id = under_way.target_id
-        if self._watch.record_answer(target_id, under_way.offered_at):
-            logger.info(
-                "target answers, and has not ended",
-                extra={"target": under_way.row.id, "target_address": target_id[0]},
-            )
-            seconds_ago = time.monotonic() - under_way.offered_at
-            await self.tell(TargetAnswered(*target_id, seconds_ago))
+        await self._withdraw(under_way.target_id, under_way.offered_at)
         if not self._watch.knows_any:
             return
         fingerprint = _fingerprint(under_way.screened, under_way.body)
@@ -216,6 +233,19 @@
             )
             await self._tell_found(lambda now: CrashNews(fingerprint))
 
+    async def _withdraw(self, target_id, alive_at):
+        """Withdraw what was counted of a target that was alive at a later time."""
+        if not self._watch.record_answer(target_id, alive_at):
+            return
+        address, incarnation = target_id
+        logger.info(
+            "target has not ended after all",
+            extra={"target_address": address, "target_incarnation": incarnation},
+        )
+        await self._tell_found(
+            lambda now: TargetAnswered(address, incarnation, now - alive_at)
+        )
+
     async def explain(self):
         """Find the targets that started again after their answers were lost."""
         if not self._watch.knows_any:
--- a/tests/gateway/crashing.py
+++ b/tests/gateway/crashing.py
@@ -45,15 +45,17 @@
     :param down_seconds: time until it is back, ``inf`` for never.
     :param is_silent: whether its connections just fall silent, as those of a machine
         without power do, instead of being reset.
+    :param is_cut_off: whether it comes back as the same start, as after a cut.
     """
 
-    def __init__(self, fleet, number, service, down_seconds, is_silent):
+    def __init__(self, fleet, number, service, down_seconds, is_silent, is_cut_off):
         self.number = number
         self.service = service
         self.incarnation = 1
         self._fleet = fleet
         self._down_seconds = down_seconds
         self._is_silent = is_silent
+        self._is_cut_off = is_cut_off
         (self._port,) = free_ports(1)
         self._ended = anyio.Event()
 
@@ -83,7 +85,7 @@
             await listener.aclose()
             with self._blocked_port():
                 await anyio.sleep(self._down_seconds)
-            self.incarnation += 1
+            self.incarnation += not self._is_cut_off
 
     @contextlib.contextmanager
     def _blocked_port(self):
@@ -211,7 +213,13 @@
 
 @contextlib.asynccontextmanager
 async def crashing_fleet(
-    gateways=4, targets=60, down_seconds=4.5, is_silent=False, names=("s",), **route
+    gateways=4,
+    targets=60,
+    down_seconds=4.5,
+    is_silent=False,
+    is_cut_off=False,
+    names=("s",),
+    **route,
 ):
     """Yield a :class:`CrashingFleet` whose gateways know each other and all targets.
 
@@ -224,7 +232,9 @@
         fleet = CrashingFleet(stack, tasks, route)
         for number in range(targets):
             service = names[number % len(names)]
-            target = CrashingTarget(fleet, number, service, down_seconds, is_silent)
+            target = CrashingTarget(
+                fleet, number, service, down_seconds, is_silent, is_cut_off
+            )
             await tasks.start(target.run)
         for _ in range(gateways):
             await fleet.add_gateway()
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -64,6 +64,21 @@
         assert len(fleet.poison_arrivals()) == 3
 
 
+@pytest.mark.parametrize("is_silent", [False, True], ids=["refusing", "silent"])
+async def test_request_that_ran_behind_a_cut_is_served_after_it(is_silent):
+    """Nothing else asks these targets, so that no answer shows them alive."""
+    options = {"down_seconds": 2.5, "is_silent": is_silent, "is_cut_off": True}
+    route = {**ROUTE_BY_KIND["non_idempotent"], "timeout_seconds": 1.0}
+    async with crashing_fleet(gateways=2, **options, **route) as fleet:
+        await fleet.send_repeatedly(POISON, 8, 0.5)
+        before = len(fleet.poison_arrivals())
+        await fleet.send(POISON, 0)
+        assert len(fleet.poison_arrivals()) == before
+        await anyio.sleep(10.0)
+        await fleet.send_repeatedly(POISON, 2, 0.1)
+        assert len(fleet.poison_arrivals()) > before
+
+
 async def test_gateway_that_starts_later_knows_what_the_others_know():
     """News of ends was told once, to those that were there."""
     route = ROUTE_BY_KIND["non_idempotent"]
