Send requests to plain services whatever weights are named

What callers would have seen: 503 on a plain service for requests that name a model, once newer weights of it are in force; since the look right before sending. Cause: a choice without weights has version 0, which was compared with the oldest. Change: only a choice with weights is compared.

--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -261,7 +261,8 @@
         """
         row = choice.row
         is_in_service = desired.in_service(row.data_centre, row.id)
-        is_allowed = choice.model_version >= wish.oldest_version
+        version = choice.model_version
+        is_allowed = not version or version >= wish.oldest_version
         return is_in_service and is_allowed and self.notices.may_ask(now, row)
 
     def _none_to_ask(self, now, serving):
