Don't resume a stream on older weights after their time

What callers see: a stream that breaks off then ends, as it can't go on with other weights. Figures (pytest): the new case of test_board.py failed before and passes now.

--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -309,8 +309,8 @@
         if report is not None and report.is_loading:
             return False
         version = self.version_at(row)
-        if wish.exact_version:
-            return version == wish.exact_version
+        if wish.exact_version and version != wish.exact_version:
+            return False
         return version >= max(1, self._oldest_version(now, row, wish))
 
     def _far_part(self, serving, gateways):
--- a/tests/routing/test_board.py
+++ b/tests/routing/test_board.py
@@ -71,6 +71,12 @@
         ({"end_layer": 0, "model_version": 0}, {}, Reason.NO_WEIGHTS),
         ({}, {"oldest_version_in": lambda seconds: 3}, Reason.NO_WEIGHTS),
         ({}, {"exact_version": 1}, Reason.NO_WEIGHTS),
+        # A stream that began on older weights isn't resumed on them after their time.
+        (
+            {},
+            {"exact_version": 2, "oldest_version_in": lambda seconds: 3},
+            Reason.NO_WEIGHTS,
+        ),
     ],
 )
 def test_target_that_may_not_have_a_request_is_not_chosen(row, wish, reason):
