Follow up each target that has ended once

Cause: found on reading the change again: each look that finds a target ended began another follow-up of it, with a connection a second for a minute. Change: one at a time for each start of a target; short functions for its steps.

--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -83,8 +83,9 @@
         self._registry = registry
         self._watch = CrashWatch()
         self._tasks = None
-        # Targets that are being looked at.
+        # Targets that are being looked at, and those that have ended and may be back.
         self._looked_at = set()
+        self._followed = set()
         self._offers_by_key = {}
         self._found = deque(maxlen=MAX_FOUND)
         self._heard_at_by_id = {}
@@ -201,25 +202,34 @@
                     break
             if Reach.REFUSED in found or found == {Reach.SILENT}:
                 await self._tell_crashes(self._watch.record_end(target_id))
-                if self._tasks is not None:
-                    self._tasks.start_soon(self._follow_up, target_id)
+                self._start_follow_up(target_id)
         finally:
             self._looked_at.discard(target_id)
 
+    def _start_follow_up(self, target_id):
+        if self._tasks is not None and target_id not in self._followed:
+            self._followed.add(target_id)
+            self._tasks.start_soon(self._follow_up, target_id)
+
     async def _follow_up(self, target_id):
         """Withdraw an end if the target is back as the same start, as after a cut."""
-        address, incarnation = target_id
-        with anyio.move_on_after(FOLLOW_UP_SECONDS):
-            while await look_for_listener(address) is not Reach.OPEN:
-                await anyio.sleep(FOLLOW_UP_INTERVAL)
-            await anyio.sleep(START_NEWS_SECONDS)
-            starts = {
-                row.incarnation
-                for row in self._registry.targets.rows()
-                if row.address == address
-            }
-            if starts == {incarnation}:
-                await self._withdraw(target_id, time.monotonic())
+        try:
+            with anyio.move_on_after(FOLLOW_UP_SECONDS):
+                await self._wait_until_open(target_id[0])
+                await anyio.sleep(START_NEWS_SECONDS)
+                if self._is_same_start(target_id):
+                    await self._withdraw(target_id, time.monotonic())
+        finally:
+            self._followed.discard(target_id)
+
+    async def _wait_until_open(self, address):
+        while await look_for_listener(address) is not Reach.OPEN:
+            await anyio.sleep(FOLLOW_UP_INTERVAL)
+
+    def _is_same_start(self, target_id):
+        rows = self._registry.targets.rows()
+        starts = {row.incarnation for row in rows if row.address == target_id[0]}
+        return starts == {target_id[1]}
 
     async def record_answer(self, under_way):
         """Take a whole answer, which clears the request and shows the target alive."""
