Log the ages of model versions and of the weights that requests run on

The logs couldn't tell a request that acts after its permission has ended from a process whose clock started late: how long the newer version had been known was in no line, nor where that age came from. Change: 'model version known' with age and its source at control, gateways and loaders; 'newer_known_for' in the lines of requests on weights that are out of date. Tests of routing, gateway, control and loader pass.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -19,6 +19,7 @@
 from banyanshore.routing.roster import FleetSize
 from banyanshore.routing.version_switch import FIRST_STATE_SECONDS, VersionSwitch
 from banyanshore.state.document import to_json
+from banyanshore.telemetry.rollouts import log_known_versions
 from banyanshore.transport import encode_notice
 
 logger = logging.getLogger(__name__)
@@ -92,7 +93,8 @@
         return len(self._follower_by_connection)
 
     def _on_state(self, desired):
-        self._versions.record(time.monotonic(), desired.document["rollouts"])
+        rollouts = desired.document["rollouts"]
+        log_known_versions(self._versions.record(time.monotonic(), rollouts))
         self._state_changed.set()
 
     async def run(self):
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -33,6 +33,7 @@
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.state import StateHolder
 from banyanshore.telemetry.gateway import GatewayMetrics
+from banyanshore.telemetry.rollouts import log_known_versions
 from banyanshore.transport import LinkOptions
 from banyanshore.weights.messages import (
     ChunkRequest,
@@ -200,7 +201,8 @@
         now = time.monotonic()
         document = desired.document
         self.screening.use(document)
-        self.versions.record(now, document["rollouts"], self.feed.rollout_ages)
+        ages = self.feed.rollout_ages
+        log_known_versions(self.versions.record(now, document["rollouts"], ages))
         previously_out = self._data_centres_out_of_service
         self._data_centres_out_of_service = {
             name
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -392,10 +392,19 @@
                 "target": self._target,
                 "load": self._load,
                 "offers": self._attempts.offers,
+                **self._outdated_details(),
                 **details,
             },
         )
 
+    def _outdated_details(self):
+        """Return the age of the latest version if the target's weights are older."""
+        versions, model = self._gateway.versions, self._request.model
+        if not 0 < self._version < versions.latest_version(model):
+            return {}
+        newer_known_for = time.monotonic() - versions.known_since(model)
+        return {"newer_known_for": round(newer_known_for, 2)}
+
     def _log_end(self, outcome, status, **details):
         now = time.monotonic()
         gateway = self._gateway
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -14,6 +14,7 @@
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.state import StateHolder
 from banyanshore.state.views import ModelSpec
+from banyanshore.telemetry.rollouts import log_known_versions
 from banyanshore.telemetry.weights import LoaderMetrics
 from banyanshore.transport import LinkOptions
 from banyanshore.weights.chunks import MemoryChunkStore
@@ -95,7 +96,9 @@
 
     def _on_state(self, desired):
         rollouts = desired.document["rollouts"]
-        self.versions.record(time.monotonic(), rollouts, self.feed.rollout_ages)
+        now = time.monotonic()
+        ages = self.feed.rollout_ages
+        log_known_versions(self.versions.record(now, rollouts, ages))
         self._refresh_rosters()
         changed, self._desired_changed = self._desired_changed, anyio.Event()
         changed.set()
--- a/banyanshore/routing/version_switch.py
+++ b/banyanshore/routing/version_switch.py
@@ -1,6 +1,7 @@
 """Grace period in which targets with older weights are still used."""
 
 import math
+from dataclasses import dataclass
 from types import MappingProxyType
 
 # Seconds for which a process that has just started uses versions older than those in
@@ -8,6 +9,21 @@
 FIRST_STATE_SECONDS = 2.5
 
 
+@dataclass(frozen=True)
+class KnownVersion:
+    """A version of a model that a process has learned of.
+
+    :param age: seconds since it became known to the deployment, as far as this process
+        knows.
+    :param is_age_reported: whether another process reported the age.
+    """
+
+    model: str
+    version: int
+    age: float
+    is_age_reported: bool
+
+
 class VersionSwitch:
     """Track the versions of each model in rollouts, and when each became known.
 
@@ -31,16 +47,20 @@
 
         :param ages: seconds since versions became known to other processes, by model
             and version.
+        :return: list of a :class:`KnownVersion` for each version that is new here.
         """
+        learned = []
         default_age = 0.0 if self._has_state else self._seconds - FIRST_STATE_SECONDS
         self._has_state = True
         for model, row in rollouts.items():
             version = row["version"]
             versions = self._versions_by_model.setdefault(model, [])
             if not versions or versions[-1][0] < version:
-                versions.append(
-                    (version, now - ages.get((model, version), default_age))
-                )
+                key = model, version
+                age = ages.get(key, default_age)
+                versions.append((version, now - age))
+                learned.append(KnownVersion(model, version, age, key in ages))
+        return learned
 
     def ages(self, now):
         """Return the seconds since the latest versions became known.
