Count the layers of a target with the version that holds them

What callers would have seen: requests sent to a target that holds some layers of newer weights, which rejects them (421) and costs a repeat. Cause: the largest end layer of heartbeat and report counted for the largest version of the two, though they came from different ones. Figures (pytest): test_board.py::test_target_with_only_some_layers... failed before, passes now.

--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -298,6 +298,16 @@
             return NoChoice(Reason.NO_TARGET)
         return NoChoice(Reason.TARGETS_PAUSED, resumes_at - now)
 
+    def _end_layer_at(self, row):
+        """Return the layer after the last one that a target holds."""
+        report = self.load(row.address).report
+        if report is None or report.model != row.model:
+            return row.end_layer
+        if report.model_version == row.model_version:
+            return max(report.end_layer, row.end_layer)
+        newest = max(report, row, key=lambda source: source.model_version)
+        return newest.end_layer
+
     def version_at(self, row):
         """Return the version of the weights that a target holds."""
         report = self.load(row.address).report
@@ -331,8 +341,7 @@
         if not engine:
             return True
         report = self.load(row.address).report
-        end_layer = max(row.end_layer, report.end_layer if report else 0)
-        if row.first_layer or end_layer < engine.get("layers", 0):
+        if row.first_layer or self._end_layer_at(row) < engine.get("layers", 0):
             return False
         if report is not None and report.is_loading:
             return False
--- a/tests/routing/test_board.py
+++ b/tests/routing/test_board.py
@@ -55,6 +55,17 @@
     return DesiredState(PublishedState(1, Fence(1, 1), to_json(document)))
 
 
+def test_target_with_only_some_layers_of_a_newer_version_is_not_chosen():
+    """The layers of the older version in its heartbeat counted for the newer one."""
+    board = make_board(replace(ROW, model_version=1))
+    assert choose(board).model_version == 1
+    report = LoadReport("10.0.0.1:80", 1, 1, "m", 2, 3, 0, 0, 1.0, False)
+    board.record_report(1.0, report)
+    assert choose(board).reason is Reason.NO_WEIGHTS
+    board.record_report(1.0, replace(report, sequence=2, end_layer=16))
+    assert choose(board).model_version == 2
+
+
 @pytest.mark.parametrize(
     ("row", "wish", "reason"),
     [
