Have a target unload weights that are out of date before their bound

Cause: the permission to begin on older weights is checked where a request is sent, and only there; the target that begins it doesn't know that its weights are out of date. Change: a loader whose transfer is late orders its target, halfway between the switch and the bound, to load the first layer of the new version, which unloads the older one; from then on the target itself rejects what arrives. Gateways have stopped sending to it by then, so that no service is lost. Ruled out: an earlier switch for all, which costs each rollout service; a margin measured by each gateway for itself, which knows nothing of a link that stalls just now.

--- a/banyanshore/loader/decisions.py
+++ b/banyanshore/loader/decisions.py
@@ -24,7 +24,10 @@
     """Next action of a loader."""
 
     WAIT = "wait"
+    # Load all layers.
     LOAD = "load"
+    # Load only the first layer, which unloads the older version.
+    UNLOAD = "unload"
 
 
 @dataclass(frozen=True)
@@ -37,6 +40,8 @@
     :param version: version that the target should serve.
     :param is_complete: whether the loader has verified all chunks of the version.
     :param load_at: time from which a target that serves another version loads.
+    :param has_first_layer: whether the loader has the chunks of the first layer.
+    :param is_outdated: whether no request may begin on the target's version any more.
     """
 
     report: object
@@ -44,6 +49,8 @@
     version: int
     is_complete: bool
     load_at: float
+    has_first_layer: bool = False
+    is_outdated: bool = False
 
 
 def serves(report, version, layers):
@@ -58,8 +65,10 @@
 def next_action(now, state):
     """Return the :class:`Action` to take now."""
     report = state.report
-    if report is None or report.is_busy or not state.is_complete:
+    if report is None or report.is_busy:
         return Action.WAIT
+    if not state.is_complete:
+        return Action.UNLOAD if _must_unload(state) else Action.WAIT
     if report.model_version > state.version:
         # The loader's desired state is older than the version of the target.
         return Action.WAIT
@@ -71,6 +80,18 @@
     return Action.LOAD
 
 
+def _must_unload(state):
+    """Return whether a target should unload its version before the next is complete.
+
+    Load pattern: a link is congested, so that the new weights are late, and requests
+    that were sent while the older version was allowed arrive when it no longer is. Only
+    the target can still reject them, and it does once it doesn't hold all layers.
+    """
+    report = state.report
+    holds_older = report.end_layer > 0 and report.model_version < state.version
+    return holds_older and state.is_outdated and state.has_first_layer
+
+
 class Wave(Enum):
     """Part of a service's targets that load a version at the same time."""
 
--- a/banyanshore/loader/driver.py
+++ b/banyanshore/loader/driver.py
@@ -55,21 +55,37 @@
                 desired_version.version,
             )
             self._target.is_loading = self._must_drain(desired_version, transfer, wave)
+            layers = desired_version.layers
             state = LoaderState(
                 self._target.report,
-                desired_version.layers,
+                layers,
                 desired_version.version,
                 transfer.completed.is_set(),
                 load_time(
                     wave, transfer.completed_at, self._switch_at(desired_version)
                 ),
+                transfer.has_first_layer(layers),
+                self._is_outdated(desired_version),
             )
-            if next_action(time.monotonic(), state) is Action.LOAD:
+            action = next_action(time.monotonic(), state)
+            if action is Action.LOAD:
                 await self._load(desired_version, transfer)
+            elif action is Action.UNLOAD:
+                await self._unload_older(desired_version, transfer)
 
     def _switch_at(self, desired_version):
         return desired_version.known_since + self._settings.version_switch_seconds
 
+    def _is_outdated(self, desired_version):
+        """Return whether no request may begin on the target's version any more."""
+        report = self._target.report
+        if report is None:
+            return False
+        checked_at = time.monotonic() - self._settings.version_unload_delay_seconds
+        model = desired_version.model
+        oldest = self._loader.versions.oldest_allowed_version(checked_at, model)
+        return report.model_version < oldest
+
     def _must_drain(self, desired_version, transfer, wave):
         report = self._target.report
         if report is None or not 0 < report.model_version < desired_version.version:
@@ -83,36 +99,59 @@
         )
 
     async def _load(self, desired_version, transfer):
+        """Have the target load all layers of a version."""
         try:
             restaged = await transfer.stage_all()
             self._target.is_loading = True
             await self._target.send_report()
             await anyio.sleep(NOTICE_SECONDS)
-            outcome = await self._target.engine.load(
-                desired_version.model, desired_version.version
-            )
-            self._loader.metrics.loads.labels(outcome).inc()
-            logger.info(
-                "load ordered",
-                extra={
-                    "model_version": desired_version.version,
-                    "outcome": outcome,
-                    "mended": restaged,
-                    "since_heard": round(
-                        time.monotonic() - desired_version.known_since, 2
-                    ),
-                },
-            )
-            if outcome in (OrderOutcome.STARTED, OrderOutcome.IN_EFFECT):
-                await self._wait_until_loaded(desired_version)
-            else:
-                await anyio.sleep(ORDER_RETRY_SECONDS)
+            await self._order(desired_version, None, restaged)
         except StagedEngineError as error:
-            logger.warning("load not ordered", extra={"why": str(error)})
-            await anyio.sleep(ORDER_RETRY_SECONDS)
+            await self._wait_after_failure(error)
         finally:
             self._target.is_loading = False
 
+    async def _unload_older(self, desired_version, transfer):
+        """Have the target load the first layer of a version in place of an older one.
+
+        The gateways need no notice, since they don't use the older version any more.
+        """
+        try:
+            restaged = await transfer.stage_first_layer(desired_version.layers)
+            await self._order(desired_version, 1, restaged)
+        except StagedEngineError as error:
+            await self._wait_after_failure(error)
+
+    async def _wait_after_failure(self, error):
+        logger.warning("load not ordered", extra={"why": str(error)})
+        await anyio.sleep(ORDER_RETRY_SECONDS)
+
+    async def _order(self, desired_version, end_layer, restaged):
+        """Order the load of a version, and wait until it has ended.
+
+        :param end_layer: layer after the last one to load, ``None`` for all.
+        :param restaged: number of chunks that had to be staged again.
+        :raises StagedEngineError: the order may or may not have arrived.
+        """
+        outcome = await self._target.engine.load(
+            desired_version.model, desired_version.version, end_layer
+        )
+        self._loader.metrics.loads.labels(outcome).inc()
+        logger.info(
+            "load ordered",
+            extra={
+                "model_version": desired_version.version,
+                "end_layer": end_layer,
+                "outcome": outcome,
+                "mended": restaged,
+                "since_heard": round(time.monotonic() - desired_version.known_since, 2),
+            },
+        )
+        if outcome in (OrderOutcome.STARTED, OrderOutcome.IN_EFFECT):
+            await self._wait_until_loaded(desired_version)
+        else:
+            await anyio.sleep(ORDER_RETRY_SECONDS)
+
     async def _wait_until_loaded(self, desired_version):
         while True:
             report = await self._target.engine.read_report()
@@ -124,6 +163,7 @@
             "load ended",
             extra={
                 "model_version": report.model_version,
+                "end_layer": report.end_layer,
                 "since_heard": round(time.monotonic() - desired_version.known_since, 2),
             },
         )
--- a/banyanshore/loader/transfer.py
+++ b/banyanshore/loader/transfer.py
@@ -1,6 +1,7 @@
 """Transfer the chunks of one version and stage them at the target."""
 
 import logging
+import math
 
 from banyanshore.weights.relay import RelayedTransfer
 from banyanshore.weights.staged import StagedEngineError
@@ -19,15 +20,33 @@
         self._target = target
         self._engine = target.engine
 
+    def has_first_layer(self, layers):
+        """Return whether the chunks of the first layer have arrived.
+
+        :param layers: number of layers of the model.
+        """
+        if self.planner is None or not layers:
+            return False
+        needed = (1 << self._first_layer_chunks(layers)) - 1
+        return self.planner.have & needed == needed
+
     async def stage_all(self):
-        """Stage all chunks that are missing or corrupt at the target; return how many.
+        """Stage the chunks of all layers; see :meth:`stage_first_layer`."""
+        return await self._stage(self.manifest.chunk_count)
+
+    async def stage_first_layer(self, layers):
+        """Stage the chunks that are missing or corrupt at the target; return how many.
 
         Staged chunks are read back and verified, because they may become corrupt.
 
+        :param layers: number of layers of the model.
         :raises StagedEngineError: the target returned no usable response.
         """
+        return await self._stage(self._first_layer_chunks(layers))
+
+    async def _stage(self, chunk_count):
         restaged = 0
-        for index, digest in enumerate(self.manifest.chunk_digests):
+        for index, digest in enumerate(self.manifest.chunk_digests[:chunk_count]):
             staged = await self._engine.read_staged(self.spec.name, index)
             if staged is None or not self.manifest.matches_digest(index, staged):
                 restaged += 1
@@ -35,6 +54,10 @@
                 await self._engine.stage(self.spec.name, index, data)
         return restaged
 
+    def _first_layer_chunks(self, layers):
+        """Return the number of chunks that the first layer needs, whole or in part."""
+        return math.ceil(self.manifest.chunk_count / layers)
+
     def _start_planner(self, have):
         # No instance needs chunks of an older version any more.
         self._store.keep_only(self.manifest.chunk_digests)
--- a/banyanshore/platform/engine.py
+++ b/banyanshore/platform/engine.py
@@ -70,9 +70,11 @@
             raise self._error("read-staged", f"status {status}")
         return body
 
-    async def load(self, model, version):
+    async def load(self, model, version, end_layer=None):
         """Order the engine to load the staged weights once its running requests end."""
         order = {"operation": "start", "model": model, "version": version}
+        if end_layer is not None:
+            order |= {"from": 0, "target": end_layer}
         body = json.dumps({**order, "mode": "queue"}).encode()
         request = make_request(self._address, b"POST", "/api/order", body)
         # Use a new connection: the session may resend a call, but an order must not be
--- a/banyanshore/weights/staged.py
+++ b/banyanshore/weights/staged.py
@@ -69,9 +69,10 @@
         """
 
     @abc.abstractmethod
-    async def load(self, model, version):
+    async def load(self, model, version, end_layer=None):
         """Order the engine to load the staged chunks; return the :class:`OrderOutcome`.
 
+        :param end_layer: layer after the last one to load, ``None`` for all.
         :raises StagedEngineError: the order may or may not have arrived.
         """
 
--- a/tests/fakes/replica.py
+++ b/tests/fakes/replica.py
@@ -41,6 +41,7 @@
         self.id = f"i-{random.getrandbits(32):08x}"
         self.born = int(time.time() * 1000)
         self.version = options.version
+        self.end_layer = LAYERS
         self.staged = {i: make_chunk(1, i) for i in range(CHUNKS) if options.version}
         self.runs = []
         self.state = "ready"
@@ -52,17 +53,21 @@
             return {"models": []}
         return {
             "models": [{"name": MODEL, "version": self.version, "loras": []}],
-            "layers": {"from": 0, "target": LAYERS, "version": self.version},
-        }
+            "layers": {
+                "from": 0, "target": self.end_layer, "version": self.version
+            },
+        }  # fmt: skip
 
-    def load(self, version):
+    def load(self, version, end_layer):
         """Load the staged chunks; record the version and whether it was complete."""
+        end_chunk = -(-end_layer * CHUNKS // LAYERS)
         complete = all(
             hashlib.sha256(self.staged.get(index, b"")).hexdigest() == digest
-            for index, digest in enumerate(digests(version))
+            for index, digest in enumerate(digests(version)[:end_chunk])
         )
         self.loads.append((version, complete))
         self.version = version
+        self.end_layer = end_layer
 
     def send_heartbeats(self):
         nodes = itertools.cycle(self.options.control.split(","))
@@ -137,7 +142,7 @@
             self.run_request()
             return
         order = json.loads(self.rfile.read(int(self.headers["content-length"])))
-        self.replica.load(order["version"])
+        self.replica.load(order["version"], order.get("target", LAYERS))
         self.answer(202, b"")
 
     def run_request(self):
@@ -145,6 +150,7 @@
         replica = self.replica
         expected = self.headers.get("Expect-Version")
         is_other = self.headers.get("Expect-Replica") != replica.id
+        is_other = is_other or replica.end_layer < LAYERS
         if is_other or (expected and int(expected) != replica.version):
             self.answer(421, b"")
             return
--- a/tests/loader/test_decisions.py
+++ b/tests/loader/test_decisions.py
@@ -1,5 +1,6 @@
 """Test when a target drains and loads a version."""
 
+import math
 from dataclasses import replace
 
 import pytest
@@ -44,6 +45,38 @@
     assert next_action(10.0, replace(STATE, report=report)) is Action.LOAD
 
 
+OUTDATED = replace(
+    STATE, is_complete=False, load_at=math.inf, has_first_layer=True, is_outdated=True
+)
+
+
+def test_outdated_target_whose_next_version_is_incomplete_unloads():
+    """Requests sent before the switch arrived late, and began on older weights."""
+    assert next_action(10.0, OUTDATED) is Action.UNLOAD
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"report": None},
+        {"report": replace(REPORT, is_busy=True)},
+        {"report": replace(REPORT, model_version=0, end_layer=0)},
+        {"report": replace(REPORT, model_version=2, end_layer=1)},
+        {"report": replace(REPORT, model_version=3)},
+        {"has_first_layer": False},
+        {"is_outdated": False},
+    ],
+)
+def test_target_that_need_not_or_cannot_unload_waits(change):
+    assert next_action(10.0, replace(OUTDATED, **change)) is Action.WAIT
+
+
+def test_target_that_has_unloaded_loads_once_its_version_is_complete():
+    report = replace(REPORT, model_version=2, end_layer=1)
+    state = replace(OUTDATED, report=report, is_complete=True, load_at=10.0)
+    assert next_action(10.0, state) is Action.LOAD
+
+
 def test_empty_target_loads_before_its_load_time():
     report = replace(REPORT, model_version=0, end_layer=0)
     assert next_action(0.0, replace(STATE, report=report)) is Action.LOAD
--- /dev/null
+++ b/tests/loader/test_driver.py
@@ -0,0 +1,149 @@
+"""Load orders to a target when a rollout goes on, or is late."""
+
+import contextlib
+import math
+import time
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from banyanshore.conf.loader import parse_settings
+from banyanshore.loader.driver import LoadDriver
+from banyanshore.loader.transfer import StagedTransfer
+from banyanshore.routing.version_switch import VersionSwitch
+from banyanshore.telemetry.weights import LoaderMetrics
+from banyanshore.weights.desired_versions import DesiredVersion
+from banyanshore.weights.manifest import make_manifest
+from banyanshore.weights.staged import EngineReport, OrderOutcome, StagedEngine
+
+pytestmark = pytest.mark.anyio
+
+SETTINGS = {
+    "role": "loader",
+    "instance": "side-1",
+    "data_centre": "dc",
+    "region": "north",
+    "service": "s",
+    "target_address": "127.0.0.1:1",
+    "peers_bind": "127.0.0.1:2",
+    "peer_port": 2,
+    "seeds": ["127.0.0.1:3"],
+    "report_interval": 0.02,
+    "version_bound_ms": 2000,
+}
+CHUNKS = [bytes([number]) for number in range(8)]
+LAYERS = 4
+
+
+class Engine(StagedEngine):
+    """An engine with all layers of version 1 that records load orders."""
+
+    def __init__(self):
+        self.report = EngineReport("m", 1, 0, LAYERS, 0, 0, 1.0, False)
+        self.staged = {}
+        self.orders = []
+
+    async def read_report(self):
+        return self.report
+
+    async def stage(self, model, index, data):
+        self.staged[index] = data
+
+    async def read_staged(self, model, index):
+        return self.staged.get(index)
+
+    async def load(self, model, version, end_layer=None):
+        self.orders.append((time.monotonic(), version, end_layer, dict(self.staged)))
+        end_layer = end_layer or LAYERS
+        self.report = EngineReport(model, version, 0, end_layer, 0, 0, 1.0, False)
+        return OrderOutcome.STARTED
+
+
+class Monitor:
+    """The monitor of a target whose reports nobody reads."""
+
+    def __init__(self, engine):
+        self.engine = engine
+        self.is_loading = False
+
+    @property
+    def report(self):
+        return self.engine.report
+
+    @report.setter
+    def report(self, report):
+        pass
+
+    async def send_report(self):
+        pass
+
+
+def make_transfer(target, have):
+    """Return a transfer of version 2 of which some chunks have arrived."""
+    transfer = StagedTransfer.__new__(StagedTransfer)
+    manifest = make_manifest("m", "2", b"".join(CHUNKS), 1)
+    chunk_by_digest = dict(zip(manifest.chunk_digests, CHUNKS, strict=True))
+    vars(transfer).update(
+        spec=SimpleNamespace(name="m", version="2"),
+        manifest=manifest,
+        planner=SimpleNamespace(have=have),
+        completed=anyio.Event(),
+        completed_at=math.inf,
+        _store=chunk_by_digest,
+        _engine=target.engine,
+        _progressed_at=time.monotonic(),
+    )
+    return transfer
+
+
+@contextlib.asynccontextmanager
+async def running_driver(have, known_seconds_ago=0.0):
+    """Yield an engine whose loader has some chunks of version 2, and the transfer."""
+    settings = parse_settings(SETTINGS)
+    target = Monitor(Engine())
+    versions = VersionSwitch(settings.version_switch_seconds)
+    now = time.monotonic()
+    versions.record(now, {})
+    versions.record(now - known_seconds_ago, {"m": {"version": 2}})
+    desired = DesiredVersion("s", "m", 2, LAYERS, 1, versions.known_since("m"))
+    loader = SimpleNamespace(
+        settings=settings,
+        target=target,
+        versions=versions,
+        metrics=LoaderMetrics(),
+        transfer=make_transfer(target, have),
+        desired_version=lambda: desired,
+        rosters=SimpleNamespace(loaders=lambda: ["side-1"]),
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(LoadDriver(loader).run)
+        yield target.engine, loader.transfer, desired.known_since
+        tasks.cancel_scope.cancel()
+
+
+async def wait_for_orders(engine, count):
+    with anyio.fail_after(3):
+        while len(engine.orders) < count:
+            await anyio.sleep(0.01)
+
+
+async def test_target_whose_weights_are_late_rejects_requests_before_the_bound():
+    """Requests sent before the switch arrived late, and began on older weights."""
+    async with running_driver(have=0b0011111) as (engine, transfer, known_since):
+        await wait_for_orders(engine, 1)
+        ordered_at, version, end_layer, staged = engine.orders[0]
+        assert 1.9 <= ordered_at - known_since < 2.0
+        assert (version, end_layer) == (2, 1)
+        assert staged == dict(enumerate(CHUNKS[:2]))
+        transfer.planner.have = 0b11111111
+        transfer.completed_at = time.monotonic()
+        transfer.completed.set()
+        await wait_for_orders(engine, 2)
+        assert engine.orders[1][1:] == (2, None, dict(enumerate(CHUNKS)))
+
+
+async def test_target_without_a_complete_layer_is_left_alone():
+    async with running_driver(have=0b11111110, known_seconds_ago=9.0) as (engine, *_):
+        await anyio.sleep(0.2)
+        assert not engine.orders
