Don't unload a target that can't run requests anyway

What callers would have seen: nothing; one load order too many where two versions are named in quick succession and both are late. Cause: any layer of an older version counted, also the single one that an unloading left. Figures (pytest): the new case of test_decisions.py failed before and passes now.

--- a/banyanshore/loader/decisions.py
+++ b/banyanshore/loader/decisions.py
@@ -88,8 +88,10 @@
     the target can still reject them, and it does once it doesn't hold all layers.
     """
     report = state.report
-    holds_older = report.end_layer > 0 and report.model_version < state.version
-    return holds_older and state.is_outdated and state.has_first_layer
+    is_older = report.model_version < state.version
+    can_run_requests = serves(report, report.model_version, state.layers)
+    is_late = state.is_outdated and state.has_first_layer
+    return is_older and can_run_requests and is_late
 
 
 class Wave(Enum):
--- a/tests/loader/test_decisions.py
+++ b/tests/loader/test_decisions.py
@@ -62,6 +62,7 @@
         {"report": replace(REPORT, is_busy=True)},
         {"report": replace(REPORT, model_version=0, end_layer=0)},
         {"report": replace(REPORT, model_version=2, end_layer=1)},
+        {"report": replace(REPORT, end_layer=1)},
         {"report": replace(REPORT, model_version=3)},
         {"has_first_layer": False},
         {"is_outdated": False},
