Unload weights that are out of date as soon as requests to them have arrived

Requests sent 8.9 s after the name reached a target behind a narrowed link 9.2 s after it, were accepted there, and began 10.06 s after it, where 10 are allowed: the engine read the prompts of others first. The order to unload came 9.55 s after the name. Cause: the order left the engine only half of the time between the switch and the bound to begin what it had accepted. Change: the order is given a tenth of a second after the switch, when what was sent before it has arrived unless a link is congested. Figures (pytest): the narrower bound in test_driver.py failed before and passes now.

--- a/banyanshore/conf/registered.py
+++ b/banyanshore/conf/registered.py
@@ -78,15 +78,6 @@
     return BOUND_FRACTION * settings.version_bound_ms / 1000
 
 
-def _version_unload_delay_seconds(settings):
-    """Return the seconds after the switch in which a target still begins requests.
-
-    Requests that were sent just before the switch arrive in the first half of the time
-    that is left of the bound; the second half is for the load order to take effect.
-    """
-    return (settings.version_bound_ms / 1000 - settings.version_switch_seconds) / 2
-
-
 @dataclass(frozen=True)
 class RetrySettings:
     """Settings of the retry budget that all gateways share."""
@@ -208,4 +199,3 @@
     transport: TransportSettings = setting("Peer connections.", TransportSettings)
 
     version_switch_seconds = property(_version_switch_seconds)
-    version_unload_delay_seconds = property(_version_unload_delay_seconds)
--- a/banyanshore/loader/decisions.py
+++ b/banyanshore/loader/decisions.py
@@ -41,7 +41,7 @@
     :param is_complete: whether the loader has verified all chunks of the version.
     :param load_at: time from which a target that serves another version loads.
     :param has_first_layer: whether the loader has the chunks of the first layer.
-    :param is_outdated: whether no request may begin on the target's version any more.
+    :param is_outdated: whether requests to the target's version should have arrived.
     """
 
     report: object
--- a/banyanshore/loader/driver.py
+++ b/banyanshore/loader/driver.py
@@ -20,6 +20,9 @@
 # Seconds between the report that the target is about to load and the load order, so
 # that the gateways receive the report first.
 NOTICE_SECONDS = 0.08
+# Seconds in which a request that a gateway has sent arrives over a link that is not
+# congested.
+ARRIVAL_SECONDS = 0.1
 # Seconds before a load order that had no effect is retried.
 ORDER_RETRY_SECONDS = 0.5
 
@@ -77,13 +80,13 @@
         return desired_version.known_since + self._settings.version_switch_seconds
 
     def _is_outdated(self, desired_version):
-        """Return whether no request may begin on the target's version any more."""
+        """Return whether requests to the target's version should have arrived."""
         report = self._target.report
         if report is None:
             return False
-        checked_at = time.monotonic() - self._settings.version_unload_delay_seconds
+        sent_at = time.monotonic() - ARRIVAL_SECONDS
         model = desired_version.model
-        oldest = self._loader.versions.oldest_allowed_version(checked_at, model)
+        oldest = self._loader.versions.oldest_allowed_version(sent_at, model)
         return report.model_version < oldest
 
     def _must_drain(self, desired_version, transfer, wave):
--- a/tests/loader/test_driver.py
+++ b/tests/loader/test_driver.py
@@ -133,7 +133,8 @@
     async with running_driver(have=0b0011111) as (engine, transfer, known_since):
         await wait_for_orders(engine, 1)
         ordered_at, version, end_layer, staged = engine.orders[0]
-        assert 1.9 <= ordered_at - known_since < 2.0
+        # Engines take a while to begin the requests that they have accepted.
+        assert 1.8 <= ordered_at - known_since < 1.95
         assert (version, end_layer) == (2, 1)
         assert staged == dict(enumerate(CHUNKS[:2]))
         transfer.planner.have = 0b11111111
