Reset the connection of a request that is given up before its answer

Cause: the close was an orderly one, behind which the kernel still delivers what is queued on the socket (anyio's aclose aborts the transport, which drops only the bytes that the kernel has not taken yet). Evidence: the new test, with a receiver that doesn't read, got all 60,051 bytes of a request and an orderly end after it had been given up (by timeout, by cancellation, in a session); it now gets a part of them and a reset. Why: with SO_LINGER of 0 s a close drops the queue and sends a reset. It is set only while no head of an answer has arrived; answers that have begun or are complete end with an orderly close as before. Conclusion: bytes that have left the kernel of the gateway can't be called back by this.

--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -21,6 +21,7 @@
     get_header,
     has_unread_bytes,
     receive_bytes,
+    reset_on_close,
     send_bytes,
     set_timeouts,
 )
@@ -64,11 +65,13 @@
 
     :ivar status: status code.
     :ivar headers: pairs of bytes, names in lower case.
+    :ivar has_head: whether the head has been received.
     """
 
     def __init__(self, stream, peer, progress_timeout=math.inf):
         self.status = 0
         self.headers = []
+        self.has_head = False
         self.is_complete = False
         self._stream = stream
         self._peer = peer
@@ -120,6 +123,7 @@
             raise BrokenAnswerError("no answer", step="read-head", peer=self._peer)
         self.status = event.status_code
         self.headers = [(bytes(name), bytes(value)) for name, value in event.headers]
+        self.has_head = True
         self.record_progress()
 
     async def receive(self):
@@ -213,7 +217,8 @@
     """Send a request, and yield its :class:`UpstreamAnswer` once the head is received.
 
     The connection is closed on exit, which tells a target that still runs the request
-    to stop.
+    to stop. It is reset if there is no head yet, so that a request that is still on the
+    way doesn't arrive after it was given up.
 
     :param progress_timeout: seconds until the head is due, and then until the next
         part, see :meth:`UpstreamAnswer.record_progress`.
@@ -225,12 +230,12 @@
     :raises BrokenAnswerError: there is no valid answer, but the request may have run.
     """
     stream = await _connect(address, connect_timeout)
+    answer = UpstreamAnswer(stream, address, progress_timeout)
     try:
         if not may_send():
             raise NotSentError(
                 "withdrawn before it was sent", step="send", peer=address
             )
-        answer = UpstreamAnswer(stream, address, progress_timeout)
         data = answer.encode(request)
         async with open_task_group() as tasks:
             if len(data) <= MAX_INLINE_BYTES:
@@ -242,8 +247,14 @@
             yield answer
             tasks.cancel_scope.cancel()
     finally:
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(stream)
+        await _close(stream, answer)
+
+
+async def _close(stream, answer):
+    if not answer.has_head:
+        reset_on_close(stream)
+    with anyio.CancelScope(shield=True):
+        await anyio.aclose_forcefully(stream)
 
 
 async def _send(stream, data):
@@ -323,6 +334,7 @@
     def __init__(self, address):
         self._address = address
         self._stream = None
+        self._answer = None
         self._is_reusable = False
         self._lock = anyio.Lock()
 
@@ -364,7 +376,7 @@
         if self._stream is None:
             self._stream = await _connect(self._address, timeout)
         self._is_reusable = False
-        answer = UpstreamAnswer(self._stream, self._address)
+        answer = self._answer = UpstreamAnswer(self._stream, self._address)
         await _send(self._stream, answer.encode(request))
         await answer.read_head()
         body = await answer.read_body(max_bytes)
@@ -377,5 +389,4 @@
 
     async def _close(self):
         stream, self._stream = self._stream, None
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(stream)
+        await _close(stream, self._answer)
--- a/banyanshore/http/wire.py
+++ b/banyanshore/http/wire.py
@@ -1,7 +1,9 @@
 """Share HTTP/1.1 helpers for anyio streams between the server and the client."""
 
+import contextlib
 import select
 import socket
+import struct
 
 import anyio
 
@@ -9,6 +11,8 @@
 
 # Bytes read from a socket at a time.
 READ_SIZE_BYTES = 64 * 1024
+# Value of SO_LINGER with which a close drops unsent bytes and resets the connection.
+_LINGER_WITHOUT_WAIT = struct.pack("ii", 1, 0)
 # Milliseconds for which sent bytes may stay unacknowledged, to detect a peer that has
 # lost power or is behind a network partition.
 TCP_USER_TIMEOUT_MS = 3_000
@@ -70,6 +74,17 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
 
+def reset_on_close(stream):
+    """Make the close of a connection drop unsent bytes and reset it.
+
+    After an orderly close the kernel still delivers what was queued before it.
+    """
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    # The peer may have closed the connection already.
+    with contextlib.suppress(OSError):
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_WITHOUT_WAIT)
+
+
 def is_closed_by_peer(stream):
     """Return whether the peer has closed, even if received bytes are unread."""
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP client: invalid, interrupted and late answers of a target."""
 
+import contextlib
 import socket
 
 import anyio
@@ -121,6 +122,87 @@
             await closed.wait()
 
 
+@contextlib.asynccontextmanager
+async def receiver_that_does_not_read():
+    """Yield an address, and a coroutine function that reads what has arrived there."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        # Accepted connections inherit the size of the buffer.
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+        async def read_arrived():
+            connection, _ = server.accept()
+            connection.setblocking(False)
+            with connection:
+                return await read_socket(connection)
+
+        yield f"127.0.0.1:{server.getsockname()[1]}", read_arrived
+
+
+async def read_socket(connection):
+    """Return the number of bytes up to the end, and whether the end was a reset."""
+    size = 0
+    with anyio.fail_after(5):
+        while True:
+            await anyio.wait_readable(connection)
+            try:
+                data = connection.recv(65536)
+            except ConnectionResetError:
+                return size, True
+            if not data:
+                return size, False
+            size += len(data)
+
+
+async def give_up_by_timeout(address, request):
+    with pytest.raises(BrokenAnswerError):
+        async with open_answer(address, request, progress_timeout=0.2):
+            pass
+
+
+async def give_up_by_cancellation(address, request):
+    with anyio.move_on_after(0.2):
+        async with open_answer(address, request):
+            pass
+
+
+async def give_up_in_a_session(address, request):
+    with pytest.raises(BrokenAnswerError):
+        await HttpSession(address).fetch(request, 100, 0.2)
+
+
+@pytest.mark.parametrize(
+    "give_up", [give_up_by_timeout, give_up_by_cancellation, give_up_in_a_session]
+)
+async def test_request_that_is_given_up_does_not_arrive_after_the_close(give_up):
+    """The kernel delivered it behind the close, and the target ran it to its end."""
+    request = OutgoingRequest(b"POST", b"/", ((b"host", b"x"),), b"a" * 60_000)
+    async with receiver_that_does_not_read() as (address, read_arrived):
+        await give_up(address, request)
+        size, was_reset = await read_arrived()
+    assert size < len(request.body)
+    assert was_reset
+
+
+async def test_connection_is_not_reset_after_a_complete_answer():
+    """A target may still send the end of its answer, or wait for an orderly close."""
+    endings = []
+
+    async def act(stream):
+        await read_until(stream, b"\r\n\r\n")
+        await stream.send(OK)
+        try:
+            await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError) as error:
+            endings.append(type(error))
+
+    async with scripted_server(act) as server:
+        await fetch(server.address, GET, 100, 2.0)
+        with anyio.fail_after(2):
+            while not endings:
+                await anyio.sleep(0.01)
+    assert endings == [anyio.EndOfStream]
+
+
 async def test_session_reuses_its_connection_and_replaces_a_closed_one():
     async def act(stream):
         for _ in range(2):
