--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -21,6 +21,7 @@
     get_header,
     has_unread_bytes,
     receive_bytes,
+    reset_on_close,
     send_bytes,
     set_timeouts,
 )
@@ -64,11 +65,13 @@
 
     :ivar status: status code.
     :ivar headers: pairs of bytes, names in lower case.
+    :ivar has_head: whether the head has been received.
     """
 
     def __init__(self, stream, peer, progress_timeout=math.inf):
         self.status = 0
         self.headers = []
+        self.has_head = False
         self.is_complete = False
         self._stream = stream
         self._peer = peer
@@ -120,6 +123,7 @@
             raise BrokenAnswerError("no answer", step="read-head", peer=self._peer)
         self.status = event.status_code
         self.headers = [(bytes(name), bytes(value)) for name, value in event.headers]
+        self.has_head = True
         self.record_progress()
 
     async def receive(self):
@@ -198,6 +202,10 @@
         return self._late_reads <= MAX_LATE_READS and has_unread_bytes(self._stream)
 
 
+class WithdrawnError(BanyanshoreError):
+    """Signal a request that was withdrawn before its answer; it may have run."""
+
+
 class NotSentError(BanyanshoreError):
     """Signal a request that was withdrawn while the connection was being opened."""
 
@@ -209,41 +217,56 @@
     connect_timeout=CONNECT_TIMEOUT,
     progress_timeout=math.inf,
     may_send=lambda: True,
+    head_scope=None,
 ):
     """Send a request, and yield its :class:`UpstreamAnswer` once the head is received.
 
     The connection is closed on exit, which tells a target that still runs the request
-    to stop.
+    to stop. It is reset if there is no head yet, so that a request that is still on the
+    way doesn't arrive after it was given up.
 
     :param progress_timeout: seconds until the head is due, and then until the next
         part, see :meth:`UpstreamAnswer.record_progress`.
     :param may_send: callable, called once the connection is open, that returns whether
         to send the request.
+    :param head_scope: cancel scope of the wait for the head; the request is withdrawn
+        when it is cancelled.
 
     :raises UnavailableError: no connection; the request was not sent.
     :raises NotSentError: ``may_send`` returned false; the request was not sent.
     :raises BrokenAnswerError: there is no valid answer, but the request may have run.
+    :raises WithdrawnError: it was withdrawn, but may have run.
     """
+    head_scope = head_scope or anyio.CancelScope()
     stream = await _connect(address, connect_timeout)
+    answer = UpstreamAnswer(stream, address, progress_timeout)
     try:
         if not may_send():
             raise NotSentError(
                 "withdrawn before it was sent", step="send", peer=address
             )
-        answer = UpstreamAnswer(stream, address, progress_timeout)
         data = answer.encode(request)
         async with open_task_group() as tasks:
-            if len(data) <= MAX_INLINE_BYTES:
-                await _send(stream, data)
-            else:
-                # A target may answer before it has read all of a long body.
-                tasks.start_soon(_send, stream, data)
-            await answer.read_head()
+            with head_scope:
+                if len(data) <= MAX_INLINE_BYTES:
+                    await _send(stream, data)
+                else:
+                    # A target may answer before it has read all of a long body.
+                    tasks.start_soon(_send, stream, data)
+                await answer.read_head()
+            if not answer.has_head:
+                raise WithdrawnError("withdrawn", step="read-head", peer=address)
             yield answer
             tasks.cancel_scope.cancel()
     finally:
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(stream)
+        await _close(stream, answer)
+
+
+async def _close(stream, answer):
+    if not answer.has_head:
+        reset_on_close(stream)
+    with anyio.CancelScope(shield=True):
+        await anyio.aclose_forcefully(stream)
 
 
 async def _send(stream, data):
@@ -323,6 +346,7 @@
     def __init__(self, address):
         self._address = address
         self._stream = None
+        self._answer = None
         self._is_reusable = False
         self._lock = anyio.Lock()
 
@@ -364,7 +388,7 @@
         if self._stream is None:
             self._stream = await _connect(self._address, timeout)
         self._is_reusable = False
-        answer = UpstreamAnswer(self._stream, self._address)
+        answer = self._answer = UpstreamAnswer(self._stream, self._address)
         await _send(self._stream, answer.encode(request))
         await answer.read_head()
         body = await answer.read_body(max_bytes)
@@ -377,5 +401,4 @@
 
     async def _close(self):
         stream, self._stream = self._stream, None
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(stream)
+        await _close(stream, self._answer)
