Push one chunk at a time over a link that has become slow

Callers saw requests to a target wait 0.5 to 1.2 s on its link while new weights went to the loader beside it, and longest from 5.4 s after the name on: from then on, up to three chunks of 24,576 bytes were on their way to a child, whatever its link carried. At 0.91 Mbit/s each takes 0.22 s.

The parent now measures for how long a chunk occupies the link to a child: the time from its sending, or from the arrival of the chunk before it, to its arrival. The child reports how long it handled the chunk, so that a slow target doesn't count as a slow link; the round trip to another data centre is measured too and left out. As many chunks may be on their way as fit into a quarter of the time that a gateway waits for an answer (0.3 s), at least one. Up to 0.1 s a chunk (2 Mbit/s) the limits are those of before.

The first push within a data centre is alone, as its link is unknown. Across data centres the first three go together as before, because a round trip at the start would delay all that follow.

test_late_child_gets_concurrent_pushes asserts the same limits as before, now for the chunk times of a loader's usual link and of a faster one; for narrow links the limit of 3 was the fault.

--- a/banyanshore/weights/relay.py
+++ b/banyanshore/weights/relay.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 import time
 from dataclasses import replace
 
@@ -18,6 +19,7 @@
 from banyanshore.weights.relay_fetches import (
     MAX_BACKOFF,
     URGENT_SHARE,
+    PushTimes,
     max_concurrent_pushes,
     next_fetches,
 )
@@ -43,13 +45,18 @@
 class Child:
     """State of an instance to which chunks are pushed.
 
-    :param scope: cancel scope of the pushes.
+    :param name: name of the instance.
+    :param is_local: whether it is in the same data centre.
+    :ivar scope: cancel scope of the pushes.
     :ivar have: chunks that it has, as bits.
     :ivar in_flight: chunks that are being pushed to it, as bits.
     """
 
-    def __init__(self, scope):
-        self.scope = scope
+    def __init__(self, name, is_local):
+        self.name = name
+        self.is_local = is_local
+        self.scope = anyio.CancelScope()
+        self.push_times = PushTimes(is_local)
         self.have = 0
         self.in_flight = 0
 
@@ -105,10 +112,11 @@
         if not self.manifest.matches_digest(push.index, push.data):
             logger.warning("pushed chunk is wrong", extra={"chunk": push.index})
             return ChunkPushReply(False)
+        started_at = time.monotonic()
         await self._store_chunk(push.index, push.data)
         self.planner.record_received(push.index)
         self._notify_chunks_changed()
-        return ChunkPushReply(True)
+        return ChunkPushReply(True, time.monotonic() - started_at)
 
     def handle_have(self, peer, update):
         """Record the chunks that a neighbour or a child reports."""
@@ -175,52 +183,61 @@
                 self._start_child(name)
 
     def _start_child(self, name):
-        child = Child(anyio.CancelScope())
-        self._child_by_instance[name] = child
         is_local = self._rosters.data_centre_of(name) == self._settings.data_centre
-        self._tasks.start_soon(self._run_pushers, name, child, is_local)
+        child = Child(name, is_local)
+        self._child_by_instance[name] = child
+        self._tasks.start_soon(self._push_forever, child)
 
-    async def _run_pushers(self, name, child, is_local):
+    async def _push_forever(self, child):
         with child.scope:
             async with anyio.create_task_group() as tasks:
-                for rank in range(max_concurrent_pushes(is_local, True)):
-                    tasks.start_soon(self._push_forever, name, child, is_local, rank)
+                while True:
+                    missing = self.planner.have & ~child.have & ~child.in_flight
+                    if missing and self._may_push(child):
+                        chunk = missing & -missing
+                        child.in_flight |= chunk
+                        tasks.start_soon(self._push_chunk, child, chunk)
+                        continue
+                    # More pushes are allowed once the transfer counts as late.
+                    timeout = URGENCY_INTERVAL if missing else math.inf
+                    with anyio.move_on_after(timeout):
+                        await self._chunks_changed.wait()
+
+    def _may_push(self, child):
+        limit = max_concurrent_pushes(
+            child.is_local,
+            time.monotonic() >= self.urgent_from,
+            child.push_times.chunk_seconds,
+        )
+        return child.in_flight.bit_count() < limit
 
-    async def _push_forever(self, name, child, is_local, rank):
-        while True:
-            missing = self.planner.have & ~child.have & ~child.in_flight
-            if not missing:
-                await self._chunks_changed.wait()
-                continue
-            is_urgent = time.monotonic() >= self.urgent_from
-            if rank >= max_concurrent_pushes(is_local, is_urgent):
-                await anyio.sleep(URGENCY_INTERVAL)
-                continue
-            chunk = missing & -missing
-            child.in_flight |= chunk
-            try:
-                is_accepted = await self._push(name, chunk.bit_length() - 1)
-            finally:
-                child.in_flight &= ~chunk
-            if is_accepted:
+    async def _push_chunk(self, child, chunk):
+        try:
+            if await self._push(child, chunk.bit_length() - 1):
                 child.have |= chunk
             else:
                 await anyio.sleep(PUSH_RETRY_SECONDS)
+        finally:
+            child.in_flight &= ~chunk
+            self._notify_chunks_changed()
 
-    async def _push(self, name, index):
+    async def _push(self, child, index):
         """Push a chunk to a child; return whether the child accepted it."""
-        address = self._address_by_instance.get(name)
+        address = self._address_by_instance.get(child.name)
         if address is None:
             return False
         data = self._store.get(self.manifest.chunk_digests[index])
         push = ChunkPush(self.manifest.digest, index, data)
         try:
-            link = self._links.get(address, name)
+            link = self._links.get(address, child.name)
             connection = await link.get_connection(PEER_TIMEOUT)
+            started_at = time.monotonic()
             reply = await connection.call(push, PUSH_TIMEOUT)
         except BanyanshoreError as error:
             logger.info("chunk not pushed", extra={"why": str(error)})
             return False
+        arrived_at = time.monotonic() - reply.handling_seconds
+        child.push_times.record(started_at, arrived_at)
         return reply.is_accepted
 
     async def _fetch_manifest(self):
--- a/banyanshore/weights/relay_fetches.py
+++ b/banyanshore/weights/relay_fetches.py
@@ -5,6 +5,13 @@
 targets wait for the last chunks.
 """
 
+import math
+
+from banyanshore.routing.timeouts import MAX_HEAD_SECONDS
+
+# Longest queue of chunks on the link of a child, in seconds. A request that waits
+# behind it still has most of the time that a gateway waits for an answer.
+MAX_QUEUE_SECONDS = 0.25 * MAX_HEAD_SECONDS
 # Concurrent pushes to one child. Within a data centre, one push keeps the link busy and
 # delays requests the least; across regions, replies take longer.
 PUSHES_WITHIN_DATA_CENTRE = 1
@@ -35,15 +42,70 @@
     return planner.tick(now) if is_stalled else []
 
 
-def max_concurrent_pushes(is_local, is_urgent):
+class PushTimes:
+    """Measure how long one chunk occupies the link to a child.
+
+    :param is_local: whether the child is in the same data centre, so that a reply takes
+        no time worth measuring.
+    """
+
+    def __init__(self, is_local):
+        self._is_local = is_local
+        self._last_arrived_at = -math.inf
+        # Seconds of the last two chunks, the last one first.
+        self._recent_seconds = ()
+        # Shortest times of a push with its reply, and of two chunks in a row.
+        self._shortest_push = math.inf
+        self._shortest_chunk = math.inf
+
+    @property
+    def chunk_seconds(self):
+        """Return the seconds for which a chunk occupies the link, 0 if unknown.
+
+        One chunk that took longer than the chunk before it, such as the first one after
+        a pause of a process, doesn't count.
+        """
+        return min(self._recent_seconds, default=0.0)
+
+    def record(self, started_at, arrived_at):
+        """Record a push.
+
+        :param arrived_at: time of the reply, minus the time that the child spent on it.
+        """
+        # A chunk that is queued behind another one starts to arrive after it.
+        reaches_link_at = max(started_at + self._round_trip(), self._last_arrived_at)
+        seconds = max(0.0, arrived_at - reaches_link_at)
+        self._last_arrived_at = max(arrived_at, self._last_arrived_at)
+        self._recent_seconds = (seconds, *self._recent_seconds[:1])
+        self._shortest_push = min(self._shortest_push, arrived_at - started_at)
+        if len(self._recent_seconds) > 1:
+            # Two replies that are read at the same time make one of them look short.
+            slower = max(self._recent_seconds)
+            self._shortest_chunk = min(self._shortest_chunk, slower)
+
+    def _round_trip(self):
+        if self._is_local or self._shortest_chunk == math.inf:
+            return 0.0
+        return max(0.0, self._shortest_push - self._shortest_chunk)
+
+
+def max_concurrent_pushes(is_local, is_urgent, chunk_seconds):
     """Return the number of concurrent pushes to one child.
 
     Load pattern: all targets receive a version over links that need more than half of
-    the available time for one copy, and carry requests at the same time.
+    the available time for one copy, and carry requests at the same time. A link may
+    become several times slower meanwhile: one push keeps it busy then, and requests
+    wait behind each further one.
 
     :param is_local: whether the child is in the same data centre.
     :param is_urgent: whether the transfer is late.
+    :param chunk_seconds: seconds for which a chunk occupies the link to the child, 0 if
+        unknown.
     """
+    most = PUSHES_WITHIN_DATA_CENTRE if is_local else PUSHES_ACROSS
     if is_urgent:
-        return PUSHES_URGENT
-    return PUSHES_WITHIN_DATA_CENTRE if is_local else PUSHES_ACROSS
+        most = PUSHES_URGENT
+    if chunk_seconds:
+        return max(1, min(most, int(MAX_QUEUE_SECONDS / chunk_seconds)))
+    # The first push within a data centre shows how fast the link is.
+    return 1 if is_local else most
--- a/banyanshore/weights/relay_messages.py
+++ b/banyanshore/weights/relay_messages.py
@@ -17,6 +17,8 @@
     """Reply to a :class:`ChunkPush`.
 
     :param is_accepted: whether the receiver now has the chunk.
+    :param handling_seconds: seconds between the arrival of the chunk and the reply.
     """
 
     is_accepted: bool
+    handling_seconds: float = 0.0
--- a/tests/weights/test_relay_fetches.py
+++ b/tests/weights/test_relay_fetches.py
@@ -10,6 +10,7 @@
 from banyanshore.weights.relay import STALL_SECONDS
 from banyanshore.weights.relay_fetches import (
     MAX_BACKOFF,
+    PushTimes,
     max_concurrent_pushes,
     next_fetches,
 )
@@ -82,8 +83,65 @@
     assert completed_at > completion_bound(seed, 8.3) + 1.0
 
 
-def test_late_child_gets_concurrent_pushes():
+# Seconds to push a chunk over the link of a loader, as it usually is and narrowed, and
+# over one between data centres.
+USUAL_SECONDS = 24_576 * 8 / 3.65e6
+NARROW_SECONDS = 24_576 * 8 / 0.91e6
+ACROSS_SECONDS = 24_576 * 8 / 7.3e6
+
+
+@pytest.mark.parametrize("chunk_seconds", [ACROSS_SECONDS, USUAL_SECONDS])
+def test_late_child_gets_concurrent_pushes(chunk_seconds):
     """One at a time, 96 chunks took 6.4 s over a link that carries them in 5.2 s."""
-    assert max_concurrent_pushes(is_local=True, is_urgent=False) == 1
-    assert max_concurrent_pushes(is_local=True, is_urgent=True) == 3
-    assert max_concurrent_pushes(is_local=False, is_urgent=False) == 3
+    assert max_concurrent_pushes(True, False, chunk_seconds) == 1
+    assert max_concurrent_pushes(True, True, chunk_seconds) == 3
+    assert max_concurrent_pushes(False, False, chunk_seconds) == 3
+
+
+@pytest.mark.parametrize("chunk_seconds", [NARROW_SECONDS, 24_576 * 8 / 0.1e6])
+@pytest.mark.parametrize("is_local", [True, False])
+def test_child_on_narrow_link_gets_one_push_at_a_time(is_local, chunk_seconds):
+    assert max_concurrent_pushes(is_local, True, chunk_seconds) == 1
+    assert max_concurrent_pushes(is_local, False, chunk_seconds) == 1
+
+
+def test_first_push_within_a_data_centre_is_alone():
+    assert max_concurrent_pushes(True, True, 0.0) == 1
+    assert max_concurrent_pushes(False, False, 0.0) == 3
+
+
+def limits_of_pushes(is_local, chunk_seconds, round_trip, pushes=40):
+    """Push chunks over a link; return the limit of concurrent pushes after each."""
+    times = PushTimes(is_local)
+    now, free_at, in_flight, limits = 0.0, 0.0, [], []
+    while len(limits) < pushes:
+        limit = max_concurrent_pushes(is_local, True, times.chunk_seconds)
+        while len(in_flight) < limit:
+            free_at = max(free_at, now + round_trip / 2) + chunk_seconds
+            in_flight.append((now, free_at + round_trip / 2))
+        started_at, now = in_flight.pop(0)
+        times.record(started_at, now)
+        limits.append(max_concurrent_pushes(is_local, True, times.chunk_seconds))
+    return limits
+
+
+@pytest.mark.parametrize("round_trip", [0.02, 0.1, 0.2, 0.3])
+def test_long_round_trip_does_not_count_as_narrow_link(round_trip):
+    limits = limits_of_pushes(False, ACROSS_SECONDS, round_trip)
+    assert set(limits[2:]) == {3}
+
+
+@pytest.mark.parametrize("round_trip", [0.02, 0.1, 0.3])
+def test_narrow_link_across_data_centres_gets_one_push_at_a_time(round_trip):
+    limits = limits_of_pushes(False, NARROW_SECONDS, round_trip)
+    assert set(limits) == {1}
+
+
+def test_single_slow_chunk_does_not_count_as_narrow_link():
+    times = PushTimes(True)
+    for number in range(5):
+        times.record(number, number + USUAL_SECONDS)
+    times.record(6.0, 6.5)
+    assert times.chunk_seconds == pytest.approx(USUAL_SECONDS)
+    times.record(7.0, 7.5)
+    assert times.chunk_seconds == pytest.approx(0.5)
