Don't fetch chunks while a pushed one is arriving slowly

Callers would see requests wait many seconds on the link of a target that has become very slow (0.1 Mbit/s): a chunk takes 2 s there, and a loader that received no chunk for 1.5 s fetched up to four from neighbours and two from the origin, over the same link and in addition to the chunk that was being pushed. Some were the pushed ones: the loader doesn't know what is on its way. Late transfers over slightly faster links did the same.

A connection now tells whether parts of a frame are arriving; while that is so on a connection from the parent, missing chunks are fetched only after 4 s instead of 1.5 s without a new one. If the parent or its link is lost, no parts arrive, and 1.5 s apply as before.

The simulation in test_relay_fetches.py asks the same function as relay.py whether a member has stalled, with the same 1.5 s.

--- a/banyanshore/transport/connection.py
+++ b/banyanshore/transport/connection.py
@@ -36,6 +36,8 @@
 READ_SIZE_BYTES = 256 * 1024
 # Senders block while more than this many bytes are queued for writing.
 MAX_PENDING_BYTES = 4 * 1024 * 1024
+# Seconds without data after which an incomplete frame counts as interrupted.
+INTERRUPTED_SECONDS = 1.0
 
 
 @dataclass
@@ -111,6 +113,8 @@
         self._clock = clock
         self._last_received_at = clock()
         self._last_sent_at = clock()
+        # Time of the last data if it completed no frame.
+        self._incomplete_at = float("-inf")
         self._next_call_id = 1
         self._stream_by_call_id = {}
         self._scope_by_call_id = {}
@@ -124,6 +128,11 @@
         self._drained = anyio.Event()
         self._tasks = None
 
+    @property
+    def is_receiving_frame(self):
+        """Whether parts of a frame that takes long are arriving."""
+        return self._clock() - self._incomplete_at <= INTERRUPTED_SECONDS
+
     async def run(self):
         """Serve the connection until it ends; don't raise if the peer is lost."""
         try:
@@ -292,8 +301,11 @@
             self._last_received_at = self._clock()
             self.peer_responded.set()
             byte_counter.received += len(data)
+            incomplete_at = self._last_received_at
             for frame in decoder.feed(data):
+                incomplete_at = float("-inf")
                 await self._dispatch(frame)
+            self._incomplete_at = incomplete_at
 
     async def _dispatch(self, frame):
         action = _ACTION_BY_FRAME.get(type(frame))
--- a/banyanshore/transport/links.py
+++ b/banyanshore/transport/links.py
@@ -276,6 +276,17 @@
             self._tasks.start_soon(link.run)
         return link
 
+    def is_receiving_frame_from(self, peer):
+        """Return whether parts of a frame from a peer, which takes long, are arriving.
+
+        Connections that the peer has opened count too.
+        """
+        ticker = self._options.ticker
+        return ticker is not None and any(
+            connection.peer == peer and connection.is_receiving_frame
+            for connection in ticker.connections
+        )
+
     def keep_only(self, addresses):
         """Close the links to all addresses but the given ones."""
         for address in self.by_address.keys() - addresses:
--- a/banyanshore/weights/relay.py
+++ b/banyanshore/weights/relay.py
@@ -20,6 +20,7 @@
     MAX_BACKOFF,
     URGENT_SHARE,
     PushTimes,
+    is_stalled,
     max_concurrent_pushes,
     next_fetches,
 )
@@ -38,8 +39,6 @@
 PUSH_RETRY_SECONDS = 0.15
 # Seconds between checks whether more concurrent pushes to a child are allowed.
 URGENCY_INTERVAL = 0.2
-# Seconds without a new chunk after which missing chunks are fetched.
-STALL_SECONDS = 1.5
 
 
 class Child:
@@ -148,8 +147,12 @@
     def _next_fetches(self, now):
         self._refresh_children()
         is_root = self._rosters.tree.root == self._settings.instance
-        is_stalled = self.seconds_without_chunk(now) > STALL_SECONDS
-        return next_fetches(self.planner, now, is_root, is_stalled)
+        return next_fetches(self.planner, now, is_root, self._is_stalled(now))
+
+    def _is_stalled(self, now):
+        parent = self._rosters.tree.parent(self._settings.instance)
+        is_receiving = self._links.is_receiving_frame_from(parent)
+        return is_stalled(self.seconds_without_chunk(now), is_receiving)
 
     def seconds_without_chunk(self, now):
         """Return the seconds since the last new chunk, or since the start if none."""
--- a/banyanshore/weights/relay_fetches.py
+++ b/banyanshore/weights/relay_fetches.py
@@ -25,6 +25,22 @@
 # Largest factor on the retry delay after failed fetches of a chunk from the origin. One
 # instance fetches for all, so an unavailable origin gets a few requests per second.
 MAX_BACKOFF = 2
+# Seconds without a new chunk after which missing chunks are fetched, and the same while
+# a pushed chunk is arriving slowly.
+STALL_SECONDS = 1.5
+SLOW_STALL_SECONDS = 4.0
+
+
+def is_stalled(seconds_without_chunk, is_receiving):
+    """Return whether a member has to fetch chunks, because none are pushed to it.
+
+    Load pattern: the link of a member becomes so slow that one chunk takes seconds.
+    Each chunk fetched over the same link would only delay the pushed one and requests.
+
+    :param is_receiving: whether parts of a pushed chunk are arriving.
+    """
+    limit = SLOW_STALL_SECONDS if is_receiving else STALL_SECONDS
+    return seconds_without_chunk > limit
 
 
 def next_fetches(planner, now, is_root, is_stalled):
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -6,7 +6,7 @@
 from banyanshore.routing.messages import Data, Finished
 from banyanshore.transport import Handler, decode, encode
 from banyanshore.transport.codec import CodecError, Decoder
-from banyanshore.transport.connection import Connection
+from banyanshore.transport.connection import INTERRUPTED_SECONDS, Connection
 from banyanshore.transport.frames import Call, Heartbeat, Reply
 from banyanshore.transport.replies import (
     WINDOW_REPLIES,
@@ -283,3 +283,30 @@
         await slow.aclose()
         assert await pair.near.call("short", 5.0) == Finished()
         tasks.cancel_scope.cancel()
+
+
+async def test_frame_that_arrives_in_parts_is_noticed_until_it_is_interrupted():
+    """A loader couldn't tell a slow push from none, and fetched the same chunks."""
+    clock = [0.0]
+    async with anyio.create_task_group() as tasks:
+        pair = Pair(tasks, clock=lambda: clock[0])
+        await pair.open()
+        assert not pair.near.is_receiving_frame
+        data = encode(Heartbeat()) + encode(Call(1, Data(bytes(1000))))
+        sent = 0
+        with anyio.fail_after(2):
+            while not pair.near.is_receiving_frame:
+                await pair.far_stream.send(data[sent : sent + 1])
+                sent += 1
+                await anyio.sleep(0.001)
+        assert sent < len(data)
+        clock[0] = 0.9 * INTERRUPTED_SECONDS
+        assert pair.near.is_receiving_frame
+        clock[0] = 1.1 * INTERRUPTED_SECONDS
+        assert not pair.near.is_receiving_frame
+        clock[0] = 0.0
+        await pair.far_stream.send(data[sent:])
+        with anyio.fail_after(2):
+            while pair.near.is_receiving_frame:
+                await anyio.sleep(0.001)
+        tasks.cancel_scope.cancel()
--- a/tests/weights/test_pushes_over_thin_links.py
+++ b/tests/weights/test_pushes_over_thin_links.py
@@ -70,3 +70,13 @@
     world = play(monkeypatch, lambda seconds: rate)
     one_at_a_time = shortest_seconds(USUAL_MBITS) + CHUNKS * STAGE_SECONDS
     assert world.completed_seconds <= min(1.05 * one_at_a_time, 0.9 * SWITCH_SECONDS)
+
+
+def test_no_chunk_is_queued_behind_a_chunk_on_a_very_slow_link(monkeypatch):
+    """A child used to fetch up to six chunks while a pushed one was still arriving."""
+    rate = bytes_per_second(0.1)
+    world = play(monkeypatch, lambda seconds: rate, request_interval=4.0)
+    assert world.link.most_chunks == 1
+    assert set(world.link.sent_by_chunk.values()) == {1}
+    # The chunk that is being sent, and the request itself.
+    assert world.longest_delay() <= 1.05 * (CHUNK_BYTES + REQUEST_BYTES) / rate
--- a/tests/weights/test_relay_fetches.py
+++ b/tests/weights/test_relay_fetches.py
@@ -7,10 +7,12 @@
 from banyanshore.weights.placement import Member, Placement
 from banyanshore.weights.planner import TransferPlanner
 from banyanshore.weights.planner_rows import ORIGIN, PlannerOptions
-from banyanshore.weights.relay import STALL_SECONDS
 from banyanshore.weights.relay_fetches import (
     MAX_BACKOFF,
+    SLOW_STALL_SECONDS,
+    STALL_SECONDS,
     PushTimes,
+    is_stalled,
     max_concurrent_pushes,
     next_fetches,
 )
@@ -50,8 +52,8 @@
                 failed += fetch.source == ORIGIN
                 availability = "" if fetch.source == ORIGIN else "queued"
                 planner.record_failure(now, fetch, availability)
-        is_stalled = now - progressed_at > STALL_SECONDS
-        for fetch in next_fetches(planner, now, True, is_stalled):
+        has_stalled = is_stalled(now - progressed_at, is_receiving=False)
+        for fetch in next_fetches(planner, now, True, has_stalled):
             is_quick = fetch.source != ORIGIN or outage_start <= now < outage_end
             pending.append((now + (0.01 if is_quick else CHUNK_SECONDS), fetch))
         now += TICK_SECONDS
@@ -145,3 +147,10 @@
     assert times.chunk_seconds == pytest.approx(USUAL_SECONDS)
     times.record(7.0, 7.5)
     assert times.chunk_seconds == pytest.approx(0.5)
+
+
+def test_member_waits_longer_while_a_chunk_is_arriving():
+    assert not is_stalled(STALL_SECONDS, is_receiving=False)
+    assert is_stalled(STALL_SECONDS + 0.1, is_receiving=False)
+    assert not is_stalled(SLOW_STALL_SECONDS, is_receiving=True)
+    assert is_stalled(SLOW_STALL_SECONDS + 0.1, is_receiving=True)
--- a/tests/weights/thin_link.py
+++ b/tests/weights/thin_link.py
@@ -144,7 +144,7 @@
             )
         try:
             with anyio.fail_after(timeout):
-                await self._world.carry_chunk(body.index)
+                await self._world.carry_push(body.index)
                 reply = await transfer.handle_push(body)
                 await anyio.sleep(REPLY_SECONDS)
                 return reply
@@ -168,6 +168,9 @@
     def get(self, address, peer):
         return PeerLink(self._world, self._source, peer)
 
+    def is_receiving_frame_from(self, peer):
+        return peer == PARENT and self._world.pushes > 0
+
 
 class Rosters:
     """Rosters of one gateway and one loader."""
@@ -225,6 +228,8 @@
         # Seconds since the start at which each request was sent, and its delay.
         self.requests = []
         self.completed_seconds = None
+        # Pushed chunks that are on their way.
+        self.pushes = 0
         self._request_interval = request_interval
         self._known_since = self.started_at - known_seconds
 
@@ -233,6 +238,13 @@
         self.tasks.start_soon(self.link.carry_chunk, index, left)
         await left.wait()
 
+    async def carry_push(self, index):
+        self.pushes += 1
+        try:
+            await self.carry_chunk(index)
+        finally:
+            self.pushes -= 1
+
     async def run(self):
         async with anyio.create_task_group() as self.tasks:
             store = MemoryChunkStore()
