Don't push a chunk again while it may still be arriving

A push without a reply within 3 s was given up and the same chunk pushed again, over the same connection and so behind the first one, which the child dropped when the cancellation arrived.

A push now waits for up to 60 s. A connection to a lost child ends after the silence bound of 2.5 s, which ends its pushes; a child that isn't lost replies, since its staging of a chunk has a timeout of 1 s.

--- a/banyanshore/weights/relay.py
+++ b/banyanshore/weights/relay.py
@@ -33,8 +33,10 @@
 DIGESTS_RETRY_SECONDS = 0.2
 # Timeout in seconds for connecting to a peer, and for its manifest.
 PEER_TIMEOUT = 0.5
-# Timeout in seconds for a child to accept a pushed chunk.
-PUSH_TIMEOUT = 3.0
+# Timeout in seconds for a child to accept a pushed chunk. The connection to a lost
+# child ends much earlier; over an open one, a repeated chunk would queue behind the
+# first.
+PUSH_TIMEOUT = 60.0
 # Seconds before another chunk is pushed to a child that did not accept one.
 PUSH_RETRY_SECONDS = 0.15
 # Seconds between checks whether more concurrent pushes to a child are allowed.
--- a/tests/weights/test_pushes_over_thin_links.py
+++ b/tests/weights/test_pushes_over_thin_links.py
@@ -80,3 +80,12 @@
     assert set(world.link.sent_by_chunk.values()) == {1}
     # The chunk that is being sent, and the request itself.
     assert world.longest_delay() <= 1.05 * (CHUNK_BYTES + REQUEST_BYTES) / rate
+
+
+def test_chunk_is_not_pushed_again_while_it_is_arriving(monkeypatch):
+    """Pushes were given up after 3 s and repeated, and no chunk ever arrived."""
+    rate = bytes_per_second(0.06)
+    world = play(monkeypatch, lambda seconds: rate, request_interval=8.0)
+    assert CHUNK_BYTES / rate > 3.0
+    assert set(world.link.sent_by_chunk.values()) == {1}
+    assert world.link.most_chunks == 1
