Withdraw requests that wait on older weights, in time for the bound

Cause: the switch bounds when a request is sent, and nothing bounds how long it may wait for its answer to begin. Evidence: on the code before, the held connection was closed 0.3 s after the bound in test_request_that_waits_on_older_weights_is_withdrawn, and the request that may not be repeated ended with 504 at its deadline instead of 502. test_stream_whose_resumption_is_withdrawn_is_broken_off failed without the change of its step (no line 'broken off'). Why: each offer has a time between the switch and halfway to the bound by which the head of its answer must have arrived, earlier the longer it waits already or the target is expected to need. It is computed again when a version becomes known. The outcome counts as one that may have run, but not as a failure of the target. Only offers on older weights start a timer. Conclusion: bounds when the close is sent, not when it arrives.

--- a/banyanshore/conf/registered.py
+++ b/banyanshore/conf/registered.py
@@ -151,6 +151,11 @@
 
     version_switch_seconds = property(_version_switch_seconds)
 
+    @property
+    def version_bound_seconds(self):
+        """Return the seconds after which no request may start on older versions."""
+        return self.version_bound_ms / 1000
+
     @property
     def stop_timeout(self):
         """Return the longest time in seconds that a planned stop waits for requests."""
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -13,6 +13,7 @@
 from banyanshore.gateway.run import RequestRun
 from banyanshore.gateway.screening import Rejection, Screening
 from banyanshore.gateway.suspects import Suspects
+from banyanshore.gateway.withdrawals import Withdrawals
 from banyanshore.http.listener import Listener, ListenerLimits
 from banyanshore.http.wire import PeerClosedError
 from banyanshore.membership.feed import GATEWAY_ROLE, FeedClient, MemberRow, Registry
@@ -31,6 +32,7 @@
 from banyanshore.routing.roster import GatewayRoster
 from banyanshore.routing.shares import ColdShares, RetryShare
 from banyanshore.routing.version_switch import VersionSwitch
+from banyanshore.routing.withdrawal import WithdrawalRule
 from banyanshore.state import StateHolder
 from banyanshore.telemetry.gateway import GatewayMetrics
 from banyanshore.telemetry.rollouts import log_known_versions
@@ -70,6 +72,10 @@
         self.state = StateHolder()
         self.registry = Registry()
         self.versions = VersionSwitch(settings.version_switch_seconds)
+        rule = WithdrawalRule(
+            settings.version_switch_seconds, settings.version_bound_seconds
+        )
+        self.withdrawals = Withdrawals(rule, self.newer_known_for)
         self.screening = Screening(settings.key_lease_seconds)
         self.leaving = False
         # Time after which requests are refused, since the gateway is leaving.
@@ -154,6 +160,13 @@
         """
         return self._roster.padded_names(time.monotonic(), names)
 
+    def newer_known_for(self, model, version):
+        """Return the seconds since a newer version of a model became known.
+
+        :return: ``-inf`` if there is none.
+        """
+        return time.monotonic() - self.versions.newer_known_since(model, version)
+
     def retry_share(self, service):
         """Return the :class:`RetryShare` of a service."""
         share = self._retry_share_by_service.get(service)
@@ -203,6 +216,7 @@
         self.screening.use(document)
         ages = self.feed.rollout_ages
         log_known_versions(self.versions.record(now, document["rollouts"], ages))
+        self.withdrawals.reschedule()
         previously_out = self._data_centres_out_of_service
         self._data_centres_out_of_service = {
             name
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -11,6 +11,7 @@
     CONNECT_TIMEOUT,
     BrokenAnswerError,
     NotSentError,
+    WithdrawnError,
     open_answer,
 )
 from banyanshore.routing.attempts import Attempts, Outcome, Step
@@ -92,6 +93,8 @@
             if outcome is Outcome.BROKEN_OFF and self._last_event_id is None:
                 step = Step.BREAK_OFF
             if step is not Step.OFFER:
+                if self._exchange.started:
+                    step = Step.BREAK_OFF
                 await self._end(step, outcome.value)
                 return
             self._log("offered again", why=outcome.value)
@@ -169,13 +172,22 @@
         )
         self._offer_in_flight = offer_in_flight
         load = board.load(row.address)
+        withdrawals = self._gateway.withdrawals
+        waiting_offer = withdrawals.begin(
+            self._request.model,
+            choice.model_version,
+            load.expected_first_byte_seconds(now),
+        )
         load.record_sent(now)
         has_returned = False
         try:
-            outcome = await self._send(choice, request, offer_in_flight)
+            outcome = await self._send(
+                choice, request, offer_in_flight, waiting_offer.scope
+            )
             has_returned = True
         finally:
             board.end(row)
+            withdrawals.end(waiting_offer)
             load.record_end(time.monotonic(), now)
             suspects.end(offer_in_flight)
             if not has_returned:
@@ -188,8 +200,11 @@
             await suspects.record_answer(offer_in_flight)
         return outcome
 
-    async def _send(self, choice, request, offer_in_flight):
-        """Send an offer to its target; return the outcome, ``None`` if answered."""
+    async def _send(self, choice, request, offer_in_flight, head_scope):
+        """Send an offer to its target; return the outcome, ``None`` if answered.
+
+        :param head_scope: cancel scope that ends when the offer is withdrawn.
+        """
         row = choice.row
         try:
             async with open_answer(
@@ -198,6 +213,7 @@
                 CONNECT_TIMEOUT,
                 self._head_timeout(),
                 lambda: self._may_send(choice),
+                head_scope,
             ) as answer:
                 self._gateway.suspects.record_head(offer_in_flight)
                 load = self._gateway.board.load(row.address)
@@ -212,6 +228,10 @@
             self._is_offered = False
             self._log("not sent", why=error.message)
             return Outcome.NOT_SENT
+        except WithdrawnError:
+            self._gateway.metrics.withdrawn_offers.labels(self._screened.service).inc()
+            self._log("withdrawn", why="newer-weights")
+            return Outcome.WITHDRAWN
         except BrokenAnswerError as error:
             self._log("answer broke off", why=error.message)
             started = self._exchange.started
--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -202,6 +202,10 @@
         return self._late_reads <= MAX_LATE_READS and has_unread_bytes(self._stream)
 
 
+class WithdrawnError(BanyanshoreError):
+    """Signal a request that was withdrawn before its answer; it may have run."""
+
+
 class NotSentError(BanyanshoreError):
     """Signal a request that was withdrawn while the connection was being opened."""
 
@@ -213,6 +217,7 @@
     connect_timeout=CONNECT_TIMEOUT,
     progress_timeout=math.inf,
     may_send=lambda: True,
+    head_scope=None,
 ):
     """Send a request, and yield its :class:`UpstreamAnswer` once the head is received.
 
@@ -224,11 +229,15 @@
         part, see :meth:`UpstreamAnswer.record_progress`.
     :param may_send: callable, called once the connection is open, that returns whether
         to send the request.
+    :param head_scope: cancel scope of the wait for the head; the request is withdrawn
+        when it is cancelled.
 
     :raises UnavailableError: no connection; the request was not sent.
     :raises NotSentError: ``may_send`` returned false; the request was not sent.
     :raises BrokenAnswerError: there is no valid answer, but the request may have run.
+    :raises WithdrawnError: it was withdrawn, but may have run.
     """
+    head_scope = head_scope or anyio.CancelScope()
     stream = await _connect(address, connect_timeout)
     answer = UpstreamAnswer(stream, address, progress_timeout)
     try:
@@ -238,12 +247,15 @@
             )
         data = answer.encode(request)
         async with open_task_group() as tasks:
-            if len(data) <= MAX_INLINE_BYTES:
-                await _send(stream, data)
-            else:
-                # A target may answer before it has read all of a long body.
-                tasks.start_soon(_send, stream, data)
-            await answer.read_head()
+            with head_scope:
+                if len(data) <= MAX_INLINE_BYTES:
+                    await _send(stream, data)
+                else:
+                    # A target may answer before it has read all of a long body.
+                    tasks.start_soon(_send, stream, data)
+                await answer.read_head()
+            if not answer.has_head:
+                raise WithdrawnError("withdrawn", step="read-head", peer=address)
             yield answer
             tasks.cancel_scope.cancel()
     finally:
--- a/banyanshore/routing/attempts.py
+++ b/banyanshore/routing/attempts.py
@@ -20,6 +20,7 @@
     NOT_RUN = "not-run"
     FAILED = "failed"
     LOST = "lost"
+    WITHDRAWN = "withdrawn"
     BROKEN_OFF = "broken-off"
 
 
@@ -34,7 +35,9 @@
 
 
 # Outcomes after which the target may have run the request.
-_MAY_HAVE_RUN = frozenset({Outcome.FAILED, Outcome.LOST, Outcome.BROKEN_OFF})
+_MAY_HAVE_RUN = frozenset(
+    {Outcome.FAILED, Outcome.LOST, Outcome.WITHDRAWN, Outcome.BROKEN_OFF}
+)
 # Outcomes after which the target has not received the request.
 _NOT_RECEIVED = frozenset({Outcome.UNREACHABLE, Outcome.NOT_SENT})
 # Next step when the request isn't offered again.
@@ -44,6 +47,7 @@
     Outcome.NOT_RUN: Step.REFUSE,
     Outcome.FAILED: Step.PASS_FAILURE,
     Outcome.LOST: Step.REPORT_UNKNOWN,
+    Outcome.WITHDRAWN: Step.REPORT_UNKNOWN,
     Outcome.BROKEN_OFF: Step.BREAK_OFF,
 }
 
--- a/banyanshore/routing/version_switch.py
+++ b/banyanshore/routing/version_switch.py
@@ -85,6 +85,15 @@
                 oldest = version
         return oldest
 
+    def newer_known_since(self, model, version):
+        """Return when a newer version became known, ``inf`` if there is none."""
+        newer = (
+            known_since
+            for other, known_since in self._versions_by_model.get(model, ())
+            if other > version
+        )
+        return min(newer, default=math.inf)
+
     def known_since(self, model):
         """Return when the latest version became known, ``-inf`` if there is none."""
         versions = self._versions_by_model.get(model)
--- a/banyanshore/telemetry/gateway.py
+++ b/banyanshore/telemetry/gateway.py
@@ -32,6 +32,11 @@
             "Answers lost with their connection, by what was found out of them.",
             ["finding"],
         )
+        self.withdrawn_offers = self.registry.counter(
+            "banyanshore_gateway_withdrawn_offers",
+            "Requests withdrawn from targets with older weights, by service.",
+            ["service"],
+        )
         self.first_byte = self.registry.histogram(
             "banyanshore_gateway_first_byte_seconds",
             "Time to the first byte of an answer.",
--- a/tests/gateway/test_version_switch.py
+++ b/tests/gateway/test_version_switch.py
@@ -1,22 +1,67 @@
 """Requests while a model's weights are changed."""
 
+import math
 import time
 from dataclasses import replace
 
 import anyio
 import pytest
 
+from banyanshore.state import Fence, PublishedState
+from banyanshore.state.document import to_json
 from tests.gateway.deployment import (
     COMPLETE,
+    SIGNED,
     Target,
     ask,
     hang,
+    make_document,
     make_request,
     running_gateway,
 )
 
 pytestmark = pytest.mark.anyio
 
+# Age at which a newer version becomes known to the gateway, in seconds: it stops
+# sending to older weights 0.2 s later, and none may begin on them after 0.9 s more.
+AGE = 7.1
+BOUND = 8.0
+
+
+def record_weights(gateway, version):
+    for row in gateway.registry.targets.rows():
+        newer = replace(
+            row, sequence=row.sequence + 1, model="m", model_version=version
+        )
+        gateway.registry.record(time.monotonic(), newer)
+
+
+def name_aged_version(gateway, version, age, **route):
+    """Name a version, and return the time by which requests begin on it."""
+    document = make_document(**route)
+    document["rollouts"]["m"] = {"version": version}
+    gateway.feed.rollout_ages = {("m", version): age}
+    state = PublishedState(version, Fence(1, 1), to_json(document))
+    assert gateway.state.apply(state)
+    return time.monotonic() + BOUND - age
+
+
+class HoldingTarget(Target):
+    """A target that holds its first request without an answer.
+
+    :ivar closed_at: time at which the connection of that request was closed.
+    """
+
+    def __init__(self, *acts):
+        super().__init__(self.hold, *acts)
+        self.closed_at = math.inf
+
+    async def hold(self, stream):
+        try:
+            await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            self.closed_at = time.monotonic()
+
 
 async def test_plain_service_ignores_weights_versions():
     """A target without weights counted as one whose weights are too old."""
@@ -71,3 +116,103 @@
             await anyio.sleep(0.6)
             assert (await ask(address, request))[0] == 503
         assert len(target.requests) == 1
+
+
+@pytest.mark.parametrize("is_named_first", [True, False])
+async def test_request_that_waits_on_older_weights_is_withdrawn(is_named_first):
+    """It waited on a congested link, and began on them after the bound."""
+    target = HoldingTarget(COMPLETE)
+    route = {"objective_seconds": 2.0, "timeout_seconds": 3.0}
+    # The script of both targets is the same: the first one that is asked holds it.
+    async with running_gateway(target, target, **route) as (gateway, address):
+        record_weights(gateway, 1)
+        statuses = []
+
+        async def ask_gateway():
+            statuses.append((await ask(address, make_request(model="m")))[0])
+
+        async with anyio.create_task_group() as tasks:
+            if is_named_first:
+                bound_at = name_aged_version(gateway, 2, AGE - 0.2, **route)
+            tasks.start_soon(ask_gateway)
+            with anyio.fail_after(2):
+                while not target.requests:
+                    await anyio.sleep(0.01)
+            if not is_named_first:
+                bound_at = name_aged_version(gateway, 2, AGE, **route)
+            record_weights(gateway, 2)
+        assert statuses == [200]
+        assert len(target.requests) == 2
+        assert target.closed_at < bound_at
+        for row in gateway.registry.targets.rows():
+            load = gateway.board.load(row.address)
+            assert not load.failures
+            assert load.suspended_until == -math.inf
+        assert not gateway.suspects._detector.has_records
+        _, text = gateway.metrics.registry.render()
+        assert b'banyanshore_gateway_withdrawn_offers_total{service="s"} 1' in text
+
+
+async def test_withdrawn_request_that_may_not_be_repeated_gets_502():
+    """It may have run, which 503 would deny."""
+    target = HoldingTarget(COMPLETE)
+    route = {"kind": "non_idempotent", "timeout_seconds": 3.0}
+    async with running_gateway(target, target, **route) as (gateway, address):
+        record_weights(gateway, 1)
+        bound_at = name_aged_version(gateway, 2, AGE - 0.2, **route)
+        status, _ = await ask(address, make_request("POST", model="m", body=b"b"))
+        assert status == 502
+        assert target.closed_at < bound_at
+        assert len(target.requests) == 1
+        assert not gateway.suspects._detector.has_records
+
+
+async def test_stream_whose_resumption_is_withdrawn_is_broken_off(caplog):
+    """Its caller has the beginning of the answer, and gets no second status."""
+    caplog.set_level("INFO")
+    held = HoldingTarget()
+    head = SIGNED + b"content-length: 99\r\n\r\nid: 1\ndata: e1\n\n"
+    target = Target(head, held.hold)
+    route = {"kind": "streaming", "resumable": True, "objective_seconds": 2.0}
+    async with running_gateway(target, target, **route) as (gateway, address):
+        record_weights(gateway, 1)
+        name_aged_version(gateway, 2, AGE - 0.2, **route)
+        status, answer = await ask(address, make_request(model="m"))
+    assert status == 200
+    assert answer.count(b"HTTP/1.1") == 1
+    assert held.closed_at < math.inf
+    (withdrawn,) = [row for row in caplog.records if row.message == "withdrawn"]
+    assert withdrawn.request_id == "id-1"
+    assert withdrawn.target in ("i-0", "i-1")
+    assert withdrawn.why == "newer-weights"
+    assert AGE <= withdrawn.newer_known_for < BOUND
+    assert "broken off" in [record.message for record in caplog.records]
+
+
+async def test_answer_that_began_in_time_goes_on_after_the_bound():
+    async def answer_slowly(stream):
+        await stream.send(SIGNED + b"content-length: 4\r\n\r\nab")
+        await anyio.sleep(1.5)
+        await stream.send(b"cd")
+
+    target = Target(answer_slowly)
+    route = {"max_attempts": 1, "timeout_seconds": 4.0}
+    async with running_gateway(target, **route) as (gateway, address):
+        record_weights(gateway, 1)
+        name_aged_version(gateway, 2, AGE - 0.2, **route)
+        status, answer = await ask(address, make_request(model="m"))
+        assert (status, answer[-4:]) == (200, b"abcd")
+
+
+async def test_request_on_the_latest_weights_is_not_withdrawn():
+    async def answer_late(stream):
+        await anyio.sleep(0.9)
+        await stream.send(COMPLETE)
+
+    target = Target(answer_late)
+    route = {"objective_seconds": 2.0, "timeout_seconds": 4.0}
+    async with running_gateway(target, **route) as (gateway, address):
+        record_weights(gateway, 2)
+        name_aged_version(gateway, 2, AGE, **route)
+        assert (await ask(address, make_request(model="m")))[0] == 200
+        assert len(target.requests) == 1
--- a/tests/routing/test_attempts.py
+++ b/tests/routing/test_attempts.py
@@ -34,6 +34,8 @@
         (Outcome.FAILED, False, Step.PASS_FAILURE),
         (Outcome.LOST, True, Step.OFFER),
         (Outcome.LOST, False, Step.REPORT_UNKNOWN),
+        (Outcome.WITHDRAWN, True, Step.OFFER),
+        (Outcome.WITHDRAWN, False, Step.REPORT_UNKNOWN),
         (Outcome.BROKEN_OFF, True, Step.OFFER),
         (Outcome.BROKEN_OFF, False, Step.BREAK_OFF),
     ],
@@ -48,6 +50,7 @@
         (Outcome.NOT_RUN, Step.REFUSE),
         (Outcome.FAILED, Step.PASS_FAILURE),
         (Outcome.LOST, Step.REPORT_UNKNOWN),
+        (Outcome.WITHDRAWN, Step.REPORT_UNKNOWN),
         (Outcome.BROKEN_OFF, Step.BREAK_OFF),
     ],
 )
--- a/tests/routing/test_version_switch.py
+++ b/tests/routing/test_version_switch.py
@@ -54,6 +54,16 @@
     assert gateway.oldest_allowed_version(517.0, "m") == 2
 
 
+def test_first_newer_version_counts_for_older_weights():
+    switch = started_switch()
+    switch.record(10.0, rollouts(m=2))
+    switch.record(12.0, rollouts(m=3))
+    assert switch.newer_known_since("m", 1) == 10.0
+    assert switch.newer_known_since("m", 2) == 12.0
+    assert switch.newer_known_since("m", 3) == float("inf")
+    assert switch.newer_known_since("other", 1) == float("inf")
+
+
 def test_models_are_tracked_separately():
     switch = started_switch()
     switch.record(10.0, rollouts(m=2))
