--- a/tests/gateway/test_version_switch.py
+++ b/tests/gateway/test_version_switch.py
@@ -36,7 +36,7 @@
         gateway.registry.record(time.monotonic(), newer)
 
 
-def name_version(gateway, version, age, **route):
+def name_aged_version(gateway, version, age, **route):
     """Name a version, and return the time by which requests begin on it."""
     document = make_document(**route)
     document["rollouts"]["m"] = {"version": version}
@@ -133,13 +133,13 @@
 
         async with anyio.create_task_group() as tasks:
             if is_named_first:
-                bound_at = name_version(gateway, 2, AGE - 0.2, **route)
+                bound_at = name_aged_version(gateway, 2, AGE - 0.2, **route)
             tasks.start_soon(ask_gateway)
             with anyio.fail_after(2):
                 while not target.requests:
                     await anyio.sleep(0.01)
             if not is_named_first:
-                bound_at = name_version(gateway, 2, AGE, **route)
+                bound_at = name_aged_version(gateway, 2, AGE, **route)
             record_weights(gateway, 2)
         assert statuses == [200]
         assert len(target.requests) == 2
@@ -159,7 +159,7 @@
     route = {"kind": "non_idempotent", "timeout_seconds": 3.0}
     async with running_gateway(target, target, **route) as (gateway, address):
         record_weights(gateway, 1)
-        bound_at = name_version(gateway, 2, AGE - 0.2, **route)
+        bound_at = name_aged_version(gateway, 2, AGE - 0.2, **route)
         status, _ = await ask(address, make_request("POST", model="m", body=b"b"))
         assert status == 502
         assert target.closed_at < bound_at
@@ -176,7 +176,7 @@
     route = {"kind": "streaming", "resumable": True, "objective_seconds": 2.0}
     async with running_gateway(target, target, **route) as (gateway, address):
         record_weights(gateway, 1)
-        name_version(gateway, 2, AGE - 0.2, **route)
+        name_aged_version(gateway, 2, AGE - 0.2, **route)
         status, answer = await ask(address, make_request(model="m"))
     assert status == 200
     assert answer.count(b"HTTP/1.1") == 1
@@ -199,7 +199,7 @@
     route = {"max_attempts": 1, "timeout_seconds": 4.0}
     async with running_gateway(target, **route) as (gateway, address):
         record_weights(gateway, 1)
-        name_version(gateway, 2, AGE - 0.2, **route)
+        name_aged_version(gateway, 2, AGE - 0.2, **route)
         status, answer = await ask(address, make_request(model="m"))
         assert (status, answer[-4:]) == (200, b"abcd")
 
@@ -213,6 +213,6 @@
     route = {"objective_seconds": 2.0, "timeout_seconds": 4.0}
     async with running_gateway(target, **route) as (gateway, address):
         record_weights(gateway, 2)
-        name_version(gateway, 2, AGE, **route)
+        name_aged_version(gateway, 2, AGE, **route)
         assert (await ask(address, make_request(model="m")))[0] == 200
         assert len(target.requests) == 1
