Tell reconnected followers which targets have left

What callers saw: requests to a target that had been taken off, for up to 8 s (a gateway) or 6 s (another control instance, and with it all its followers); the users' bound for it is 2 s, and targets that leave serve that long only. Cause: a departure was sent once and dropped where a connection was down. The list that a new connection begins with named rows only. A gateway doubted the row it had beside them for 8 s; control kept it until its heartbeats had expired. Evidence: test_follower_that_was_cut_off_is_told_which_targets_left and test_control_that_was_cut_off_is_told_which_targets_left failed, the row was still there. Why it works: departures are remembered for two minutes anyway; the first list now carries them, they are applied at once, and control passes them on to its own followers. They bind one incarnation, so that a restarted target isn't dropped. Not covered: a notice dropped while the connection stays open, and a control instance that starts after the departure and hears of it from nobody.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -147,8 +147,13 @@
     def _complete_update(self):
         now = time.monotonic()
         self._fleet_size.record(now, len(self._registry.members_of(GATEWAY_ROLE)))
-        rows = self._registry.rows()
-        return RowUpdate(rows, (), True, self._fleet_size.max_count(now))
+        return RowUpdate(
+            self._registry.rows(),
+            # The receiver may have been out of reach when they were sent.
+            self._registry.final_departures(),
+            True,
+            self._fleet_size.max_count(now),
+        )
 
     def find_target(self, target_id):
         """Return the row of a target, or ``None``."""
--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -41,7 +41,8 @@
 class RowUpdate:
     """Carry new or changed rows, and departures of rows.
 
-    :param is_complete: whether ``rows`` are all rows that the sender knows.
+    :param is_complete: whether ``rows`` are all rows that the sender knows, and
+        ``departures`` all that it remembers.
     :param gateways: highest recent number of gateways, sent with complete updates; 0
         otherwise.
     """
@@ -116,6 +117,10 @@
         """Return all rows."""
         return (*self.targets.rows(), *self.members.rows())
 
+    def final_departures(self):
+        """Return the departures that are remembered."""
+        return (*self.targets.final_departures(), *self.members.final_departures())
+
     def expire(self, now):
         """Drop expired rows and return their departures."""
         return [*self.targets.expire(now), *self.members.expire(now)]
--- a/banyanshore/membership/registry.py
+++ b/banyanshore/membership/registry.py
@@ -199,6 +199,13 @@
             self._drop(key)
         return True
 
+    def final_departures(self):
+        """Return the departures that are remembered."""
+        return [
+            Departure(self.name, key, incarnation, True)
+            for key, (incarnation, _) in self._departed_by_key.items()
+        ]
+
     def mark_missing_except(self, now, keys):
         """Mark all rows as missing, except those with the given keys."""
         self._missing_since_by_key = dict.fromkeys(self.by_key.keys() - set(keys), now)
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -173,3 +173,37 @@
         ("target told of itself", "draining"),
         ("target left", "draining"),
     ]
+
+
+async def test_follower_that_was_cut_off_is_told_which_targets_left(server):
+    """It kept sending to a target for eight seconds after its departure was lost."""
+    row = TargetRow("t", "s", "10.0.0.2:80", "dc", "v", 4, "ready", 0.0, 1, 1)
+    await server.record(row)
+    await server.forget(Departure("target", "t", 1, is_final=True))
+    connection = await follow(server, "gateway")
+    known = Registry()
+    known.record(0.0, row)
+    for update in connection.sent_of(RowUpdate):
+        for departure in update.departures:
+            known.forget(0.1, departure)
+    assert not known.targets.rows()
+
+
+async def test_control_that_was_cut_off_is_told_which_targets_left(server):
+    """It kept a target that had left until its heartbeats had expired."""
+    row = TargetRow("t", "s", "10.0.0.2:80", "dc", "v", 4, "ready", 0.0, 1, 1)
+    other = FeedServer(
+        Settings,
+        member("control"),
+        StateHolder(keep_previous=True),
+        Registry(),
+        None,
+        ControlMetrics(),
+    )
+    await other.record(row)
+    gateway = await follow(other, "gateway")
+    await server.record(row)
+    await server.forget(Departure("target", "t", 1, is_final=True))
+    await other.on_peer_update(server._complete_update())
+    assert other.find_target("t") is None
+    assert [d.key for d in gateway.sent_of(RowUpdate)[-1].departures] == ["t"]
