Keep a claim while its call may still run

What callers would see: a call that may not run twice runs twice, if it is sent again with its key after limits.claims.retention_seconds (60 s at least) while the first, with a deadline of up to 600 s, runs. Cause: a claim was forgotten after its retention, whether its call could still run or not. Evidence: test_claim_is_kept_while_its_call_may_still_run: the second attempt was granted, expected in progress. Why it works: a claim is kept until its retention and its call's own end have passed. Claims behind it in the table are kept as long, 605 s at most: they are forgotten in the order of their grants. All voters must run the same version of this rule, like every rule of the log. Reachable only with a retention under the longest deadline; the default is 3600 s. Tests of state, entry and conf pass.

--- a/banyanshore/state/claims.py
+++ b/banyanshore/state/claims.py
@@ -45,7 +45,8 @@
 class ClaimLimits:
     """Bounds of the claim table.
 
-    :param retention: seconds for which a claim is kept.
+    :param retention: seconds for which a claim is kept at least, also once its call
+        has ended.
     :param max_claims: largest number of claims. Further claims are refused: no claim is
         dropped before its retention has passed.
     :param max_answer_bytes: total size of the stored answers; the oldest are dropped.
@@ -142,7 +143,8 @@
     def _expire(self, now):
         while self._by_key:
             key, record = next(iter(self._by_key.items()))
-            if record.at + self.limits.retention > now:
+            # A call may have longer to run than claims are kept.
+            if max(record.at + self.limits.retention, record.expires_at) > now:
                 return
             self._drop_answer(key)
             del self._by_key[key]
--- a/tests/state/test_machine.py
+++ b/tests/state/test_machine.py
@@ -337,6 +337,16 @@
     assert apply(claim("k", "two", at=61.0)).status == ClaimStatus.GRANTED
 
 
+def test_claim_is_kept_while_its_call_may_still_run():
+    """A call that outlasted the retention was run again."""
+    apply = Applier()
+    limits = {"claims": {"retention_seconds": 60}}
+    apply(patch("a", 0, {"limits": limits}))
+    assert apply(claim("k", "one", at=0.0, expires=300.0)).status == "granted"
+    assert apply(claim("k", "two", at=299.0)).status == ClaimStatus.IN_PROGRESS
+    assert apply(claim("k", "two", at=301.0)).status == ClaimStatus.GRANTED
+
+
 def open_order(apply, instance):
     return apply(permit(instance, LoadPermitStatus.ASKED)).open_order
 
