Don't order a load on a permit that has expired

What operators would see: more targets away from service at once than the rollout allows. Cause: an agent got a permit, waited for its target to become idle, and ordered the load without another look. Evidence: test_order_is_not_sent_on_a_permit_that_has_expired: the order was sent after one request for a permit, expected a second one. Why it works: the agent counts the permit from the sending of its request, by the clock that runs on while the machine is suspended, so it ends for the agent no later than in the log, whose time never runs faster. Before the order it asks again, and serves what is loaded while it waits. Not covered: a load that outlasts a permit which can't be renewed; an order can't be withdrawn.

--- a/banyanshore/agent/rollout.py
+++ b/banyanshore/agent/rollout.py
@@ -215,9 +215,7 @@
 
     async def _release_unused_permit(self):
         """Release the permit of a cancelled load and serve the loaded version again."""
-        if self._announcer.status == TargetStatus.LOADING:
-            self._announcer.status = self._loaded_status()
-            await self._announcer.announce()
+        await self._serve_loaded()
         status = (
             LoadPermitStatus.UNKNOWN if self._is_uncertain else LoadPermitStatus.DONE
         )
@@ -242,9 +240,12 @@
 
     async def _load_with_permit(self, spec, permit_fence):
         incarnation = self._permits.target_incarnation
-        self._announcer.status = TargetStatus.LOADING
-        await self._announcer.announce()
-        await self._wait_until_idle()
+        await self._stop_serving()
+        while self._permits.has_expired():
+            # This process was paused, and others may load now: serve meanwhile.
+            await self._serve_loaded()
+            permit_fence = await self._permits.acquire(spec)
+            await self._stop_serving()
         await self._wait_for_incarnation()
         if self._permits.target_incarnation != incarnation:
             # The permit must name the incarnation that receives the order.
@@ -320,6 +321,17 @@
                 logger.warning("chunk %d not sent to the target: %s", index, error)
                 await anyio.sleep(RETRY_SECONDS)
 
+    async def _stop_serving(self):
+        self._announcer.status = TargetStatus.LOADING
+        await self._announcer.announce()
+        await self._wait_until_idle()
+
+    async def _serve_loaded(self):
+        """Serve the loaded version again, if the target was about to load another."""
+        if self._announcer.status == TargetStatus.LOADING:
+            self._announcer.status = self._loaded_status()
+            await self._announcer.announce()
+
     async def _wait_until_idle(self):
         while self._admission.in_flight or self._admission.foreign:
             await anyio.sleep(0.02)
--- a/banyanshore/agent/turns.py
+++ b/banyanshore/agent/turns.py
@@ -1,10 +1,12 @@
 """Request, renew and release the load permit of one target through an entry."""
 
 import logging
+import math
 import time
 
 import anyio
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.state.rollouts import LoadPermitRequest, LoadPermitStatus
 
@@ -37,6 +39,12 @@
         self._is_serving = is_serving
         #: Incarnation of the target that will receive the load order.
         self.target_incarnation = ""
+        # Time at which the permit expires, ``inf`` without one.
+        self._expires_at = math.inf
+
+    def has_expired(self):
+        """Return whether the permit has expired, so that others may hold it now."""
+        return boottime_now() >= self._expires_at
 
     async def acquire(self, spec):
         """Wait for a permit and return its fencing number.
@@ -55,6 +63,7 @@
                 failures += 1
                 logger.warning("request for a load permit failed: %s", error)
                 if failures >= FAILURES_WITHOUT_QUORUM and not self._is_serving():
+                    self._expires_at = math.inf
                     return (0, 0)
             await anyio.sleep(RETRY_SECONDS)
 
@@ -103,4 +112,8 @@
             PERMIT_SECONDS,
             self.target_incarnation,
         )
-        return await self._call_entry(request, PERMIT_TIMEOUT)
+        sent_at = boottime_now()
+        reply = await self._call_entry(request, PERMIT_TIMEOUT)
+        if status is LoadPermitStatus.WANTED and reply.granted:
+            self._expires_at = sent_at + PERMIT_SECONDS
+        return reply
--- a/tests/agent/test_rollout_driver.py
+++ b/tests/agent/test_rollout_driver.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from banyanshore.agent import turns
 from banyanshore.agent.rollout import LoadResult, RolloutDriver, has_ended
 from banyanshore.conf.sections import EngineSettings
 from banyanshore.conf.settings import AgentSettings
@@ -113,6 +114,26 @@
     assert entry.statuses() == [("wanted", "one"), ("wanted", "two"), ("done", "two")]
 
 
+async def test_order_is_not_sent_on_a_permit_that_has_expired(monkeypatch):
+    """An agent that was paused until others held its permit ordered a load."""
+    monkeypatch.setattr(turns, "PERMIT_SECONDS", 0.2)
+    engine, entry = FakeEngine(), FakeEntry()
+    driver = make_driver(engine, entry)
+    driver.loaded = ("m", "v1")
+    driver._admission.in_flight = 1
+
+    async def end_request_late():
+        await anyio.sleep(0.3)
+        driver._admission.in_flight = 0
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(end_request_late)
+        await driver._load(SPEC)
+    assert engine.ordered == [("one", "v2")]
+    statuses = [str(request.status) for request in entry.requests]
+    assert statuses == ["wanted", "wanted", "done"]
+
+
 async def test_order_with_unknown_result_stays_open_and_is_sent_again():
     engine, entry = FakeEngine(), FakeEntry()
     driver = make_driver(engine, entry)
