Don't let a leaving agent order a load that it has waited for

What operators would see: an agent that was asked to stop announces loading and then serving instead of leaving, and its target changes its weights while nobody is left to report the outcome. Evidence: test_agent_that_leaves_while_it_waits_for_a_permit_sends_no_order: the order was sent. Why it works: leaving is looked at again right before the order, and is never overwritten; the permit is given back.

--- a/banyanshore/agent/rollout.py
+++ b/banyanshore/agent/rollout.py
@@ -224,7 +224,7 @@
 
     async def _load(self, spec):
         await self._put_chunks(spec)
-        while self._announcer.status != TargetStatus.LEAVING:
+        while not self._is_leaving:
             await self._wait_for_incarnation()
             self._permit_spec = spec
             permit_fence = await self._permits.acquire(spec)
@@ -232,6 +232,9 @@
                 tasks.start_soon(self._permits.renew_forever, spec)
                 result = await self._load_with_permit(spec, permit_fence)
                 tasks.cancel_scope.cancel()
+            if result is None:
+                await self._release_unused_permit()
+                return
             await self._permits.report(spec, _STATUS_BY_RESULT[result])
             self._permit_spec = None
             if result is LoadResult.LOADED:
@@ -239,6 +242,7 @@
             await anyio.sleep(RETRY_SECONDS)
 
     async def _load_with_permit(self, spec, permit_fence):
+        """Order the load; return its result, or ``None`` if this agent leaves first."""
         incarnation = self._permits.target_incarnation
         await self._stop_serving()
         while self._permits.has_expired():
@@ -250,6 +254,8 @@
         if self._permits.target_incarnation != incarnation:
             # The permit must name the incarnation that receives the order.
             permit_fence = await self._permits.acquire(spec)
+        if self._is_leaving:
+            return None
         # A sent order can't be revoked, so whatever version is desired by then, no
         # request is admitted until the result of the order is known.
         with anyio.CancelScope(shield=True):
@@ -321,9 +327,14 @@
                 logger.warning("chunk %d not sent to the target: %s", index, error)
                 await anyio.sleep(RETRY_SECONDS)
 
+    @property
+    def _is_leaving(self):
+        return self._announcer.status == TargetStatus.LEAVING
+
     async def _stop_serving(self):
-        self._announcer.status = TargetStatus.LOADING
-        await self._announcer.announce()
+        if not self._is_leaving:
+            self._announcer.status = TargetStatus.LOADING
+            await self._announcer.announce()
         await self._wait_until_idle()
 
     async def _serve_loaded(self):
@@ -361,7 +372,7 @@
     def _set_loaded(self, loaded):
         self.loaded = loaded
         self._announcer.model, self._announcer.model_version = loaded
-        if self._announcer.status != TargetStatus.LEAVING:
+        if not self._is_leaving:
             self._announcer.status = self._loaded_status()
         self._admission.become_cold()
 
--- a/tests/agent/test_rollout_driver.py
+++ b/tests/agent/test_rollout_driver.py
@@ -180,6 +180,25 @@
     assert driver._announcer.status == TargetStatus.LEAVING
 
 
+async def test_agent_that_leaves_while_it_waits_for_a_permit_sends_no_order():
+    """It announced that it was loading, then serving, and ordered the load."""
+    engine, entry = FakeEngine(), FakeEntry()
+    driver = make_driver(engine, entry)
+    driver.loaded = ("m", "v1")
+    grant = entry.call
+
+    async def leave_and_grant(request, timeout):
+        driver._announcer.status = TargetStatus.LEAVING
+        return await grant(request, timeout)
+
+    driver._permits._call_entry = leave_and_grant
+    with anyio.fail_after(5):
+        await driver._load(SPEC)
+    assert not engine.ordered
+    assert driver._announcer.status == TargetStatus.LEAVING
+    assert [str(request.status) for request in entry.requests] == ["wanted", "done"]
+
+
 def test_order_has_ended_once_it_is_executed_or_its_target_has_restarted():
     order = LoadPermitRow("m", "v2", "agent-1", "a", 0.0, True, "one")
     assert not has_ended(order, EngineHealth("one", "m", "v1", 0))
