Drop what arrived while the machine was suspended

What would be seen: after a machine was suspended, calls and notices that lay in its sockets are handled as if they had just come: a request with its full remaining time, an age of a version that is too young by the whole pause. Cause: connections drop what was buffered for longer than they tolerate silence, but measured it by the clock that stands still while the machine is suspended. Leases count that time already. Evidence: test_frames_buffered_while_the_machine_was_suspended_are_dropped handled 'too late' as well. Why it works: silence is measured by the clock of the leases. Suspension is simulated by a clock in the test; no machine was suspended. Connections from a gateway to a target aren't covered.

--- a/banyanshore/transport/connection.py
+++ b/banyanshore/transport/connection.py
@@ -1,17 +1,17 @@
 """Multiplex calls in both directions over one connection, with heartbeats.
 
 A connection that receives nothing for ``silence_bound`` seconds is closed. The bound
-is also checked on each read, before any frame is handled: when a frozen process
-resumes, its peers have closed their connections, and frames that were buffered during
-the freeze are dropped instead of handled late.
+is also checked on each read, before any frame is handled: when a frozen process or a
+suspended machine resumes, its peers have closed their connections, and frames that were
+buffered meanwhile are dropped instead of handled late.
 """
 
 import logging
-import time
 from dataclasses import dataclass
 
 import anyio
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.transport.codec import CodecError, Decoder, encode
 from banyanshore.transport.frames import (
@@ -95,7 +95,7 @@
         silence_bound=2.0,
         ticker=None,
         gather_seconds=0.0,
-        clock=time.monotonic,
+        clock=boottime_now,
     ):
         self.peer = peer
         self.is_open = True
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -1,5 +1,7 @@
 """Tests of connections: correlation, silent peers, slow readers and freezes."""
 
+import time
+
 import anyio
 import pytest
 
@@ -123,6 +125,38 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_frames_buffered_while_the_machine_was_suspended_are_dropped(
+    monkeypatch,
+):
+    """Only the clock that stands still meanwhile was read."""
+    read_clock = time.clock_gettime
+    suspended_seconds = 0.0
+
+    def read_clock_after_suspension(clock_id):
+        is_stopped = clock_id == time.CLOCK_MONOTONIC
+        return read_clock(clock_id) + (0.0 if is_stopped else suspended_seconds)
+
+    monkeypatch.setattr(time, "clock_gettime", read_clock_after_suspension)
+    handled = []
+
+    class Recorder(Handler):
+        async def handle_call(self, connection, body, responder):
+            handled.append(body)
+
+    async with anyio.create_task_group() as tasks:
+        pair = Pair(tasks, silence_bound=5.0)
+        await pair.open()
+        pair.far._handler = Recorder()
+        await pair.near.open_call("in time")
+        await anyio.sleep(0.1)
+        suspended_seconds = 10.0
+        await pair.near.open_call("too late")
+        await anyio.sleep(0.1)
+        assert handled == ["in time"]
+        assert not pair.far.is_open
+        tasks.cancel_scope.cancel()
+
+
 async def test_undecodable_data_closes_the_connection():
     async with anyio.create_task_group() as tasks:
         pair = Pair(tasks)
