--- /dev/null
+++ b/tests/platform/test_control_api.py
@@ -0,0 +1,48 @@
+"""The calls of operators and targets to control."""
+
+import anyio
+import pytest
+
+from banyanshore.control.feed import FeedServer
+from banyanshore.membership.feed import MemberRow, Registry
+from banyanshore.platform.control_api import ControlApi
+from banyanshore.state import StateHolder
+from banyanshore.telemetry.control import ControlMetrics
+
+pytestmark = pytest.mark.anyio
+
+
+class Settings:
+    seeds = ()
+    peer_port = 7700
+
+
+class Removal:
+    """A target's call that removes it."""
+
+    method = b"DELETE"
+    path = "/api/replicas/t"
+    status = None
+
+    async def read_body(self):
+        return b""
+
+    async def respond(self, status, headers=(), body=b""):
+        self.status = status
+
+
+async def test_removal_that_nobody_is_told_of_is_not_acknowledged():
+    """The other control instances, which knew the target, kept sending to it."""
+    member = MemberRow("x", "control", "dc", "r", "10.0.0.1:7700", 1, 1)
+    feed = FeedServer(
+        Settings,
+        member,
+        StateHolder(keep_previous=True),
+        Registry(),
+        None,
+        ControlMetrics(),
+    )
+    removal = Removal()
+    with anyio.fail_after(2):
+        await ControlApi(None, feed).handle(removal)
+    assert removal.status == 503
