Clear a request only of the crashes that its answers outweigh

Seen: one complete answer to a request cleared it of all crashes and lost answers, at all targets, whenever the answered copy had been sent. The notice of it was repeated for 5 s and cleared later crashes as well. Requests that crash most of their targets, or that had a copy under way before the crashes, went on to reach targets.

Cause: record_complete_answer dropped everything recorded of a fingerprint, and the notice said neither which target had answered nor when it was asked.

Fix: an answer withdraws an earlier crash of its own target, as before, and counts as one target that survived. A request is cleared once as many targets have answered copies sent after its last crash as crashes count against it. Evidence is used once; an answer that arrives before a crash is proven counts when it is. Lost answers stay until they are explained. Gateways tell answers that count as TargetAnswered, with the fingerprint in a new last field, and each weighs them itself. Gateways of the build before ignore that field and take the notice for what it says; their notices of a clearing, which name no target and time, are ignored.

The calls of record_complete_answer elsewhere name the target and the time of sending.

--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -11,7 +11,12 @@
 
 from banyanshore.http.upstream import Reachability, probe_address
 from banyanshore.membership.load_reports import CrashNotice, TargetAnswered
-from banyanshore.routing.crashes import CRASHES_TO_REFUSE, Crash, CrashDetector
+from banyanshore.routing.crashes import (
+    CRASHES_TO_REFUSE,
+    Crash,
+    CrashDetector,
+    Survival,
+)
 from banyanshore.routing.quarantine import request_fingerprint
 
 logger = logging.getLogger(__name__)
@@ -99,6 +104,7 @@
                 await anyio.sleep(RESTART_CHECK_INTERVAL)
                 self._record_overdue()
                 await self.find_restarts()
+                await self._tell_answers()
                 if time.monotonic() >= repeat_at:
                     repeat_at = time.monotonic() + REPEAT_INTERVAL
                     await self._repeat_updates()
@@ -240,16 +246,31 @@
         return registered == {target_id[1]}
 
     async def record_answer(self, offer_in_flight):
-        """Record a complete answer, which clears the request and its target."""
+        """Record a complete answer, evidence for the request and its target."""
         await self._withdraw(offer_in_flight.target_id, offer_in_flight.offered_at)
         if not self._detector.has_records:
             return
         fingerprint = _fingerprint(offer_in_flight.screened, offer_in_flight.body)
-        if self._detector.record_complete_answer(time.monotonic(), fingerprint):
+        survival = Survival(
+            offer_in_flight.target_id, fingerprint, offer_in_flight.offered_at
+        )
+        self._detector.record_complete_answer(survival)
+        await self._tell_answers()
+
+    async def _tell_answers(self):
+        """Tell the other gateways of answers that count against crashes."""
+        for survival in self._detector.take_answers_to_tell():
+            address, incarnation = survival.id
             logger.info(
-                "suspected request was answered", extra={"request": fingerprint.hex()}
+                "suspected request was answered",
+                extra={
+                    "request": survival.fingerprint.hex(),
+                    "target_address": address,
+                    "target_incarnation": incarnation,
+                    "crashes": self._detector.count(survival.fingerprint),
+                },
             )
-            await self._send_finding(lambda now: CrashNotice(fingerprint))
+            await self._send_finding(partial(_answer_update, survival))
 
     async def _withdraw(self, target_id, alive_at):
         """Withdraw the crash of a target that was alive at a later time."""
@@ -289,7 +310,7 @@
         """Apply an update of another gateway; return whether it was new."""
         now = time.monotonic()
         if not update.address:
-            self._detector.record_complete_answer(now, update.fingerprint)
+            # Nothing follows from an answer of an unknown target at an unknown time.
             return True
         crash = Crash(
             (update.address, update.incarnation),
@@ -305,7 +326,11 @@
     def record_target_answered(self, update):
         """Apply the update that a target has answered another gateway."""
         offered_at = time.monotonic() - update.offered_seconds_ago
-        self._detector.record_answer((update.address, update.incarnation), offered_at)
+        target_id = update.address, update.incarnation
+        self._detector.record_answer(target_id, offered_at)
+        if update.fingerprint:
+            survival = Survival(target_id, update.fingerprint, offered_at)
+            self._detector.record_complete_answer(survival, is_told=True)
         return True
 
     def _log(self, message, crash, level=logging.INFO, **details):
@@ -337,6 +362,13 @@
     )
 
 
+def _answer_update(survival, now):
+    address, incarnation = survival.id
+    return TargetAnswered(
+        address, incarnation, now - survival.offered_at, survival.fingerprint
+    )
+
+
 def _fingerprint(screened, body):
     request = screened.request
     return request_fingerprint(
--- a/banyanshore/membership/load_reports.py
+++ b/banyanshore/membership/load_reports.py
@@ -62,12 +62,13 @@
 
 @message(114)
 class CrashNotice:
-    """Notify other gateways of a request whose target crashed, or of a cleared request.
+    """Notify other gateways of a request whose target crashed.
 
     Times are sent as ages, since the clocks of instances differ.
 
     :param fingerprint: digest of the request.
-    :param address: HTTP address of the target; empty if the request is cleared.
+    :param address: HTTP address of the target; empty in notices of earlier builds on an
+        answer to the request, which don't tell whose answer it was.
     :param incarnation: incarnation of the target that crashed.
     :param offered_seconds_ago: time since the request was offered to the target.
     :param crashed_seconds_ago: time since the target crashed.
@@ -82,16 +83,21 @@
 
 @message(116)
 class TargetAnswered:
-    """Notify other gateways that a target answered after it was presumed crashed.
+    """Notify other gateways that a target answered.
+
+    It was presumed crashed, or the answered request is suspected.
 
     :param address: HTTP address of the target.
     :param incarnation: incarnation of the target that answered.
     :param offered_seconds_ago: time since the answered request was offered.
+    :param fingerprint: digest of the request, if it was answered completely and is
+        suspected to crash its targets.
     """
 
     address: str
     incarnation: int
     offered_seconds_ago: float
+    fingerprint: bytes = b""
 
 
 @message(115)
--- a/banyanshore/routing/crashes.py
+++ b/banyanshore/routing/crashes.py
@@ -7,7 +7,16 @@
 started again. If the target answers a request sent later, it has not exited, and the
 crash is withdrawn. Many callers may send the same request, and many targets may exit at
 once for another reason, so simultaneous crashes count as one if a target that did not
-run the request exited at the same time. A complete answer clears a request.
+run the request exited at the same time.
+
+An answer clears a request only of what it disproves. It shows that its target was alive
+when it was sent the request, which withdraws an earlier crash of that target only. It
+also shows that one target survived the request. This is weighed against the crashes of
+others: once as many targets have answered copies sent after the last crash as crashes
+count, the request is cleared of them. So a request that ran beside the cause is cleared
+by the runs that follow, while one that crashes most of its targets is not. Copies sent
+before the last crash, repeated answers of one target, and evidence used before count
+for nothing. Answers are told to all gateways, each of which weighs them itself.
 """
 
 from dataclasses import dataclass
@@ -36,6 +45,10 @@
 MAX_REPEATED_CRASHES = 64
 # Recently cleared requests, kept so that late updates don't make them suspects again.
 MAX_CLEARED = 256
+# Answers kept per suspected request, and crashes and answers per cleared request; the
+# oldest are dropped.
+MAX_ANSWERS = 16
+MAX_EVIDENCE = 64
 
 
 @dataclass(frozen=True)
@@ -53,6 +66,55 @@
     lost_at: float
 
 
+@dataclass(frozen=True)
+class Survival:
+    """A complete answer to a suspected request, whose target survived it.
+
+    :param id: the target's address and incarnation.
+    :param offered_at: time at which the request was sent to the target.
+    """
+
+    id: tuple
+    fingerprint: bytes
+    offered_at: float
+
+
+@dataclass(frozen=True)
+class Clearance:
+    """Evidence that was weighed when a request was cleared, and counts no more.
+
+    :param crash_by_id: the crashes that it was cleared of.
+    :param survival_by_id: the answers that outweighed them.
+    """
+
+    crash_by_id: dict
+    survival_by_id: dict
+
+    def includes(self, crash):
+        """Return whether a crash is one that the request was cleared of.
+
+        Gateways take the time of one loss to be different, by the time that updates
+        take to arrive.
+        """
+        known = self.crash_by_id.get(crash.id)
+        return known is not None and _is_same_time(known.lost_at, crash.lost_at)
+
+    def uses(self, survival):
+        """Return whether an answer has been weighed already."""
+        known = self.survival_by_id.get(survival.id)
+        return known is not None and _is_same_time(
+            known.offered_at, survival.offered_at
+        )
+
+
+def _keep_newest(row_by_id):
+    return dict(list(row_by_id.items())[-MAX_EVIDENCE:])
+
+
+def _is_same_time(one, other):
+    return abs(one - other) <= MAX_RESTART_SECONDS
+
+
 def count_crashes(crashes, shared_ids=None):
     """Return the number of crashes that count against a request.
 
@@ -98,7 +160,12 @@
         # target answered.
         self._exited_at_by_id = {}
         self._answered_at_by_id = {}
-        self._cleared_at_by_fingerprint = {}
+        # Answers to suspected requests. Those of this gateway are untold until they
+        # count against a crash, which other gateways know of then.
+        self._survival_by_id_by_fingerprint = {}
+        self._untold = set()
+        self._to_tell = []
+        self._clearance_by_fingerprint = {}
 
     @property
     def has_records(self):
@@ -145,10 +212,10 @@
         """Count a crash found by this or another gateway; return whether it is new.
 
         A crash is ignored if the target has answered since, or if the request was
-        cleared since.
+        cleared of it.
         """
-        cleared_at = self._cleared_at_by_fingerprint.get(crash.fingerprint)
-        if cleared_at is not None and crash.lost_at <= cleared_at:
+        clearance = self._clearance_by_fingerprint.get(crash.fingerprint)
+        if clearance is not None and clearance.includes(crash):
             return False
         if self._answered_at_by_id.get(crash.id, float("-inf")) > crash.lost_at:
             return False
@@ -161,6 +228,7 @@
         if len(table) > MAX_SUSPECTS:
             del table[next(iter(table))]
         self._exited_at_by_id.setdefault(crash.id, crash.lost_at)
+        self._weigh(crash.fingerprint)
         return is_new
 
     def record_answer(self, target_id, offered_at):
@@ -183,20 +251,84 @@
                 del self._crash_by_id_by_fingerprint[fingerprint]
         return True
 
-    def record_complete_answer(self, now, fingerprint):
-        """Clear a request that was answered; return whether it was suspected."""
-        for target_id, lost in list(self._lost_by_id.items()):
-            kept = [crash for crash in lost if crash.fingerprint != fingerprint]
-            self._keep_lost(target_id, kept)
-        if self._crash_by_id_by_fingerprint.pop(fingerprint, None) is None:
+    def record_complete_answer(self, survival, is_told=False):
+        """Weigh an answer to a request against the crashes of the request.
+
+        :param survival: the :class:`Survival`.
+        :param is_told: whether another gateway has told of it.
+        :return: whether the request is cleared by it.
+        """
+        fingerprint = survival.fingerprint
+        lost_at = self._last_lost_at(fingerprint)
+        if lost_at is None or survival.offered_at < lost_at:
             return False
-        cleared = self._cleared_at_by_fingerprint
-        cleared.pop(fingerprint, None)
-        cleared[fingerprint] = now
-        if len(cleared) > MAX_CLEARED:
-            del cleared[next(iter(cleared))]
+        clearance = self._clearance_by_fingerprint.get(fingerprint)
+        if clearance is not None and clearance.uses(survival):
+            return False
+        survivals = self._survival_by_id_by_fingerprint.setdefault(fingerprint, {})
+        known = survivals.get(survival.id)
+        if known is not None and known.offered_at >= lost_at:
+            return False
+        self._drop_survival(survivals, survival.id)
+        survivals[survival.id] = survival
+        if not is_told:
+            self._untold.add(survival)
+        if len(survivals) > MAX_ANSWERS:
+            self._drop_survival(survivals, next(iter(survivals)))
+        return self._weigh(fingerprint)
+
+    def take_answers_to_tell(self):
+        """Remove and return the answers to tell other gateways of."""
+        taken, self._to_tell = self._to_tell, []
+        return taken
+
+    def _last_lost_at(self, fingerprint):
+        """Return the time of the last crash or lost answer, ``None`` if unsuspected."""
+        times = [
+            crash.lost_at
+            for lost in self._lost_by_id.values()
+            for crash in lost
+            if crash.fingerprint == fingerprint
+        ]
+        crashes = self._crash_by_id_by_fingerprint.get(fingerprint, {})
+        times += [crash.lost_at for crash in crashes.values()]
+        return max(times, default=None)
+
+    def _weigh(self, fingerprint):
+        """Clear a request if its answers outweigh its crashes; return whether so."""
+        crashes = self._crash_by_id_by_fingerprint.get(fingerprint)
+        survivals = self._survival_by_id_by_fingerprint.get(fingerprint)
+        if not crashes or not survivals:
+            return False
+        last_lost_at = max(crash.lost_at for crash in crashes.values())
+        needed = self.count(fingerprint)
+        used = [row for row in survivals.values() if row.offered_at >= last_lost_at]
+        used = used[:needed]
+        self._to_tell += [row for row in used if row in self._untold]
+        self._untold.difference_update(used)
+        if len(used) < needed:
+            return False
+        self._clear(fingerprint, {row.id: row for row in used})
         return True
 
+    def _clear(self, fingerprint, survival_by_id):
+        """Clear a request of its crashes, which some answers outweigh."""
+        crash_by_id = self._crash_by_id_by_fingerprint.pop(fingerprint)
+        survivals = self._survival_by_id_by_fingerprint[fingerprint]
+        for target_id in survival_by_id:
+            self._drop_survival(survivals, target_id)
+        clearances = self._clearance_by_fingerprint
+        known = clearances.pop(fingerprint, Clearance({}, {}))
+        clearances[fingerprint] = Clearance(
+            _keep_newest({**known.crash_by_id, **crash_by_id}),
+            _keep_newest({**known.survival_by_id, **survival_by_id}),
+        )
+        if len(clearances) > MAX_CLEARED:
+            del clearances[next(iter(clearances))]
+
+    def _drop_survival(self, survivals, target_id):
+        self._untold.discard(survivals.pop(target_id, None))
+
     def count(self, fingerprint):
         """Return the number of crashes that count against a request."""
         crashes = self._crash_by_id_by_fingerprint.get(fingerprint, {})
@@ -248,3 +380,15 @@
             address, incarnation = target_id
             if incarnation_by_address.get(address) != incarnation:
                 del self._answered_at_by_id[target_id]
+        self._forget_answers(now)
+
+    def _forget_answers(self, now):
+        """Forget answers to requests that aren't suspected, and old clearances."""
+        for fingerprint, survivals in list(self._survival_by_id_by_fingerprint.items()):
+            if self._last_lost_at(fingerprint) is None:
+                self._untold.difference_update(survivals.values())
+                del self._survival_by_id_by_fingerprint[fingerprint]
+        for fingerprint, known in list(self._clearance_by_fingerprint.items()):
+            newest = max(row.offered_at for row in known.survival_by_id.values())
+            if now - newest > EXPIRY_SECONDS:
+                del self._clearance_by_fingerprint[fingerprint]
--- a/tests/gateway/crashing.py
+++ b/tests/gateway/crashing.py
@@ -121,11 +121,18 @@
                 await stream.aclose()
                 return
         is_poison = data.endswith(b"poison")
+        survival_seconds = self._fleet.survival_seconds_by_arrival.get(
+            len(self._fleet.poison_arrivals())
+        )
         arrival = Arrival(time.monotonic(), self.number, self.service, is_poison)
         self._fleet.arrivals.append(arrival)
         if not is_poison:
             await anyio.sleep(self._fleet.work_seconds)
             await stream.send(COMPLETE)
+        elif survival_seconds is not None:
+            await anyio.sleep(survival_seconds)
+            await stream.send(COMPLETE)
+            is_poison = False
         if is_poison and self._is_silent:
             # Kept open until the fleet ends.
             self._fleet.silent_streams.append(stream)
@@ -142,12 +149,15 @@
 
     :ivar arrivals: the :class:`Arrival` rows so far.
     :ivar statuses: statuses of the answers to callers so far.
+    :ivar survival_seconds_by_arrival: processing times of the arrivals of the poisoned
+        request that are answered instead, by their number from 0.
     """
 
     def __init__(self, stack, tasks, route):
         self.arrivals = []
         self.work_seconds = 0.05
         self.silent_streams = []
+        self.survival_seconds_by_arrival = {}
         self.gateways = []
         self.caller_addresses = []
         self.statuses = []
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -125,3 +125,19 @@
         # Two of them may have gone to the same target.
         targets = {arrival.target for arrival in fleet.poison_arrivals()}
         assert len(targets) == 3
+
+
+@pytest.mark.parametrize(
+    ("survival_seconds_by_arrival", "arrivals"),
+    [({0: 2.4}, 4), ({2: 0.05}, 4), ({2: 0.05, 3: 0.05}, 7)],
+    ids=["sent-before-the-crashes", "one-answer", "as-many-answers-as-crashes"],
+)
+async def test_answer_clears_a_request_only_of_what_it_disproves(
+    survival_seconds_by_arrival, arrivals
+):
+    """One answer, at any target and whenever sent, cleared a request of all crashes."""
+    route = {**ROUTE_BY_KIND["non_idempotent"], "timeout_seconds": 4.0}
+    async with crashing_fleet(down_seconds=math.inf, **route) as fleet:
+        fleet.survival_seconds_by_arrival = survival_seconds_by_arrival
+        await fleet.send_repeatedly(POISON, 12, GAP_SECONDS)
+        assert len(fleet.poison_arrivals()) == arrivals
