Repeat what is known of crashing requests to entries that start

Cause: SuspectUpdate is sent once, when a crash is found, to the entries in contact then. State was spread by events alone.

Fix: entries send newcomers, that is entries with a new incarnation or back after a silence, what counts against quarantined requests and those one crash short, each second for 5 s. Quarantine.updates_to_repeat decides what: at most 256 updates, quarantined requests first, then whole crashes, the latest first; a crash with requests left out would make another one seem the only one common to two crashes. Another data centre is told by the entry that sends it digests, through its contact, which passes the updates on as it does new ones.

Updates carry the age of the crash in a new last field. A repeated update no longer renews the time of a suspect, so that it settles and expires as if told in time; a repeat from before a request was cleared is ignored. Entries of the build before drop the field and take a repeat for a new update, as far as they are newcomers or pass it on; theirs are read with age 0. New message types are no option: the codec of the build before ends a connection on an unknown code.

--- a/banyanshore/entry/process.py
+++ b/banyanshore/entry/process.py
@@ -20,6 +20,7 @@
 from banyanshore.entry.reports import AgentConnections, ReportExchange
 from banyanshore.entry.state_client import StateClient
 from banyanshore.entry.status import StatusReporter
+from banyanshore.entry.suspects import SuspectExchange
 from banyanshore.entry.versions import VersionSender
 from banyanshore.http.asgi import Problem, make_application
 from banyanshore.http.callers import CallersApi
@@ -92,6 +93,7 @@
             tasks.start_soon(self.versions.run)
             tasks.start_soon(self.dissemination.run)
             tasks.start_soon(self.dissemination.run_early_digests)
+            tasks.start_soon(self.suspects.run)
             tasks.start_soon(self.proxy.run)
             tasks.start_soon(self._merge_local_orders)
             self._open_links()
@@ -152,6 +154,9 @@
     def _build_dissemination(self):
         settings = self.settings
         neighbours = Neighbours(settings, self.links, self.entries)
+        self.suspects = SuspectExchange(
+            settings, self.entries, neighbours, self.quarantine
+        )
         self.agents = AgentConnections()
         self.reports = ReportExchange(
             settings, self.targets, self.entries, neighbours, self.agents
--- a/banyanshore/membership/entries.py
+++ b/banyanshore/membership/entries.py
@@ -165,6 +165,39 @@
         )
 
 
+class Newcomers:
+    """Find entries that may lack updates which were sent once.
+
+    These are entries that started or came back into contact a short time ago.
+
+    :param seconds: time for which an entry counts as a newcomer: updates are dropped
+        while links to it open.
+    """
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+        self._incarnation_by_instance = {}
+        self._ends_at_by_instance = {}
+
+    def find(self, now, table):
+        """Return the newcomers among the live entries of an :class:`EntryTable`."""
+        live = {
+            instance: row.digest.incarnation
+            for instance, row in table.by_instance.items()
+            if instance != table.own.instance and table.is_live(now, instance)
+        }
+        for instance, incarnation in live.items():
+            if self._incarnation_by_instance.get(instance) != incarnation:
+                self._ends_at_by_instance[instance] = now + self._seconds
+        self._incarnation_by_instance = live
+        self._ends_at_by_instance = {
+            instance: ends_at
+            for instance, ends_at in self._ends_at_by_instance.items()
+            if now < ends_at
+        }
+        return sorted(live.keys() & self._ends_at_by_instance.keys())
+
+
 def entries_digest(rows):
     """Return a digest over the rows of entries, ignoring their sequence."""
     ordered = sorted(rows, key=lambda row: row.instance)
--- a/banyanshore/membership/messages.py
+++ b/banyanshore/membership/messages.py
@@ -207,8 +207,10 @@
     :param fingerprint: digest of the request.
     :param crash_ids: crashes during which it was running; empty if it is cleared.
     :param alone: whether it was the only running request at one of them.
+    :param seconds_ago: time since the last of them; above 0 if the update is repeated.
     """
 
     fingerprint: bytes
     crash_ids: tuple
     alone: bool
+    seconds_ago: float = 0.0
--- a/banyanshore/routing/quarantine.py
+++ b/banyanshore/routing/quarantine.py
@@ -6,6 +6,10 @@
 crash two targets before that; it is then the only request that ran at both, which
 follows once the updates on both crashes have arrived. So a request is refused after two
 crashes in the whole fleet, and those that ran beside it are not.
+
+Updates are sent once. Entries that start later, or had no contact then, are sent them
+again, with the age of the crash, so that suspects settle and expire everywhere as if
+the updates had not been late.
 """
 
 import enum
@@ -21,6 +25,8 @@
 SETTLE_SECONDS = 0.5
 # Crashes after which a request that crashed a target alone is refused.
 CRASHES_TO_QUARANTINE = 2
+# Updates that are repeated to an entry: a few tens of kilobytes.
+MAX_REPEATED_UPDATES = 256
 
 
 class Verdict(enum.Enum):
@@ -57,6 +63,8 @@
         self._max_suspects = max_suspects
         self._by_fingerprint = OrderedDict()
         self._fingerprints_by_crash = OrderedDict()
+        # When requests were cleared, and of which crashes.
+        self._clearance_by_fingerprint = OrderedDict()
 
     def __len__(self):
         return len(self._by_fingerprint)
@@ -113,27 +121,96 @@
 
     def record_update(self, now, update):
         """Apply an update of this or another entry."""
-        known = self._by_fingerprint.pop(update.fingerprint, None)
         if not update.crash_ids:
-            self._forget_in_crashes(update.fingerprint)
+            self._clear(now, update.fingerprint)
+            return
+        crashed_at = now - update.seconds_ago
+        crash_ids = self._uncleared(crashed_at, update)
+        if not crash_ids or update.seconds_ago > self._expiry:
             return
-        for crash_id in update.crash_ids:
+        for crash_id in crash_ids:
             fingerprints_at_crash = self._fingerprints_by_crash.setdefault(
                 crash_id, set()
             )
             fingerprints_at_crash.add(update.fingerprint)
         while len(self._fingerprints_by_crash) > self._max_suspects:
             self._fingerprints_by_crash.popitem(last=False)
-        crash_ids = frozenset(update.crash_ids)
         alone = update.alone
+        known = self._by_fingerprint.get(update.fingerprint)
         if known is not None:
             crash_ids |= known.crash_ids
             alone = alone or known.alone
-        row = SuspectRow(crash_ids, alone, now)
+            if (crash_ids, alone) == (known.crash_ids, known.alone):
+                return
+            crashed_at = max(crashed_at, known.updated_at)
+            del self._by_fingerprint[update.fingerprint]
+        row = SuspectRow(crash_ids, alone, crashed_at)
         self._by_fingerprint[update.fingerprint] = row
         if len(self._by_fingerprint) > self._max_suspects:
             self._by_fingerprint.popitem(last=False)
 
+    def _clear(self, now, fingerprint):
+        known = self._by_fingerprint.pop(fingerprint, None)
+        for fingerprints_at_crash in self._fingerprints_by_crash.values():
+            fingerprints_at_crash.discard(fingerprint)
+        crash_ids = known.crash_ids if known else frozenset()
+        self._clearance_by_fingerprint.pop(fingerprint, None)
+        self._clearance_by_fingerprint[fingerprint] = now, crash_ids
+        if len(self._clearance_by_fingerprint) > self._max_suspects:
+            self._clearance_by_fingerprint.popitem(last=False)
+
+    def _uncleared(self, crashed_at, update):
+        """Return the crashes of an update of which its request hasn't been cleared.
+
+        Entries that missed the clearing go on repeating the earlier crashes.
+        """
+        crash_ids = frozenset(update.crash_ids)
+        cleared = self._clearance_by_fingerprint.get(update.fingerprint)
+        if cleared is None:
+            return crash_ids
+        cleared_at, cleared_ids = cleared
+        if crashed_at <= cleared_at:
+            return frozenset()
+        # A target that was lost without a crash may be lost again, with the same id.
+        return crash_ids - cleared_ids or crash_ids
+
+    def updates_to_repeat(self, now):
+        """Return the updates for an entry that may have missed them.
+
+        Quarantined requests come first, then the suspects of the latest crashes. These
+        are complete, since a request that is common to two crashes is quarantined only
+        if no other is.
+        """
+        quarantined = [
+            fingerprint
+            for fingerprint in reversed(list(self._by_fingerprint))
+            if self.verdict(now, fingerprint) is Verdict.QUARANTINED
+        ][:MAX_REPEATED_UPDATES]
+        crash_ids_by_fingerprint = {
+            fingerprint: self._by_fingerprint[fingerprint].crash_ids
+            for fingerprint in quarantined
+        }
+        for crash_id, fingerprints in reversed(self._fingerprints_by_crash.items()):
+            suspects = fingerprints & self._by_fingerprint.keys()
+            added = suspects - crash_ids_by_fingerprint.keys()
+            if len(crash_ids_by_fingerprint) + len(added) > MAX_REPEATED_UPDATES:
+                continue
+            for fingerprint in suspects:
+                known = crash_ids_by_fingerprint.get(fingerprint, frozenset())
+                crash_ids_by_fingerprint[fingerprint] = known | {crash_id}
+        updates = [
+            self._repeat(now, *pair)
+            for pair in sorted(crash_ids_by_fingerprint.items())
+        ]
+        return tuple(item for item in updates if item.seconds_ago <= self._expiry)
+
+    def _repeat(self, now, fingerprint, crash_ids):
+        row = self._by_fingerprint[fingerprint]
+        seconds_ago = now - row.updated_at
+        return SuspectUpdate(
+            fingerprint, tuple(sorted(crash_ids)), row.alone, seconds_ago
+        )
+
     def _is_only_common_request(self, crash_ids):
         fingerprints_at_crash = [
             self._fingerprints_by_crash.get(crash_id, ()) for crash_id in crash_ids
@@ -143,10 +220,6 @@
             for one, other in itertools.combinations(fingerprints_at_crash, 2)
         )
 
-    def _forget_in_crashes(self, fingerprint):
-        for fingerprints_at_crash in self._fingerprints_by_crash.values():
-            fingerprints_at_crash.discard(fingerprint)
-
 
 def request_fingerprint(workspace, destination, method, path, body):
     """Return a digest that is the same when a caller sends a request again.
--- a/tests/routing/test_routing_rules.py
+++ b/tests/routing/test_routing_rules.py
@@ -7,7 +7,11 @@
 from banyanshore.membership.targets import TargetTable
 from banyanshore.routing.budgets import ByteBudget, RetryBudget
 from banyanshore.routing.messages import RefusalReason
-from banyanshore.routing.quarantine import Quarantine, Verdict
+from banyanshore.routing.quarantine import (
+    MAX_REPEATED_UPDATES,
+    Quarantine,
+    Verdict,
+)
 from banyanshore.routing.selection import SelectionCriteria, Selector
 from banyanshore.routing.waiting import WaitingQueue, WaitingRow
 
@@ -274,3 +278,50 @@
     assert quarantine.settled_at(b"p") > 10.1
     assert quarantine.verdict(quarantine.settled_at(b"p"), b"p") is Verdict.QUARANTINED
     assert quarantine.settled_at(b"unknown") == 0
+
+
+def test_repeated_updates_neither_delay_nor_keep_a_suspect():
+    one, other = Quarantine(expiry=10), Quarantine(expiry=10)
+    one.record_crash(0, "c1", (b"p", b"x"))
+    for now in range(1, 10):
+        for update in one.updates_to_repeat(now):
+            other.record_update(now, update)
+        assert other.settled_at(b"p") == one.settled_at(b"p")
+    assert other.verdict(10, b"p") is Verdict.EXCLUSIVE
+    assert other.verdict(11, b"p") is Verdict.FREE
+    assert not one.updates_to_repeat(11)
+
+
+def test_repeated_updates_are_bounded_and_quarantine_no_other_request():
+    """A request would seem the only one at two crashes if others were left out."""
+    one, other = Quarantine(), Quarantine()
+    one.record_crash(0, "c0", (b"q",))
+    one.record_crash(0, "c1", (b"q",))
+    for crash in range(40):
+        beside = [b"%d-%d" % (crash // 2, number) for number in range(60)]
+        one.record_crash(1, f"d{crash}", (b"p%d" % (crash // 2), *beside))
+    updates = one.updates_to_repeat(2)
+    assert len(updates) <= MAX_REPEATED_UPDATES
+    for update in updates:
+        other.record_update(2, update)
+    assert other.verdict(2, b"q") is Verdict.QUARANTINED
+    # Those of the latest crashes.
+    assert other.verdict(2, b"19-0") is Verdict.EXCLUSIVE
+    for update in updates:
+        assert other.verdict(2, update.fingerprint) is one.verdict(
+            2, update.fingerprint
+        )
+
+
+def test_repeated_update_does_not_make_a_cleared_request_suspect_again():
+    one, other = Quarantine(), Quarantine()
+    for quarantine in (one, other):
+        quarantine.record_crash(0, "c1", (b"x", b"y"))
+    one.record_complete_run(5, b"x")
+    for update in other.updates_to_repeat(6):
+        one.record_update(6, update)
+    assert one.verdict(6, b"x") is Verdict.FREE
+    assert one.verdict(6, b"y") is Verdict.EXCLUSIVE
+    # A later crash counts.
+    one.record_update(7, SuspectUpdate(b"x", ("c2",), False))
+    assert one.verdict(7, b"x") is Verdict.EXCLUSIVE
