Count the grace period of older weights also while the machine is suspended

Callers saw requests begin on older weights after the bound where the gateway's machine had been suspended since it learned of the version. Cause: version ages ran on time.monotonic(), which stands still during a suspension; leases use boottime_now() for that reason. A gateway switched as much too late as it had been suspended, a loader waited as much too long, and a transfer became urgent as much too late. Change: all times that versions became known, and all comparisons with them, are on boottime_now(); the loader converts its switch to monotonic time, as its other times are. The clocks in two older tests of the switch follow; their checks are the same.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.membership.feed import (
     CONTROL_ROLE,
     GATEWAY_ROLE,
@@ -94,7 +95,7 @@
 
     def _on_state(self, desired):
         rollouts = desired.document["rollouts"]
-        log_known_versions(self._versions.record(time.monotonic(), rollouts))
+        log_known_versions(self._versions.record(boottime_now(), rollouts))
         self._state_changed.set()
 
     async def run(self):
@@ -232,7 +233,7 @@
             follower.version = desired.version
             published = replace(desired.published, document=document)
             message = StateUpdate(published)
-        ages = self._versions.ages(time.monotonic())
+        ages = self._versions.ages(boottime_now())
         rows = tuple((*key, age) for key, age in sorted(ages.items()))
         await connection.notify(RolloutAges(rows))
         await connection.notify(message)
--- a/banyanshore/core/clock.py
+++ b/banyanshore/core/clock.py
@@ -1,4 +1,4 @@
-"""Clock for leases and confirmations between instances."""
+"""Clock for leases, confirmations and the ages of model versions."""
 
 import time
 
@@ -6,6 +6,6 @@
 def boottime_now():
     """Return monotonic seconds, including time during which the machine was suspended.
 
-    Leases and confirmations must also expire while the machine is suspended.
+    Leases, confirmations and grace periods must also expire during a suspension.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.gateway.news import UpdateExchange
 from banyanshore.gateway.relay import WeightsRelay
 from banyanshore.gateway.run import RequestRun
@@ -202,7 +203,8 @@
         document = desired.document
         self.screening.use(document)
         ages = self.feed.rollout_ages
-        log_known_versions(self.versions.record(now, document["rollouts"], ages))
+        learned = self.versions.record(boottime_now(), document["rollouts"], ages)
+        log_known_versions(learned)
         previously_out = self._data_centres_out_of_service
         self._data_centres_out_of_service = {
             name
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import UnavailableError
 from banyanshore.http.upstream import (
     CONNECT_TIMEOUT,
@@ -116,11 +117,12 @@
     def _requirements(self, now):
         model = self._request.model
         versions = self._gateway.versions
+        boottime = boottime_now()
         return TargetRequirements(
             self._screened.service,
             model,
             self._screened.regions,
-            lambda seconds: versions.oldest_allowed_version(now + seconds, model),
+            lambda seconds: versions.oldest_allowed_version(boottime + seconds, model),
             self._version if self._exchange.started else 0,
             frozenset(self._attempts.excluded),
             self._screened.route.objective_seconds,
@@ -402,7 +404,7 @@
         versions, model = self._gateway.versions, self._request.model
         if not 0 < self._version < versions.latest_version(model):
             return {}
-        newer_known_for = time.monotonic() - versions.known_since(model)
+        newer_known_for = boottime_now() - versions.known_since(model)
         return {"newer_known_for": round(newer_known_for, 2)}
 
     def _log_end(self, outcome, status, **details):
--- a/banyanshore/loader/driver.py
+++ b/banyanshore/loader/driver.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.loader.decisions import (
     Action,
     LoaderState,
@@ -68,7 +69,10 @@
                 await self._load(desired_version, transfer)
 
     def _switch_at(self, desired_version):
-        return desired_version.known_since + self._settings.version_switch_seconds
+        """Return the monotonic time of the switch, as other times of a load are."""
+        seconds_known = boottime_now() - desired_version.known_since
+        seconds_left = self._settings.version_switch_seconds - seconds_known
+        return time.monotonic() + seconds_left
 
     def _must_drain(self, desired_version, transfer, wave):
         report = self._target.report
@@ -78,7 +82,7 @@
         return should_drain(
             wave,
             transfer.progress,
-            now - desired_version.known_since,
+            boottime_now() - desired_version.known_since,
             transfer.seconds_without_chunk(now),
         )
 
@@ -99,7 +103,7 @@
                     "outcome": outcome,
                     "mended": restaged,
                     "since_heard": round(
-                        time.monotonic() - desired_version.known_since, 2
+                        boottime_now() - desired_version.known_since, 2
                     ),
                 },
             )
@@ -124,7 +128,7 @@
             "load ended",
             extra={
                 "model_version": report.model_version,
-                "since_heard": round(time.monotonic() - desired_version.known_since, 2),
+                "since_heard": round(boottime_now() - desired_version.known_since, 2),
             },
         )
         self._target.is_loading = False
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.loader.driver import LoadDriver
 from banyanshore.loader.target import TargetMonitor
 from banyanshore.loader.transfer import StagedTransfer
@@ -96,9 +97,8 @@
 
     def _on_state(self, desired):
         rollouts = desired.document["rollouts"]
-        now = time.monotonic()
         ages = self.feed.rollout_ages
-        log_known_versions(self.versions.record(now, rollouts, ages))
+        log_known_versions(self.versions.record(boottime_now(), rollouts, ages))
         self._refresh_rosters()
         changed, self._desired_changed = self._desired_changed, anyio.Event()
         changed.set()
--- a/banyanshore/routing/version_switch.py
+++ b/banyanshore/routing/version_switch.py
@@ -27,6 +27,9 @@
 class VersionSwitch:
     """Track the versions of each model in rollouts, and when each became known.
 
+    Times are seconds since boot, see :func:`~banyanshore.core.clock.boottime_now`: the
+    grace period also passes while the machine is suspended.
+
     Load pattern: all targets of a model change their weights at full load. Targets with
     the older version are used until the grace period of the rollout has passed.
 
--- a/banyanshore/weights/desired_versions.py
+++ b/banyanshore/weights/desired_versions.py
@@ -12,8 +12,8 @@
 
     :param layers: number of layers of the model.
     :param chunk_bytes: size of each chunk.
-    :param known_since: monotonic time at which the version became known, ``-inf`` for
-        the first version.
+    :param known_since: time since boot at which the version became known, ``-inf``
+        for the first version.
     """
 
     service: str
--- a/banyanshore/weights/relay.py
+++ b/banyanshore/weights/relay.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.weights.exceptions import OriginError
 from banyanshore.weights.manifest import Manifest, parse_manifest
@@ -60,8 +61,8 @@
     :param find_origin: callable that returns the
         :class:`~banyanshore.weights.staged.StagedOrigin`, or ``None``.
     :param chunk_bytes: size of each chunk.
-    :param known_since: monotonic time at which the version became known.
-    :ivar urgent_from: monotonic time from which the transfer counts as late.
+    :param known_since: time since boot at which the version became known.
+    :ivar urgent_from: time since boot from which the transfer counts as late.
     """
 
     def __init__(self, find_origin, chunk_bytes, known_since, *arguments):
@@ -90,6 +91,11 @@
             return 0.0
         return self.planner.have.bit_count() / self.manifest.chunk_count
 
+    @property
+    def is_urgent(self):
+        """Return whether the transfer counts as late."""
+        return boottime_now() >= self.urgent_from
+
     async def run(self):
         """Fetch the version and push it to the children, until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -192,8 +198,7 @@
             if not missing:
                 await self._chunks_changed.wait()
                 continue
-            is_urgent = time.monotonic() >= self.urgent_from
-            if rank >= max_concurrent_pushes(is_local, is_urgent):
+            if rank >= max_concurrent_pushes(is_local, self.is_urgent):
                 await anyio.sleep(URGENCY_INTERVAL)
                 continue
             chunk = missing & -missing
--- a/tests/gateway/test_version_switch.py
+++ b/tests/gateway/test_version_switch.py
@@ -6,14 +6,19 @@
 import anyio
 import pytest
 
+from banyanshore.core.clock import boottime_now
+from banyanshore.state import Fence, PublishedState
+from banyanshore.state.document import to_json
 from tests.gateway.deployment import (
     COMPLETE,
     Target,
     ask,
     hang,
+    make_document,
     make_request,
     running_gateway,
 )
+from tests.suspension import SuspendedMachine
 
 pytestmark = pytest.mark.anyio
 
@@ -45,7 +50,7 @@
         gateway.registry.record(time.monotonic(), older)
         request = make_request(model="m")
         assert (await ask(address, request))[0] == 200
-        switch_at = time.monotonic() + 0.3
+        switch_at = boottime_now() + 0.3
         gateway.versions.oldest_allowed_version = lambda now, model: (
             2 * (now >= switch_at)
         )
@@ -61,7 +66,7 @@
         (row,) = gateway.registry.targets.rows()
         older = replace(row, sequence=2, model="m", model_version=1)
         gateway.registry.record(time.monotonic(), older)
-        switch_at = time.monotonic() + 0.9
+        switch_at = boottime_now() + 0.9
         gateway.versions.oldest_allowed_version = lambda now, model: (
             2 * (now >= switch_at)
         )
@@ -71,3 +76,22 @@
             await anyio.sleep(0.6)
             assert (await ask(address, request))[0] == 503
         assert len(target.requests) == 1
+
+
+async def test_suspension_counts_towards_the_grace_period(monkeypatch):
+    """A gateway that had been suspended switched that many seconds too late."""
+    machine = SuspendedMachine(monkeypatch)
+    target = Target(COMPLETE)
+    async with running_gateway(target) as (gateway, address):
+        (row,) = gateway.registry.targets.rows()
+        older = replace(row, sequence=2, model="m", model_version=1)
+        gateway.registry.record(time.monotonic(), older)
+        document = make_document()
+        document["rollouts"]["m"] = {"version": 2}
+        gateway.state.apply(PublishedState(2, Fence(1, 2), to_json(document)))
+        request = make_request(model="m")
+        assert (await ask(address, request))[0] == 200
+        machine.suspend(8.0)
+        gateway.feed.lease.confirmed_at = boottime_now()
+        assert (await ask(address, request))[0] == 503
+        assert len(target.requests) == 1
