Only ever move the time at which a version became known earlier

Callers saw requests begin on older weights after the bound where a gateway had an age that was too small: nothing corrected it later. A gateway that had been out of touch took a version that came without an age as named when it arrived. One that had missed a version used those before it until the switch to the next version.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -8,7 +8,6 @@
 
 import anyio
 
-from banyanshore.core.clock import boottime_now
 from banyanshore.gateway.news import UpdateExchange
 from banyanshore.gateway.relay import WeightsRelay
 from banyanshore.gateway.run import RequestRun
@@ -34,7 +33,6 @@
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.state import StateHolder
 from banyanshore.telemetry.gateway import GatewayMetrics
-from banyanshore.telemetry.rollouts import log_known_versions
 from banyanshore.transport import LinkOptions
 from banyanshore.weights.messages import (
     ChunkRequest,
@@ -95,6 +93,7 @@
         self._roster = GatewayRoster(settings.instance, time.monotonic())
         self.feed.count_gateways = lambda: len(self.gateway_names())
         self.feed.on_rows.append(self._on_rows)
+        self.feed.on_ages.append(self._record_ages)
         self.feed.on_confirmed.append(self._on_confirmed)
         self.suspects = Suspects(self.registry, self.metrics)
         self.updates = UpdateExchange(member, self.registry, self.board, self.suspects)
@@ -202,9 +201,7 @@
         now = time.monotonic()
         document = desired.document
         self.screening.use(document)
-        ages = self.feed.rollout_ages
-        learned = self.versions.record(boottime_now(), document["rollouts"], ages)
-        log_known_versions(learned)
+        self._record_rollouts(desired)
         previously_out = self._data_centres_out_of_service
         self._data_centres_out_of_service = {
             name
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -6,7 +6,6 @@
 
 import anyio
 
-from banyanshore.core.clock import boottime_now
 from banyanshore.loader.driver import LoadDriver
 from banyanshore.loader.target import TargetMonitor
 from banyanshore.loader.transfer import StagedTransfer
@@ -15,7 +14,6 @@
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.state import StateHolder
 from banyanshore.state.views import ModelSpec
-from banyanshore.telemetry.rollouts import log_known_versions
 from banyanshore.telemetry.weights import LoaderMetrics
 from banyanshore.transport import LinkOptions
 from banyanshore.weights.chunks import MemoryChunkStore
@@ -76,6 +74,7 @@
             settings, member, self.state, self.registry, self.link_options
         )
         self.feed.on_rows.append(lambda update: self._refresh_rosters())
+        self.feed.on_ages.append(self._record_ages)
         self.state.on_change.append(self._on_state)
 
     async def run(self, stop_requested, force_requested):
@@ -96,9 +95,7 @@
             tasks.cancel_scope.cancel()
 
     def _on_state(self, desired):
-        rollouts = desired.document["rollouts"]
-        ages = self.feed.rollout_ages
-        log_known_versions(self.versions.record(boottime_now(), rollouts, ages))
+        self._record_rollouts(desired)
         self._refresh_rosters()
         changed, self._desired_changed = self._desired_changed, anyio.Event()
         changed.set()
--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -80,7 +80,7 @@
 
 @message(113)
 class RolloutAges:
-    """Report the ages of the model versions that the next state update names.
+    """Report the ages of model versions that the sender knows.
 
     :param rows: tuples of model, version and seconds since the rollout named it.
     """
@@ -154,8 +154,8 @@
         self.on_confirmed = []
         # Returns the number of gateways that this instance knows.
         self.count_gateways = lambda: 0
-        # Age in seconds by model and version, received just before the state with them.
-        self.rollout_ages = {}
+        # Called with ages in seconds by model and version.
+        self.on_ages = []
         self._settings = settings
         self._member = member
         self._state = state
@@ -249,7 +249,9 @@
         return status
 
     async def _on_ages(self, connection, ages):
-        self.rollout_ages = {(model, version): age for model, version, age in ages.rows}
+        age_by_key = {(model, version): age for model, version, age in ages.rows}
+        for callback in self.on_ages:
+            callback(age_by_key)
 
     async def _on_update(self, connection, update):
         self._state.apply(update.published)
--- a/tests/gateway/test_version_switch.py
+++ b/tests/gateway/test_version_switch.py
@@ -7,6 +7,7 @@
 import pytest
 
 from banyanshore.core.clock import boottime_now
+from banyanshore.membership.feed import RolloutAges
 from banyanshore.state import Fence, PublishedState
 from banyanshore.state.document import to_json
 from tests.gateway.deployment import (
@@ -23,6 +24,13 @@
 pytestmark = pytest.mark.anyio
 
 
+def name_version(gateway):
+    """Have the gateway learn of version 2 of the model ``m``."""
+    document = make_document()
+    document["rollouts"]["m"] = {"version": 2}
+    gateway.state.apply(PublishedState(2, Fence(1, 2), to_json(document)))
+
+
 async def test_plain_service_ignores_weights_versions():
     """A target without weights counted as one whose weights are too old."""
     async with running_gateway(Target(COMPLETE)) as (gateway, address):
@@ -86,12 +94,31 @@
         (row,) = gateway.registry.targets.rows()
         older = replace(row, sequence=2, model="m", model_version=1)
         gateway.registry.record(time.monotonic(), older)
-        document = make_document()
-        document["rollouts"]["m"] = {"version": 2}
-        gateway.state.apply(PublishedState(2, Fence(1, 2), to_json(document)))
+        name_version(gateway)
         request = make_request(model="m")
         assert (await ask(address, request))[0] == 200
         machine.suspend(8.0)
         gateway.feed.lease.confirmed_at = boottime_now()
         assert (await ask(address, request))[0] == 503
         assert len(target.requests) == 1
+
+
+async def test_version_named_while_out_of_touch_is_not_taken_as_new():
+    """A gateway that was out of touch for 4 s switched up to 4 s too late."""
+    async with running_gateway() as (gateway, _):
+        gateway.feed.lease.confirmed_at = boottime_now() - 4.0
+        name_version(gateway)
+        switch_at = boottime_now() + gateway.settings.version_switch_seconds - 4.0
+        assert gateway.versions.oldest_allowed_version(switch_at, "m") == 2
+
+
+async def test_age_that_control_reports_later_brings_the_switch_closer(caplog):
+    """A gateway took no age for a version that it held already."""
+    caplog.set_level("INFO")
+    async with running_gateway() as (gateway, _):
+        name_version(gateway)
+        await gateway.feed.handle_notice(None, RolloutAges((("m", 2, 5.0),)))
+        switch_at = boottime_now() + gateway.settings.version_switch_seconds - 5.0
+        assert gateway.versions.oldest_allowed_version(switch_at, "m") == 2
+    (logged,) = [r for r in caplog.records if hasattr(r, "earlier_by")]
+    assert (logged.model_version, logged.age) == (2, 5.0)
