Report only ages of versions that control knows, and exchange them

Callers saw requests begin on older weights after the bound (14.3 s in a trial with two objects) at gateways that followed a control instance which had restarted or caught up: it reported what it found in its log as just named. Cause: a control instance can't tell the age of what it replays, but assumed 0 and reported it. Change: a version counts as just named only if a quorum confirmed the state held before at most 0.75 s ago (by followers' confirmations, or by a check of its own each 0.25 s without them). Otherwise its age is not reported until another instance tells it. Instances send each other their ages on a new connection, when a version arrives and each second while versions are young; followers get young ages with each confirmation, so one that was delayed is corrected by the next. Tests of control, routing, gateway, membership, loader and weights pass.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -1,6 +1,7 @@
 """Push changes to gateways, loaders and other control instances."""
 
 import logging
+import math
 import time
 from dataclasses import dataclass, replace
 
@@ -18,9 +19,13 @@
 from banyanshore.membership.messages import StateChange, StateUpdate
 from banyanshore.membership.registry import TargetRow
 from banyanshore.routing.roster import FleetSize
-from banyanshore.routing.version_switch import FIRST_STATE_SECONDS, VersionSwitch
+from banyanshore.routing.version_switch import (
+    FIRST_STATE_SECONDS,
+    SETTLED_SECONDS,
+    VersionSwitch,
+)
 from banyanshore.state.document import to_json
-from banyanshore.telemetry.rollouts import log_known_versions
+from banyanshore.telemetry.rollouts import log_corrected_ages, log_known_versions
 from banyanshore.transport import encode_notice
 
 logger = logging.getLogger(__name__)
@@ -29,6 +34,13 @@
 UPKEEP_INTERVAL = 0.25
 # Seconds within which a follower that moved to another control instance shows up there.
 RECONNECT_SECONDS = 1.0
+# Seconds since its state was last known to be current within which an instance takes a
+# version that arrives as just named; less than what is left of the bound after the
+# switch.
+UP_TO_DATE_SECONDS = 0.75
+# Seconds since a version was named for which its age is repeated, until followers have
+# received it without delay: beyond each grace period.
+REPEATED_SECONDS = SETTLED_SECONDS
 # Consecutive lagging requests after which the complete state is sent.
 MAX_LAGGING_REQUESTS = 2
 
@@ -68,9 +80,12 @@
     :param links: the :class:`~banyanshore.transport.LinkPool` to other control
         instances.
     :param metrics: the :class:`~banyanshore.telemetry.control.ControlMetrics`.
+    :ivar current_at: time since boot at which the state was last known to be current,
+        ``-inf`` before the first.
     """
 
     def __init__(self, settings, member, state, registry, links, metrics):
+        self.current_at = -math.inf
         self._metrics = metrics
         self.seeds = tuple(settings.seeds)
         self._settings = settings
@@ -86,6 +101,8 @@
         self._latest_change = None
         # Control uses only the ages of versions, as it sends no requests.
         self._versions = VersionSwitch(FIRST_STATE_SECONDS)
+        if state.desired is not None:
+            self._on_state(state.desired)
         state.on_change.append(self._on_state)
 
     @property
@@ -94,10 +111,21 @@
         return len(self._follower_by_connection)
 
     def _on_state(self, desired):
-        rollouts = desired.document["rollouts"]
-        log_known_versions(self._versions.record(boottime_now(), rollouts))
+        now = boottime_now()
+        is_current = now - self.current_at <= UP_TO_DATE_SECONDS
+        learned = self._versions.record(
+            now, desired.document["rollouts"], 0.0 if is_current else math.inf
+        )
+        log_known_versions(learned)
         self._state_changed.set()
 
+    def record_current(self, asked_at):
+        """Record that a quorum confirmed the state as current.
+
+        :param asked_at: time since boot at which it was asked.
+        """
+        self.current_at = max(self.current_at, asked_at)
+
     async def run(self):
         """Send versions and maintain the rows until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -123,6 +151,7 @@
                 follower.document = b""
         else:
             follower.lagging_requests = 0
+        await self._send_ages(connection, REPEATED_SECONDS)
         await self._send_version(connection, follower)
         await self.record(request.member)
 
@@ -193,6 +222,26 @@
         if rows or departures:
             await self._notify_followers(RowUpdate(rows, departures))
 
+    def on_peer_ages(self, ages):
+        """Apply the :class:`RolloutAges` of another control instance."""
+        age_by_key = {(model, version): age for model, version, age in ages.rows}
+        log_corrected_ages(self._versions.record_ages(boottime_now(), age_by_key))
+
+    def _known_ages(self, seconds):
+        """Return the ages that are less than some seconds, ``None`` without any."""
+        ages = self._versions.ages(boottime_now())
+        rows = [(*key, age) for key, age in sorted(ages.items()) if age < seconds]
+        return RolloutAges(tuple(rows)) if rows else None
+
+    async def _send_ages(self, receiver, seconds=math.inf):
+        if ages := self._known_ages(seconds):
+            await receiver.notify(ages)
+
+    async def send_ages_to_control(self):
+        """Send the ages of recent versions to the other control instances."""
+        if ages := self._known_ages(REPEATED_SECONDS):
+            await self._notify_control(ages)
+
     async def _notify_followers(self, message):
         data = encode_notice(message)
         for connection in list(self._follower_by_connection):
@@ -214,6 +263,7 @@
         while True:
             await self._state_changed.wait()
             self._state_changed = anyio.Event()
+            await self.send_ages_to_control()
             for connection, follower in list(self._follower_by_connection.items()):
                 await self._send_version(connection, follower)
 
@@ -233,9 +283,7 @@
             follower.version = desired.version
             published = replace(desired.published, document=document)
             message = StateUpdate(published)
-        ages = self._versions.ages(boottime_now())
-        rows = tuple((*key, age) for key, age in sorted(ages.items()))
-        await connection.notify(RolloutAges(rows))
+        await self._send_ages(connection)
         await connection.notify(message)
 
     def _state_message_for(self, follower):
@@ -264,7 +312,7 @@
             await anyio.sleep(UPKEEP_INTERVAL)
 
     async def _sync_control(self):
-        """Send all rows on each new connection to another control instance."""
+        """Send all rows and ages on each new connection to a control instance."""
         for address in self.control_addresses():
             link = self._links.get(address)
             connection = link.connection
@@ -275,6 +323,8 @@
                 continue
             self._synced_connection_by_address[address] = connection
             logger.info("control instance reached", extra={"peer": address})
+            if ages := self._known_ages(math.inf):
+                await link.notify_or_drop(ages)
             await link.notify_or_drop(self._complete_update())
 
 
--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -1,5 +1,6 @@
 """The control process: a voter of the replicated state that serves no callers."""
 
+import contextlib
 import logging
 import time
 from dataclasses import dataclass, replace
@@ -18,6 +19,7 @@
 from banyanshore.consensus.storage import Storage, StorageError
 from banyanshore.control.feed import FeedServer
 from banyanshore.control.orders import Orders
+from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.entry.state_client import StateClient
 from banyanshore.http.listener import Listener
@@ -27,6 +29,7 @@
     ConfirmRequest,
     MemberRow,
     Registry,
+    RolloutAges,
     RowUpdate,
     peer_address,
 )
@@ -41,6 +44,8 @@
 DISK_RETRY_SECONDS = 0.5
 # Seconds between announcements of this instance to other control instances.
 ANNOUNCE_INTERVAL = 1.0
+# Seconds after which this instance checks by itself that its state is current.
+CHECK_INTERVAL = 0.25
 # Seconds for a confirmation; a follower tries another instance after a second.
 CONFIRM_READ_TIMEOUT = 0.8
 
@@ -126,6 +131,7 @@
             tasks.start_soon(self.link_options.ticker.run)
             tasks.start_soon(self.feed.run)
             tasks.start_soon(self._announce)
+            tasks.start_soon(self._check_state)
             await tasks.start(self.listener.serve, self.settings.control_bind)
             start_metrics_server(
                 tasks, self.settings.metrics_bind, self.metrics.registry
@@ -208,8 +214,27 @@
             self._log_settings.update_instances(
                 {*self._find_control_peers(), self.settings.control_bind}
             )
+            await self.feed.send_ages_to_control()
             await anyio.sleep(ANNOUNCE_INTERVAL)
 
+    async def _check_state(self):
+        """Keep the state confirmed, even without followers that ask for it."""
+        while True:
+            await anyio.sleep(CHECK_INTERVAL)
+            if boottime_now() - self.feed.current_at >= CHECK_INTERVAL:
+                with contextlib.suppress(BanyanshoreError):
+                    await self._wait_until_current()
+
+    async def _wait_until_current(self):
+        """Return the latest accepted version once it has arrived here.
+
+        :raises UnavailableError: it could not be determined or did not arrive in time.
+        """
+        asked_at = boottime_now()
+        version = await self.orders.wait_for_latest_version(CONFIRM_READ_TIMEOUT)
+        self.feed.record_current(asked_at)
+        return version
+
     async def _send_raft(self, instance, message):
         address = peer_address(instance, self.settings.peer_port)
         await self.links.get(address, instance).notify_or_drop(message)
@@ -243,7 +268,7 @@
 
     async def _confirm(self):
         try:
-            version = await self.orders.wait_for_latest_version(CONFIRM_READ_TIMEOUT)
+            version = await self._wait_until_current()
         except BanyanshoreError as error:
             logger.warning("state not confirmed", extra={"why": str(error)})
             return Confirmation(self.state.version, False)
@@ -267,6 +292,9 @@
     async def _on_rows(self, connection, update):
         await self.feed.on_peer_update(update)
 
+    async def _on_ages(self, connection, ages):
+        self.feed.on_peer_ages(ages)
+
     call_by_type = MappingProxyType(
         {
             ProposeRequest: _on_propose,
@@ -274,4 +302,6 @@
             VersionRequest: _on_version_read,
         }
     )
-    notice_by_type = MappingProxyType({RaftMessage: _on_raft, RowUpdate: _on_rows})
+    notice_by_type = MappingProxyType(
+        {RaftMessage: _on_raft, RowUpdate: _on_rows, RolloutAges: _on_ages}
+    )
--- a/banyanshore/routing/version_switch.py
+++ b/banyanshore/routing/version_switch.py
@@ -6,6 +6,9 @@
 # Seconds for which a process that has just started uses versions older than those in
 # its first state. Other instances don't depend on it for as long after its start.
 FIRST_STATE_SECONDS = 2.5
+# Seconds, beyond each grace period, after which it is enough to know that a version is
+# at least so old.
+SETTLED_SECONDS = 30.0
 # Number of versions of a model whose ages are kept.
 KEPT_VERSIONS = 8
 
@@ -132,14 +135,20 @@
     def ages(self, now):
         """Return the seconds since versions became known, without those assumed.
 
+        Versions after one whose age is assumed are left out, too: a process that is
+        told only their ages would use the versions before that one for too long.
+
         :return: ages by model and version.
         """
-        return {
-            (model, version): now - known_since
-            for model, times in self._times_by_model.items()
-            for version, known_since in times.items()
-            if (model, version) not in self._assumed
-        }
+        ages = {}
+        for model, times in self._times_by_model.items():
+            for version, known_since in sorted(times.items()):
+                age = now - known_since
+                is_assumed = (model, version) in self._assumed
+                if is_assumed and age < SETTLED_SECONDS:
+                    break
+                ages[model, version] = age
+        return ages
 
     def latest_version(self, model):
         """Return the latest version of a model, 0 if there is none."""
