--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.gateway.news import UpdateExchange
 from banyanshore.gateway.relay import WeightsRelay
 from banyanshore.gateway.run import RequestRun
@@ -35,7 +36,6 @@
 from banyanshore.routing.withdrawal import WithdrawalRule
 from banyanshore.state import StateHolder
 from banyanshore.telemetry.gateway import GatewayMetrics
-from banyanshore.telemetry.rollouts import log_known_versions
 from banyanshore.transport import LinkOptions
 from banyanshore.weights.messages import (
     ChunkRequest,
@@ -100,6 +100,7 @@
         self._roster = GatewayRoster(settings.instance, time.monotonic())
         self.feed.count_gateways = lambda: len(self.gateway_names())
         self.feed.on_rows.append(self._on_rows)
+        self.feed.on_ages.append(self._record_ages)
         self.feed.on_confirmed.append(self._on_confirmed)
         self.suspects = Suspects(self.registry, self.metrics)
         self.updates = UpdateExchange(member, self.registry, self.board, self.suspects)
@@ -147,6 +148,12 @@
 
     def _on_confirmed(self):
         self._roster.record_contact(time.monotonic())
+        # Timers stand still while the machine is suspended.
+        self.withdrawals.reschedule()
+
+    def _record_ages(self, ages):
+        super()._record_ages(ages)
+        self.withdrawals.reschedule()
 
     def gateway_names(self):
         """Return the names of the gateways that share limits."""
@@ -165,7 +172,7 @@
 
         :return: ``-inf`` if there is none.
         """
-        return time.monotonic() - self.versions.newer_known_since(model, version)
+        return boottime_now() - self.versions.newer_known_since(model, version)
 
     def retry_share(self, service):
         """Return the :class:`RetryShare` of a service."""
@@ -214,8 +221,7 @@
         now = time.monotonic()
         document = desired.document
         self.screening.use(document)
-        ages = self.feed.rollout_ages
-        log_known_versions(self.versions.record(now, document["rollouts"], ages))
+        self._record_rollouts(desired)
         self.withdrawals.reschedule()
         previously_out = self._data_centres_out_of_service
         self._data_centres_out_of_service = {
--- a/banyanshore/loader/driver.py
+++ b/banyanshore/loader/driver.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.loader.decisions import (
     Action,
     LoaderState,
@@ -77,14 +78,17 @@
                 await self._unload_older(desired_version, transfer)
 
     def _switch_at(self, desired_version):
-        return desired_version.known_since + self._settings.version_switch_seconds
+        """Return the monotonic time of the switch, as other times of a load are."""
+        seconds_known = boottime_now() - desired_version.known_since
+        seconds_left = self._settings.version_switch_seconds - seconds_known
+        return time.monotonic() + seconds_left
 
     def _is_outdated(self, desired_version):
         """Return whether requests to the target's version should have arrived."""
         report = self._target.report
         if report is None:
             return False
-        sent_at = time.monotonic() - ARRIVAL_SECONDS
+        sent_at = boottime_now() - ARRIVAL_SECONDS
         model = desired_version.model
         oldest = self._loader.versions.oldest_allowed_version(sent_at, model)
         return report.model_version < oldest
@@ -97,7 +101,7 @@
         return should_drain(
             wave,
             transfer.progress,
-            now - desired_version.known_since,
+            boottime_now() - desired_version.known_since,
             transfer.seconds_without_chunk(now),
         )
 
@@ -147,7 +151,7 @@
                 "end_layer": end_layer,
                 "outcome": outcome,
                 "mended": restaged,
-                "since_heard": round(time.monotonic() - desired_version.known_since, 2),
+                "since_heard": round(boottime_now() - desired_version.known_since, 2),
             },
         )
         if outcome in (OrderOutcome.STARTED, OrderOutcome.IN_EFFECT):
@@ -167,7 +171,7 @@
             extra={
                 "model_version": report.model_version,
                 "end_layer": report.end_layer,
-                "since_heard": round(time.monotonic() - desired_version.known_since, 2),
+                "since_heard": round(boottime_now() - desired_version.known_since, 2),
             },
         )
         self._target.is_loading = False
--- a/tests/gateway/test_version_switch.py
+++ b/tests/gateway/test_version_switch.py
@@ -7,6 +7,8 @@
 import anyio
 import pytest
 
+from banyanshore.core.clock import boottime_now
+from banyanshore.membership.feed import RolloutAges
 from banyanshore.state import Fence, PublishedState
 from banyanshore.state.document import to_json
 from tests.gateway.deployment import (
@@ -19,6 +21,7 @@
     make_request,
     running_gateway,
 )
+from tests.suspension import SuspendedMachine
 
 pytestmark = pytest.mark.anyio
 
@@ -40,7 +43,7 @@
     """Name a version, and return the time by which requests begin on it."""
     document = make_document(**route)
     document["rollouts"]["m"] = {"version": version}
-    gateway.feed.rollout_ages = {("m", version): age}
+    gateway.versions.record_ages(boottime_now(), {("m", version): age})
     state = PublishedState(version, Fence(1, 1), to_json(document))
     assert gateway.state.apply(state)
     return time.monotonic() + BOUND - age
@@ -63,6 +66,13 @@
             self.closed_at = time.monotonic()
 
 
+def name_version(gateway):
+    """Have the gateway learn of version 2 of the model ``m``."""
+    document = make_document()
+    document["rollouts"]["m"] = {"version": 2}
+    gateway.state.apply(PublishedState(2, Fence(1, 2), to_json(document)))
+
+
 async def test_plain_service_ignores_weights_versions():
     """A target without weights counted as one whose weights are too old."""
     async with running_gateway(Target(COMPLETE)) as (gateway, address):
@@ -90,7 +100,7 @@
         gateway.registry.record(time.monotonic(), older)
         request = make_request(model="m")
         assert (await ask(address, request))[0] == 200
-        switch_at = time.monotonic() + 0.3
+        switch_at = boottime_now() + 0.3
         gateway.versions.oldest_allowed_version = lambda now, model: (
             2 * (now >= switch_at)
         )
@@ -106,7 +116,7 @@
         (row,) = gateway.registry.targets.rows()
         older = replace(row, sequence=2, model="m", model_version=1)
         gateway.registry.record(time.monotonic(), older)
-        switch_at = time.monotonic() + 0.9
+        switch_at = boottime_now() + 0.9
         gateway.versions.oldest_allowed_version = lambda now, model: (
             2 * (now >= switch_at)
         )
@@ -216,3 +226,41 @@
         name_aged_version(gateway, 2, AGE, **route)
         assert (await ask(address, make_request(model="m")))[0] == 200
         assert len(target.requests) == 1
+
+
+async def test_suspension_counts_towards_the_grace_period(monkeypatch):
+    """A gateway that had been suspended switched that many seconds too late."""
+    machine = SuspendedMachine(monkeypatch)
+    target = Target(COMPLETE)
+    async with running_gateway(target) as (gateway, address):
+        (row,) = gateway.registry.targets.rows()
+        older = replace(row, sequence=2, model="m", model_version=1)
+        gateway.registry.record(time.monotonic(), older)
+        name_version(gateway)
+        request = make_request(model="m")
+        assert (await ask(address, request))[0] == 200
+        machine.suspend(8.0)
+        gateway.feed.lease.confirmed_at = boottime_now()
+        assert (await ask(address, request))[0] == 503
+        assert len(target.requests) == 1
+
+
+async def test_version_named_while_out_of_touch_is_not_taken_as_new():
+    """A gateway that was out of touch for 4 s switched up to 4 s too late."""
+    async with running_gateway() as (gateway, _):
+        gateway.feed.lease.confirmed_at = boottime_now() - 4.0
+        name_version(gateway)
+        switch_at = boottime_now() + gateway.settings.version_switch_seconds - 4.0
+        assert gateway.versions.oldest_allowed_version(switch_at, "m") == 2
+
+
+async def test_age_that_control_reports_later_brings_the_switch_closer(caplog):
+    """A gateway took no age for a version that it held already."""
+    caplog.set_level("INFO")
+    async with running_gateway() as (gateway, _):
+        name_version(gateway)
+        await gateway.feed.handle_notice(None, RolloutAges((("m", 2, 5.0),)))
+        switch_at = boottime_now() + gateway.settings.version_switch_seconds - 5.0
+        assert gateway.versions.oldest_allowed_version(switch_at, "m") == 2
+    (logged,) = [r for r in caplog.records if hasattr(r, "earlier_by")]
+    assert (logged.model_version, logged.age) == (2, 5.0)
