Name answers that gateways share after the reports of them

Renames only: is_told to is_reported, take_answers_to_tell to take_answers_to_report, _untold and _to_tell to _unreported and _to_report, _tell_answers to _report_answers; the docstrings follow.

--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -104,7 +104,7 @@
                 await anyio.sleep(RESTART_CHECK_INTERVAL)
                 self._record_overdue()
                 await self.find_restarts()
-                await self._tell_answers()
+                await self._report_answers()
                 if time.monotonic() >= repeat_at:
                     repeat_at = time.monotonic() + REPEAT_INTERVAL
                     await self._repeat_updates()
@@ -255,11 +255,11 @@
             offer_in_flight.target_id, fingerprint, offer_in_flight.offered_at
         )
         self._detector.record_complete_answer(survival)
-        await self._tell_answers()
+        await self._report_answers()
 
-    async def _tell_answers(self):
-        """Tell the other gateways of answers that count against crashes."""
-        for survival in self._detector.take_answers_to_tell():
+    async def _report_answers(self):
+        """Report the answers that count against crashes to the other gateways."""
+        for survival in self._detector.take_answers_to_report():
             address, incarnation = survival.id
             logger.info(
                 "suspected request was answered",
@@ -330,7 +330,7 @@
         self._detector.record_answer(target_id, offered_at)
         if update.fingerprint:
             survival = Survival(target_id, update.fingerprint, offered_at)
-            self._detector.record_complete_answer(survival, is_told=True)
+            self._detector.record_complete_answer(survival, is_reported=True)
         return True
 
     def _log(self, message, crash, level=logging.INFO, **details):
--- a/banyanshore/routing/crashes.py
+++ b/banyanshore/routing/crashes.py
@@ -16,7 +16,7 @@
 count, the request is cleared of them. So a request that ran beside the cause is cleared
 by the runs that follow, while one that crashes most of its targets is not. Copies sent
 before the last crash, repeated answers of one target, and evidence used before count
-for nothing. Answers are told to all gateways, each of which weighs them itself.
+for nothing. Answers are reported to all gateways; each weighs them itself.
 """
 
 from dataclasses import dataclass
@@ -160,11 +160,11 @@
         # target answered.
         self._exited_at_by_id = {}
         self._answered_at_by_id = {}
-        # Answers to suspected requests. Those of this gateway are untold until they
+        # Answers to suspected requests. Those of this gateway are unreported until they
         # count against a crash, which other gateways know of then.
         self._survival_by_id_by_fingerprint = {}
-        self._untold = set()
-        self._to_tell = []
+        self._unreported = set()
+        self._to_report = []
         self._clearance_by_fingerprint = {}
 
     @property
@@ -251,11 +251,11 @@
                 del self._crash_by_id_by_fingerprint[fingerprint]
         return True
 
-    def record_complete_answer(self, survival, is_told=False):
+    def record_complete_answer(self, survival, is_reported=False):
         """Weigh an answer to a request against the crashes of the request.
 
         :param survival: the :class:`Survival`.
-        :param is_told: whether another gateway has told of it.
+        :param is_reported: whether another gateway has reported it.
         :return: whether the request is cleared by it.
         """
         fingerprint = survival.fingerprint
@@ -271,15 +271,15 @@
             return False
         self._drop_survival(survivals, survival.id)
         survivals[survival.id] = survival
-        if not is_told:
-            self._untold.add(survival)
+        if not is_reported:
+            self._unreported.add(survival)
         if len(survivals) > MAX_ANSWERS:
             self._drop_survival(survivals, next(iter(survivals)))
         return self._weigh(fingerprint)
 
-    def take_answers_to_tell(self):
-        """Remove and return the answers to tell other gateways of."""
-        taken, self._to_tell = self._to_tell, []
+    def take_answers_to_report(self):
+        """Remove and return the answers to report to the other gateways."""
+        taken, self._to_report = self._to_report, []
         return taken
 
     def _last_lost_at(self, fingerprint):
@@ -304,8 +304,8 @@
         needed = self.count(fingerprint)
         used = [row for row in survivals.values() if row.offered_at >= last_lost_at]
         used = used[:needed]
-        self._to_tell += [row for row in used if row in self._untold]
-        self._untold.difference_update(used)
+        self._to_report += [row for row in used if row in self._unreported]
+        self._unreported.difference_update(used)
         if len(used) < needed:
             return False
         self._clear(fingerprint, {row.id: row for row in used})
@@ -327,7 +327,7 @@
             del clearances[next(iter(clearances))]
 
     def _drop_survival(self, survivals, target_id):
-        self._untold.discard(survivals.pop(target_id, None))
+        self._unreported.discard(survivals.pop(target_id, None))
 
     def count(self, fingerprint):
         """Return the number of crashes that count against a request."""
@@ -386,7 +386,7 @@
         """Forget answers to requests that aren't suspected, and old clearances."""
         for fingerprint, survivals in list(self._survival_by_id_by_fingerprint.items()):
             if self._last_lost_at(fingerprint) is None:
-                self._untold.difference_update(survivals.values())
+                self._unreported.difference_update(survivals.values())
                 del self._survival_by_id_by_fingerprint[fingerprint]
         for fingerprint, known in list(self._clearance_by_fingerprint.items()):
             newest = max(row.offered_at for row in known.survival_by_id.values())
--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -26,10 +26,10 @@
     return found
 
 
-def answer(detector, target, fingerprint, offered_at, is_told=False):
+def answer(detector, target, fingerprint, offered_at, is_reported=False):
     """Record that a target has answered a request completely."""
     survival = Survival((target, 1), fingerprint, offered_at)
-    return detector.record_complete_answer(survival, is_told)
+    return detector.record_complete_answer(survival, is_reported)
 
 
 def test_request_that_crashes_three_targets_in_turn_is_refused():
@@ -100,9 +100,9 @@
         assert detector.is_refused(10.0, OTHER)
         assert other_detector.is_refused(10.0, OTHER)
         assert answer(detector, f"s-{number}", OTHER, 9.5) == (number == 2)
-        (told,) = detector.take_answers_to_tell()
-        other_detector.record_complete_answer(told, is_told=True)
-    assert not other_detector.take_answers_to_tell()
+        (reported,) = detector.take_answers_to_report()
+        other_detector.record_complete_answer(reported, is_reported=True)
+    assert not other_detector.take_answers_to_report()
     assert not detector.is_refused(10.0, OTHER)
     assert not other_detector.is_refused(10.0, OTHER)
 
@@ -113,9 +113,9 @@
         detector.record_crash(Crash((f"t-{number}", 1), OTHER, number, number + 0.5))
     for number, detector in enumerate(detectors):
         answer(detector, f"s-{number}", OTHER, 5.0)
-        for told in detector.take_answers_to_tell():
+        for reported in detector.take_answers_to_report():
             for other in detectors:
-                other.record_complete_answer(told, is_told=True)
+                other.record_complete_answer(reported, is_reported=True)
     assert [detector.count(OTHER) for detector in detectors] == [0, 0, 0]
 
 
@@ -136,19 +136,19 @@
         crash_target(detector, f"t-{number}", number, number + 0.1, POISON)
     for number in range(5):
         assert not answer(detector, "s-1", POISON, 3.0 + number)
-    assert len(detector.take_answers_to_tell()) == 1
+    assert len(detector.take_answers_to_report()) == 1
     assert detector.count(POISON) == 3
 
 
 def test_answer_that_has_cleared_a_request_clears_no_further_crash():
-    """Gateways repeat what they tell, and find out about a crash seconds after it."""
+    """Gateways repeat their reports, and find out about a crash seconds after it."""
     detector = CrashDetector()
     detector.record_lost(Crash(("t-1", 1), POISON, 0.0, 1.0))
     detector.record_lost(Crash(("t-2", 1), POISON, 0.0, 1.0))
     detector.record_exit(("t-1", 1))
     assert answer(detector, "s-1", POISON, 1.1)
     detector.record_exit(("t-2", 1))
-    assert not answer(detector, "s-1", POISON, 1.2, is_told=True)
+    assert not answer(detector, "s-1", POISON, 1.2, is_reported=True)
     assert detector.count(POISON) == 1
 
 
@@ -156,10 +156,10 @@
     detector = CrashDetector()
     detector.record_lost(Crash(("t-1", 1), OTHER, 0.0, 1.0))
     assert not answer(detector, "s-1", OTHER, 1.1)
-    assert not detector.take_answers_to_tell()
+    assert not detector.take_answers_to_report()
     detector.find_restarts(4.0, {"t-1": 2})
     assert detector.count(OTHER) == 0
-    assert len(detector.take_answers_to_tell()) == 1
+    assert len(detector.take_answers_to_report()) == 1
 
 
 def test_answers_to_requests_without_suspicion_are_forgotten():
@@ -171,7 +171,7 @@
     crash_target(detector, "t-2", 0.0, 1.0, POISON)
     answer(detector, "s-1", POISON, 1.1)
     detector.find_restarts(2.0 + EXPIRY_SECONDS, {})
-    assert not detector._untold
+    assert not detector._unreported
     assert not detector._survival_by_id_by_fingerprint
     assert not detector._clearance_by_fingerprint
 
@@ -179,7 +179,7 @@
 evidence = st.tuples(
     st.sampled_from(["crash", "answer"]),
     st.integers(0, 7),
-    # Latencies of the updates by which this gateway is told of it, repeatedly.
+    # Latencies of the repeated updates that report it to this gateway.
     st.lists(st.floats(0, 1), min_size=1, max_size=3),
 )
 
@@ -187,23 +187,23 @@
 @given(st.lists(evidence, max_size=30), st.randoms(use_true_random=False))
 def test_no_more_crashes_are_cleared_than_targets_have_answered(events, shuffle):
     """Updates arrive repeatedly, late and in any order."""
-    told = [
+    updates = [
         (kind, f"{kind}-{target}", 0.2 * number, latency)
         for number, (kind, target, latencies) in enumerate(events)
         for latency in latencies
     ]
     # One target ends once, and counts once as one that has answered.
     first_at_by_name = {}
-    for _, name, at, _ in told:
+    for _, name, at, _ in updates:
         first_at_by_name.setdefault(name, at)
-    shuffle.shuffle(told)
+    shuffle.shuffle(updates)
     detector = CrashDetector()
-    for kind, name, _, latency in told:
+    for kind, name, _, latency in updates:
         at = first_at_by_name[name] + latency
         if kind == "crash":
             detector.record_crash(Crash((name, 1), POISON, at - 0.1, at))
         else:
-            answer(detector, name, POISON, at, is_told=True)
+            answer(detector, name, POISON, at, is_reported=True)
     crashes = sum(name.startswith("crash") for name in first_at_by_name)
     assert crashes - detector.count(POISON) <= len(first_at_by_name) - crashes
 
