Load complete weights at once where the older ones are out of date

Cause: only an incomplete transfer led to unloading; a complete one always waited for its wave, also at a target that can run no requests any more. Figures (pytest): the two new cases of test_decisions.py failed before and pass now.

--- a/banyanshore/loader/decisions.py
+++ b/banyanshore/loader/decisions.py
@@ -74,12 +74,17 @@
         return Action.WAIT
     if serves(report, state.version, state.layers):
         return Action.WAIT
-    is_empty = report.end_layer == 0
-    if not is_empty and now < state.load_at:
+    if now < state.load_at and _may_run_requests(state):
         return Action.WAIT
     return Action.LOAD
 
 
+def _may_run_requests(state):
+    """Return whether requests may still be sent to the version that a target holds."""
+    report = state.report
+    return report.end_layer >= max(1, state.layers) and not state.is_outdated
+
+
 def _must_unload(state):
     """Return whether a target should unload its version before the next is complete.
 
@@ -89,9 +94,8 @@
     """
     report = state.report
     is_older = report.model_version < state.version
-    can_run_requests = serves(report, report.model_version, state.layers)
-    is_late = state.is_outdated and state.has_first_layer
-    return is_older and can_run_requests and is_late
+    holds_all = serves(report, report.model_version, state.layers)
+    return is_older and holds_all and state.is_outdated and state.has_first_layer
 
 
 class Wave(Enum):
--- a/tests/loader/test_decisions.py
+++ b/tests/loader/test_decisions.py
@@ -72,6 +72,14 @@
     assert next_action(10.0, replace(OUTDATED, **change)) is Action.WAIT
 
 
+@pytest.mark.parametrize(
+    "change", [{"is_outdated": True}, {"report": replace(REPORT, end_layer=1)}]
+)
+def test_target_that_runs_no_requests_does_not_wait_for_its_wave(change):
+    """It held outdated weights until 0.4 s after its transfer was complete."""
+    assert next_action(9.0, replace(STATE, **change)) is Action.LOAD
+
+
 def test_target_that_has_unloaded_loads_once_its_version_is_complete():
     report = replace(REPORT, model_version=2, end_layer=1)
     state = replace(OUTDATED, report=report, is_complete=True, load_at=10.0)
