--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -420,12 +420,12 @@
         )
 
     def _outdated_details(self):
-        """Return the age of the latest version if the target's weights are older."""
-        versions, model = self._gateway.versions, self._request.model
-        if not 0 < self._version < versions.latest_version(model):
+        """Return for how long a version newer than the target's has been known, if any."""
+        model = self._request.model
+        seconds = self._gateway.newer_known_for(model, self._version)
+        if not self._version or seconds == -math.inf:
             return {}
-        newer_known_for = boottime_now() - versions.known_since(model)
-        return {"newer_known_for": round(newer_known_for, 2)}
+        return {"newer_known_for": round(seconds, 2)}
 
     def _log_end(self, outcome, status, **details):
         now = time.monotonic()
