Hold back assumed ages of versions for longer than any grace period

Cause: after 30 s control reported an age that it only assumed, which is less than such a bound. Change: 600 s. Ages are repeated with confirmations for 30 s, as before.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -21,7 +21,6 @@
 from banyanshore.routing.roster import FleetSize
 from banyanshore.routing.version_switch import (
     FIRST_STATE_SECONDS,
-    SETTLED_SECONDS,
     VersionSwitch,
 )
 from banyanshore.state.document import to_json
@@ -39,8 +38,8 @@
 # switch.
 UP_TO_DATE_SECONDS = 0.75
 # Seconds since a version was named for which its age is repeated, until followers have
-# received it without delay: beyond each grace period.
-REPEATED_SECONDS = SETTLED_SECONDS
+# received it without delay.
+REPEATED_SECONDS = 30.0
 # Consecutive lagging requests after which the complete state is sent.
 MAX_LAGGING_REQUESTS = 2
 
--- a/banyanshore/routing/version_switch.py
+++ b/banyanshore/routing/version_switch.py
@@ -6,9 +6,9 @@
 # Seconds for which a process that has just started uses versions older than those in
 # its first state. Other instances don't depend on it for as long after its start.
 FIRST_STATE_SECONDS = 2.5
-# Seconds, beyond each grace period, after which it is enough to know that a version is
-# at least so old.
-SETTLED_SECONDS = 30.0
+# Assumed age in seconds from which a version is reported like one whose age is known:
+# longer than any grace period, so that a larger age would make no difference.
+SETTLED_SECONDS = 600.0
 # Number of versions of a model whose ages are kept.
 KEPT_VERSIONS = 8
 
