Don't order a load once a newer version is transferred

Cause: what is wanted was looked at before the chunks were staged, not before the order. Change: no order if another transfer has begun; a chunk that is gone ends the attempt.

--- a/banyanshore/loader/driver.py
+++ b/banyanshore/loader/driver.py
@@ -86,10 +86,10 @@
     def _is_outdated(self, desired_version):
         """Return whether requests to the target's version should have arrived."""
         report = self._target.report
+        model = desired_version.model
         if report is None:
             return False
         sent_at = boottime_now() - ARRIVAL_SECONDS
-        model = desired_version.model
         oldest = self._loader.versions.oldest_allowed_version(sent_at, model)
         return report.model_version < oldest
 
@@ -112,7 +112,7 @@
             self._target.is_loading = True
             await self._target.send_report()
             await anyio.sleep(NOTICE_SECONDS)
-            await self._order(desired_version, None, restaged)
+            await self._order(desired_version, transfer, None, restaged)
         except StagedEngineError as error:
             await self._wait_after_failure(error)
         finally:
@@ -125,7 +125,7 @@
         """
         try:
             restaged = await transfer.stage_first_layer(desired_version.layers)
-            await self._order(desired_version, 1, restaged)
+            await self._order(desired_version, transfer, 1, restaged)
         except StagedEngineError as error:
             await self._wait_after_failure(error)
 
@@ -133,13 +133,16 @@
         logger.warning("load not ordered", extra={"why": str(error)})
         await anyio.sleep(ORDER_RETRY_SECONDS)
 
-    async def _order(self, desired_version, end_layer, restaged):
+    async def _order(self, desired_version, transfer, end_layer, restaged):
         """Order the load of a version, and wait until it has ended.
 
         :param end_layer: layer after the last one to load, ``None`` for all.
         :param restaged: number of chunks that had to be staged again.
         :raises StagedEngineError: the order may or may not have arrived.
         """
+        if self._loader.transfer is not transfer:
+            # Chunks of a newer version may have been staged meanwhile.
+            return
         outcome = await self._target.engine.load(
             desired_version.model, desired_version.version, end_layer
         )
--- a/banyanshore/loader/transfer.py
+++ b/banyanshore/loader/transfer.py
@@ -51,6 +51,11 @@
             if staged is None or not self.manifest.matches_digest(index, staged):
                 restaged += 1
                 data = self._store.get(digest)
+                if data is None:
+                    raise StagedEngineError(
+                        f"chunk {index} is of a version that is no longer wanted",
+                        step="stage",
+                    )
                 await self._engine.stage(self.spec.name, index, data)
         return restaged
 
--- a/tests/loader/test_driver.py
+++ b/tests/loader/test_driver.py
@@ -9,7 +9,8 @@
 import pytest
 
 from banyanshore.conf.loader import parse_settings
-from banyanshore.loader.driver import LoadDriver
+from banyanshore.core.clock import boottime_now
+from banyanshore.loader.driver import ARRIVAL_SECONDS, LoadDriver
 from banyanshore.loader.transfer import StagedTransfer
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.telemetry.weights import LoaderMetrics
@@ -32,7 +33,7 @@
     "report_interval": 0.02,
     "version_bound_ms": 4000,
 }
-CHUNKS = [bytes([number]) for number in range(8)]
+CHUNKS = [bytes([number]) for number in range(9)]
 LAYERS = 4
 
 
@@ -43,18 +44,24 @@
         self.report = EngineReport("m", 1, 0, LAYERS, 0, 0, 1.0, False)
         self.staged = {}
         self.orders = []
+        # Outcomes of the next orders, which have no effect.
+        self.refusals = []
+        self.on_stage = lambda: None
 
     async def read_report(self):
         return self.report
 
     async def stage(self, model, index, data):
         self.staged[index] = data
+        self.on_stage()
 
     async def read_staged(self, model, index):
         return self.staged.get(index)
 
     async def load(self, model, version, end_layer=None):
-        self.orders.append((time.monotonic(), version, end_layer, dict(self.staged)))
+        self.orders.append((boottime_now(), version, end_layer, dict(self.staged)))
+        if self.refusals:
+            return self.refusals.pop()
         end_layer = end_layer or LAYERS
         self.report = EngineReport(model, version, 0, end_layer, 0, 0, 1.0, False)
         return OrderOutcome.STARTED
@@ -103,7 +110,7 @@
     settings = parse_settings(SETTINGS)
     target = Monitor(Engine())
     versions = VersionSwitch(settings.version_switch_seconds)
-    now = time.monotonic()
+    now = boottime_now()
     versions.record(now, {})
     versions.record(now - known_seconds_ago, {"m": {"version": 2}})
     desired = DesiredVersion("s", "m", 2, LAYERS, 1, versions.known_since("m"))
@@ -118,7 +125,7 @@
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(LoadDriver(loader).run)
-        yield target.engine, loader.transfer, desired.known_since
+        yield loader
         tasks.cancel_scope.cancel()
 
 
@@ -130,15 +137,17 @@
 
 async def test_target_whose_weights_are_late_rejects_requests_before_the_bound():
     """Requests sent before the switch arrived late, and began on older weights."""
-    driver = running_driver(have=0b0011111, known_seconds_ago=3.3)
-    async with driver as (engine, transfer, known_since):
+    driver = running_driver(have=0b000011111, known_seconds_ago=3.3)
+    async with driver as loader:
+        engine, transfer = loader.target.engine, loader.transfer
+        known_since = loader.versions.known_since("m")
         await wait_for_orders(engine, 1)
         ordered_at, version, end_layer, staged = engine.orders[0]
         # Engines take a while to begin the requests that they have accepted.
-        assert 3.6 <= ordered_at - known_since < 3.79
+        assert 3.6 + ARRIVAL_SECONDS <= ordered_at - known_since < 3.79
         assert (version, end_layer) == (2, 1)
-        assert staged == dict(enumerate(CHUNKS[:2]))
-        transfer.planner.have = 0b11111111
+        assert staged == dict(enumerate(CHUNKS[:3]))
+        transfer.planner.have = 0b111111111
         transfer.completed_at = time.monotonic()
         transfer.completed.set()
         await wait_for_orders(engine, 2)
@@ -146,6 +155,22 @@
 
 
 async def test_target_without_a_complete_layer_is_left_alone():
-    async with running_driver(have=0b11111110, known_seconds_ago=9.0) as (engine, *_):
+    async with running_driver(have=0b111111011, known_seconds_ago=9.0) as loader:
         await anyio.sleep(0.2)
-        assert not engine.orders
+        assert not loader.target.engine.orders
+
+
+@pytest.mark.parametrize("is_complete", [True, False])
+async def test_no_order_is_given_once_a_newer_version_is_transferred(is_complete):
+    """The engine loaded chunks of two versions."""
+    have = 0b111111111 if is_complete else 0b000000111
+    async with running_driver(have, known_seconds_ago=9.0) as loader:
+        newer = make_transfer(loader.target, 0)
+        newer.spec.version = "3"
+        loader.target.engine.on_stage = lambda: setattr(loader, "transfer", newer)
+        if is_complete:
+            loader.transfer.completed_at = time.monotonic()
+            loader.transfer.completed.set()
+        await anyio.sleep(0.4)
+        assert loader.target.engine.staged
+        assert not loader.target.engine.orders
