--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -420,7 +420,7 @@
         )
 
     def _outdated_details(self):
-        """Return for how long a version newer than the target's has been known, if any."""
+        """Return for how long a version newer than the target's has been known."""
         model = self._request.model
         seconds = self._gateway.newer_known_for(model, self._version)
         if not self._version or seconds == -math.inf:
