--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -222,8 +222,8 @@
     """Send a request, and yield its :class:`UpstreamAnswer` once the head is received.
 
     The connection is closed on exit, which tells a target that still runs the request
-    to stop. It is reset if there is no head yet, so that a request that is still on the
-    way doesn't arrive after it was given up.
+    to stop. It is reset if there is no head yet, so that bytes of the request that have
+    not been sent are dropped.
 
     :param progress_timeout: seconds until the head is due, and then until the next
         part, see :meth:`UpstreamAnswer.record_progress`.
