Log how targets frame their answers, and where the answers end

The lines 'answered' and 'answer broke off' now hold the framing and the bytes of an incomplete event. No change of behaviour; the new test fails without the fields.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -66,6 +66,9 @@
         self._first_byte_at = None
         # The offer in flight, or ``None``.
         self._offer_in_flight = None
+        # The answer to the current offer, and the size of the event that is incomplete.
+        self._answer = None
+        self._incomplete_event_bytes = 0
 
     @property
     def _seconds_left(self):
@@ -154,6 +157,8 @@
         self._attempts.begin(row.id)
         self._target = row.id
         self._address = row.address
+        self._answer = None
+        self._incomplete_event_bytes = 0
         self._load = board.load(row.address).estimated_in_flight(now)
         if not self._exchange.started:
             self._version = choice.model_version
@@ -217,6 +222,7 @@
                 lambda: self._may_send(choice),
                 head_scope,
             ) as answer:
+                self._answer = answer
                 self._gateway.suspects.record_head(offer_in_flight)
                 load = self._gateway.board.load(row.address)
                 load.record_first_byte(time.monotonic(), offer_in_flight.offered_at)
@@ -235,7 +241,7 @@
             self._log("withdrawn", why="newer-weights")
             return Outcome.WITHDRAWN
         except BrokenAnswerError as error:
-            self._log("answer broke off", why=error.message)
+            self._log("answer broke off", why=error.message, **self._body_details())
             started = self._exchange.started
             return Outcome.BROKEN_OFF if started else Outcome.LOST
 
@@ -313,7 +319,7 @@
             self._failure = (answer.status, dialect.answer_headers(answer), body)
             return Outcome.FAILED
         await self._respond(answer.status, dialect.answer_headers(answer), body)
-        self._log_end("answered", answer.status)
+        self._log_end("answered", answer.status, **self._body_details())
         return None
 
     async def _relay_events(self, answer):
@@ -324,12 +330,13 @@
                 events, event_id = splitter.feed(data)
             except OversizedEventError as error:
                 raise BrokenAnswerError(error.message, step="events") from None
+            self._incomplete_event_bytes = splitter.incomplete_bytes
             if events:
                 await self._send_events(answer, events, event_id)
                 answer.record_progress(self._event_timeout())
         await self._send_events(answer, splitter.take_rest(), None)
         await self._exchange.finish()
-        self._log_end("answered", answer.status)
+        self._log_end("answered", answer.status, **self._body_details())
         return None
 
     async def _send_events(self, answer, events, event_id):
@@ -419,6 +426,16 @@
             },
         )
 
+    def _body_details(self):
+        """Return how the target framed its answer, and what was incomplete."""
+        framing = self._answer.framing if self._answer else None
+        if framing is None:
+            return {}
+        return {
+            "framing": framing.value,
+            "incomplete_event_bytes": self._incomplete_event_bytes,
+        }
+
     def _outdated_details(self):
         """Return for how long a version newer than the target's has been known."""
         model = self._request.model
--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -46,6 +46,15 @@
     """Signal an incomplete or invalid answer; the request may have run."""
 
 
+class Framing(Enum):
+    """How the end of an answer's body is known (RFC 9112, section 6.3)."""
+
+    CHUNKED = "chunked"
+    LENGTH = "length"
+    # The body ends with the connection.
+    CLOSE = "close"
+
+
 @dataclass(frozen=True)
 class OutgoingRequest:
     """A request for a target.
@@ -161,6 +170,17 @@
         """Return the first value of a header as text."""
         return get_header(self.headers, name, default)
 
+    @property
+    def framing(self):
+        """Return the :class:`Framing` of the body, ``None`` without a head."""
+        if not self.has_head:
+            return None
+        if self.get_header(b"transfer-encoding") is not None:
+            return Framing.CHUNKED
+        if self.get_header(b"content-length") is not None:
+            return Framing.LENGTH
+        return Framing.CLOSE
+
     def is_connection_reusable(self):
         """Return whether the connection can be used for another request."""
         states = (self._h11.our_state, self._h11.their_state)
--- a/banyanshore/routing/events.py
+++ b/banyanshore/routing/events.py
@@ -28,6 +28,11 @@
         self._rest = bytearray()
         self._max_event_bytes = max_event_bytes
 
+    @property
+    def incomplete_bytes(self):
+        """Return the buffered size of the incomplete event."""
+        return len(self._rest)
+
     def feed(self, data):
         """Buffer new bytes; return the events that are complete now, and the last id.
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -355,3 +355,14 @@
         assert sum(len(target.requests) for target in targets) == 4
         await anyio.sleep(1.0)
         assert (await ask(address, make_request("POST", body=b"sound")))[0] == 200
+
+
+async def test_end_of_an_answer_without_length_is_logged(caplog):
+    """The log didn't tell whether a target or its connection had ended the answer."""
+    caplog.set_level("INFO")
+    target = Target(SIGNED + b"\r\n" + events(1, 2) + b"id: 3\nda")
+    async with running_gateway(target, kind="streaming") as (_, address):
+        await ask(address)
+    (line,) = [row for row in caplog.records if row.message.startswith("answer")]
+    assert line.framing == "close"
+    assert line.incomplete_event_bytes == len(b"id: 3\nda")
