--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -126,3 +126,7 @@
 
 async def close(stream):
     await stream.aclose()
+
+
+def events(first, last):
+    return b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(first, last + 1))
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -14,6 +14,7 @@
     Target,
     ask,
     close,
+    events,
     hang,
     make_request,
     running_gateway,
@@ -145,10 +146,6 @@
         assert (await ask(address))[0] == 502
 
 
-def events(first, last):
-    return b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(first, last + 1))
-
-
 async def test_broken_stream_is_resumed_at_another_target():
     """The incomplete event is not passed on; the second run resumes after event 2."""
 
