Don't end a stream as complete inside an event

Cause: the gateway took the end of the target's answer from its framing alone. An answer without length or chunks ends with its connection, and so does one whose target crashes; the gateway passed on the rest of the incomplete event and the last chunk. Ruled out: the gateway recognizing the break and closing as if complete (the log says answered). Change: an answer that ends inside an event is broken off, however it is framed, and so is one without length or chunks that ends before its first event. The incomplete event isn't passed on; the stream is resumed elsewhere where the route allows it.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -11,6 +11,7 @@
 from banyanshore.http.upstream import (
     CONNECT_TIMEOUT,
     BrokenAnswerError,
+    Framing,
     NotSentError,
     WithdrawnError,
     open_answer,
@@ -323,8 +324,13 @@
         return None
 
     async def _relay_events(self, answer):
-        """Relay events as they arrive, each one completely."""
+        """Relay events as they arrive, each one completely.
+
+        :raises BrokenAnswerError: the answer ended before its end was framed, inside an
+            event, or, without framing, before its first event.
+        """
         splitter = EventSplitter()
+        has_events = False
         while data := await answer.receive():
             try:
                 events, event_id = splitter.feed(data)
@@ -332,8 +338,13 @@
                 raise BrokenAnswerError(error.message, step="events") from None
             self._incomplete_event_bytes = splitter.incomplete_bytes
             if events:
+                has_events = True
                 await self._send_events(answer, events, event_id)
                 answer.record_progress(self._event_timeout())
+        if splitter.is_inside_event:
+            raise BrokenAnswerError("ended inside an event", step="events")
+        if not has_events and answer.framing is Framing.CLOSE:
+            raise BrokenAnswerError("ended before the first event", step="events")
         await self._send_events(answer, splitter.take_rest(), None)
         await self._exchange.finish()
         self._log_end("answered", answer.status, **self._body_details())
--- a/banyanshore/routing/events.py
+++ b/banyanshore/routing/events.py
@@ -33,6 +33,19 @@
         """Return the buffered size of the incomplete event."""
         return len(self._rest)
 
+    @property
+    def is_inside_event(self):
+        """Return whether a part of an event is buffered; comments aren't events.
+
+        >>> splitter = EventSplitter()
+        >>> splitter.feed(b"data: a\\n\\n: comment\\n"), splitter.is_inside_event
+        ((b'data: a\\n\\n', None), False)
+        >>> splitter.feed(b"da"), splitter.is_inside_event
+        ((b'', None), True)
+        """
+        lines = self._rest.splitlines()
+        return any(line and not line.startswith(b":") for line in lines)
+
     def feed(self, data):
         """Buffer new bytes; return the events that are complete now, and the last id.
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -360,6 +360,6 @@
     target = Target(SIGNED + b"\r\n" + events(1, 2) + b"id: 3\nda")
     async with running_gateway(target, kind="streaming") as (_, address):
         await ask(address)
-    (line,) = [row for row in caplog.records if row.message.startswith("answer")]
+    (line,) = [row for row in caplog.records if row.message == "answer broke off"]
     assert line.framing == "close"
     assert line.incomplete_event_bytes == len(b"id: 3\nda")
