Reset the connection of an HTTP/1.0 caller whose answer broke off

What callers saw: an answer that broke off ended with an orderly close, which is how a complete answer to an HTTP/1.0 caller ends: there are no chunks. Cause: the listener tells callers of an incomplete answer by leaving out the last chunk, and closes every connection in order.

--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -18,6 +18,7 @@
     get_header,
     is_closed_by_peer,
     receive_bytes,
+    reset_on_close,
     send_bytes,
     set_timeouts,
 )
@@ -134,6 +135,17 @@
             h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
         )
         self._peer_closed = False
+        self._exchange = None
+
+    def close_ends_incomplete_answer(self):
+        """Return whether an orderly close would complete an answer that broke off.
+
+        Answers to HTTP/1.0 callers have neither a length nor chunks; they end with the
+        connection.
+        """
+        exchange = self._exchange
+        is_incomplete = exchange and exchange.started and not exchange.finished
+        return bool(is_incomplete) and self._h11.their_http_version == b"1.0"
 
     async def serve(self):
         """Serve requests until the connection ends."""
@@ -143,6 +155,7 @@
                 return
             exchange = Exchange(self, request)
             self._listener.active += 1
+            self._exchange = exchange
             try:
                 _check_framing(exchange)
                 await self._listener.handle(exchange)
@@ -333,6 +346,7 @@
         await listener.serve(self._serve_connection)
 
     async def _serve_connection(self, stream):
+        connection = None
         try:
             set_timeouts(stream)
             connection = _Connection(self, stream)
@@ -345,5 +359,7 @@
         except Exception:
             logger.exception("connection ended by an internal error")
         finally:
+            if connection is not None and connection.close_ends_incomplete_answer():
+                reset_on_close(stream)
             with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
                 await stream.aclose()
