Don't pass on an engine's stream that ends inside an event as complete

The same fault as at gateways, at agents: the answer of an engine without length or chunks ends with its connection, and so does one whose engine crashed; the agent reported it as finished, and so did the entry to its caller. Change: the agent passes on whole events, and an answer that ends inside one, or without length before its first, is broken off. How an answer is framed is now found in one place (core/framing.py).

--- a/banyanshore/engines/http.py
+++ b/banyanshore/engines/http.py
@@ -5,6 +5,7 @@
 
 import httpx
 
+from banyanshore.core.framing import Framing, find_framing
 from banyanshore.engines.base import (
     Engine,
     EngineError,
@@ -12,6 +13,11 @@
     EngineRefusedError,
     EngineUnreachableError,
 )
+from banyanshore.routing.events import (
+    EVENT_STREAM,
+    EventSplitter,
+    OversizedEventError,
+)
 
 # Headers that apply to one connection only and are not forwarded (RFC 9110, 7.6.1).
 HOP_BY_HOP_HEADERS = frozenset(
@@ -54,17 +60,42 @@
         return self._response.headers.get(name)
 
     async def iter_body(self):
-        """Yield the body in pieces.
+        """Yield the body in pieces; each piece of a stream of events ends with one.
 
-        :raises EngineError: the response broke off.
+        :raises EngineError: the response broke off, or ended inside an event.
         """
+        content_type = self._response.headers.get("content-type", "")
+        is_event_stream = content_type.startswith(EVENT_STREAM)
+        pieces = self._iter_events() if is_event_stream else self._response.aiter_raw()
         try:
-            async for data in self._response.aiter_raw():
+            async for data in pieces:
                 yield data
-        except httpx.HTTPError as error:
-            raise EngineError(
-                f"the target broke off: {error!r}", step="body", peer=self._peer
-            ) from error
+        except (httpx.HTTPError, OversizedEventError) as error:
+            raise self._broken_off(repr(error)) from error
+
+    async def _iter_events(self):
+        splitter = EventSplitter()
+        has_events = False
+        async for data in self._response.aiter_raw():
+            events, _ = splitter.feed(data)
+            if events:
+                has_events = True
+                yield events
+        if splitter.is_inside_event:
+            raise self._broken_off("ended inside an event")
+        if not has_events and self._ends_with_connection():
+            raise self._broken_off("ended before the first event")
+        yield splitter.take_rest()
+
+    def _ends_with_connection(self):
+        response = self._response
+        framing = find_framing(
+            response.request.method, response.status_code, response.headers
+        )
+        return framing is Framing.CLOSE
+
+    def _broken_off(self, why):
+        return EngineError(f"the target broke off: {why}", step="body", peer=self._peer)
 
 
 class ClientPool:
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -8,10 +8,10 @@
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import UnavailableError
+from banyanshore.core.framing import Framing
 from banyanshore.http.upstream import (
     CONNECT_TIMEOUT,
     BrokenAnswerError,
-    Framing,
     NotSentError,
     WithdrawnError,
     open_answer,
--- a/banyanshore/http/callers.py
+++ b/banyanshore/http/callers.py
@@ -22,13 +22,13 @@
     bad_request,
 )
 from banyanshore.routing.calls import ANSWERED, ResultKind
+from banyanshore.routing.events import EVENT_STREAM
 from banyanshore.routing.messages import FailureReason, RefusalReason
 
 logger = logging.getLogger(__name__)
 
 MODELS_PATH = "/v1/models"
 MAX_KEY_CHARACTERS = 255
-EVENT_STREAM = b"text/event-stream"
 # HTTP status by reason of a request that was not run; 503 for all other reasons.
 _STATUS_BY_REASON = {
     RefusalReason.DEADLINE: 504,
@@ -60,7 +60,7 @@
         """Send the status and the headers."""
         self._observe_first_byte(time.monotonic() - self._began_at)
         content_type = dict(started.headers).get(b"content-type", b"")
-        self.is_event_stream = content_type.startswith(EVENT_STREAM)
+        self.is_event_stream = content_type.startswith(EVENT_STREAM.encode())
         await self._request.start(
             started.status, answer_headers(started, self._headers)
         )
--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -15,6 +15,7 @@
 import h11
 
 from banyanshore.core.exceptions import BanyanshoreError, UnavailableError
+from banyanshore.core.framing import find_framing
 from banyanshore.core.groups import open_task_group
 from banyanshore.http.wire import (
     PeerClosedError,
@@ -46,15 +47,6 @@
     """Signal an incomplete or invalid answer; the request may have run."""
 
 
-class Framing(Enum):
-    """How the end of an answer's body is known (RFC 9112, section 6.3)."""
-
-    CHUNKED = "chunked"
-    LENGTH = "length"
-    # The body ends with the connection.
-    CLOSE = "close"
-
-
 @dataclass(frozen=True)
 class OutgoingRequest:
     """A request for a target.
@@ -82,6 +74,7 @@
         self.headers = []
         self.has_head = False
         self.is_complete = False
+        self._method = ""
         self._stream = stream
         self._peer = peer
         self._progress_timeout = progress_timeout
@@ -102,6 +95,7 @@
 
     def encode(self, request):
         """Return the bytes of a request."""
+        self._method = request.method.decode("latin-1")
         headers = list(request.headers)
         if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
             headers.append((b"content-length", str(len(request.body)).encode()))
@@ -175,11 +169,8 @@
         """Return the :class:`Framing` of the body, ``None`` without a head."""
         if not self.has_head:
             return None
-        if self.get_header(b"transfer-encoding") is not None:
-            return Framing.CHUNKED
-        if self.get_header(b"content-length") is not None:
-            return Framing.LENGTH
-        return Framing.CLOSE
+        names = {name.decode("latin-1") for name, _ in self.headers}
+        return find_framing(self._method, self.status, names)
 
     def is_connection_reusable(self):
         """Return whether the connection can be used for another request."""
--- a/banyanshore/routing/events.py
+++ b/banyanshore/routing/events.py
@@ -6,6 +6,8 @@
 
 from banyanshore.core.exceptions import BanyanshoreError
 
+# Media type of a stream of events.
+EVENT_STREAM = "text/event-stream"
 # Largest event that is buffered until it is complete, in bytes; typical events have
 # less than a thousand.
 MAX_EVENT_BYTES = 256 * 1024
