Close an entry's stream that broke off without its last chunk

What callers saw: a stream that broke off at an entry ended with an error event and then with the last chunk, as a complete one does. Callers that don't know the event took the stream as complete. Change: the error event is sent, and the connection is closed without the last chunk, as for other bodies. test_stream_that_broke_off_is_not_framed_as_complete failed before.

--- a/banyanshore/http/callers.py
+++ b/banyanshore/http/callers.py
@@ -182,16 +182,14 @@
             await request.send_body(b"", more=False)
         elif request.response_started:
             self._count(call, "cut")
-            if not sink.is_event_stream:
-                # Without the end of the body, the server closes the connection, so the
-                # caller can recognize that the answer is incomplete.
-                logger.warning("answer cut off: %s", result.reason)
-                return
-            # The status has been sent, so the error becomes the last event, without
-            # the end marker of a complete answer.
-            problem = to_problem(result)
-            event = json.dumps({"error": problem.to_dict()}).encode()
-            await request.send_body(b"data: " + event + b"\n\n", more=False)
+            logger.warning("answer cut off: %s", result.reason)
+            if sink.is_event_stream:
+                # The status has been sent, so the error becomes the last event.
+                error = {"error": to_problem(result).to_dict()}
+                event = b"data: " + json.dumps(error).encode() + b"\n\n"
+                await request.send_body(event)
+            # Without the end of the body, the server closes the connection, so the
+            # caller can recognize that the answer is incomplete.
         else:
             self._count(call, result.kind.value)
             await request.respond_problem(to_problem(result), headers)
