Don't repeat events in a stream that another target resumes

Found by test_stream_goes_on_only_with_the_events_that_follow: 2 of its 9 rows failed before (last-event-again, from-the-start). Change: the first event of a resumed answer must follow the last one passed on; otherwise the answer is broken off.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -19,7 +19,11 @@
 from banyanshore.routing.attempts import Attempts, Outcome, Step
 from banyanshore.routing.board import NoChoice, TargetRequirements
 from banyanshore.routing.caller_requests import Offer
-from banyanshore.routing.events import EventSplitter, OversizedEventError
+from banyanshore.routing.events import (
+    EventSplitter,
+    OversizedEventError,
+    RepeatedEventError,
+)
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.timeouts import event_timeout, head_timeout
 from banyanshore.state.routes import RouteKind
@@ -329,12 +333,12 @@
         :raises BrokenAnswerError: the answer ended before its end was framed, inside an
             event, or, without framing, before its first event.
         """
-        splitter = EventSplitter()
+        splitter = EventSplitter(resumed_after=self._last_event_id)
         has_events = False
         while data := await answer.receive():
             try:
                 events, event_id = splitter.feed(data)
-            except OversizedEventError as error:
+            except (OversizedEventError, RepeatedEventError) as error:
                 raise BrokenAnswerError(error.message, step="events") from None
             self._incomplete_event_bytes = splitter.incomplete_bytes
             if events:
--- a/banyanshore/routing/events.py
+++ b/banyanshore/routing/events.py
@@ -4,6 +4,8 @@
 The buffer of an answer is therefore bounded, and each byte is searched once.
 """
 
+import re
+
 from banyanshore.core.exceptions import BanyanshoreError
 
 # Media type of a stream of events.
@@ -12,6 +14,7 @@
 # less than a thousand.
 MAX_EVENT_BYTES = 256 * 1024
 _SEPARATORS = (b"\n\n", b"\r\n\r\n")
+_ID_LINE = re.compile(rb"^id: *(\d+) *\r?$", re.MULTILINE)
 # Buffered bytes to search again, since a separator may begin in them.
 _OVERLAP = max(map(len, _SEPARATORS)) - 1
 
@@ -20,14 +23,21 @@
     """Raised when an event exceeds the maximum size."""
 
 
+class RepeatedEventError(BanyanshoreError):
+    """Raised when a resumed answer repeats an event."""
+
+
 class EventSplitter:
     """Split the bytes of one answer into complete events.
 
     :param max_event_bytes: largest event that is buffered.
+    :param resumed_after: id of the last event before this answer, if it resumes a
+        stream, else ``None``.
     """
 
-    def __init__(self, max_event_bytes=MAX_EVENT_BYTES):
+    def __init__(self, max_event_bytes=MAX_EVENT_BYTES, resumed_after=None):
         self._rest = bytearray()
+        self._resumed_after = resumed_after
         self._max_event_bytes = max_event_bytes
 
     @property
@@ -53,6 +63,7 @@
 
         :return: bytes, empty if no event is complete, and the id or ``None``.
         :raises OversizedEventError: the incomplete event is too long.
+        :raises RepeatedEventError: a resumed answer begins with an earlier event.
 
         >>> splitter = EventSplitter()
         >>> splitter.feed(b"id: 4\\ndata: a\\n\\nid: 5\\nda")
@@ -69,12 +80,23 @@
                 end = max(end, position + len(separator))
         complete = bytes(self._rest[:end])
         del self._rest[:end]
+        self._check_first_id(complete)
         if len(self._rest) > self._max_event_bytes:
             raise OversizedEventError(
                 f"an event of more than {self._max_event_bytes} bytes", step="events"
             )
         return complete, _last_event_id(complete)
 
+    def _check_first_id(self, events):
+        after = self._resumed_after
+        if after is None or (first_id := _first_event_id(events)) is None:
+            return
+        self._resumed_after = None
+        if first_id <= after:
+            raise RepeatedEventError(
+                f"event {first_id} again after event {after}", step="events"
+            )
+
     def take_rest(self):
         """Return and clear the bytes of the incomplete event."""
         rest = bytes(self._rest)
@@ -82,6 +104,11 @@
         return rest
 
 
+def _first_event_id(data):
+    found = _ID_LINE.search(data)
+    return int(found[1]) if found else None
+
+
 def _last_event_id(data):
     position = data.rfind(b"id:")
     while position > 0 and data[position - 1 : position] not in (b"\n", b"\r"):
--- a/tests/gateway/test_ends_of_answers.py
+++ b/tests/gateway/test_ends_of_answers.py
@@ -81,3 +81,48 @@
         with pytest.raises(anyio.BrokenResourceError), anyio.fail_after(4.0):
             while True:
                 await stream.receive()
+
+
+RESET_AFTER_TWO = next(
+    row for row in ROWS if (row.framing, row.connection_end) == ("close", "reset")
+)
+ERROR = (
+    b"HTTP/1.1 500 Bad\r\nreplica-signature: s\r\nrequest-id: id-1\r\n"
+    b"content-type: text/event-stream\r\ncontent-length: 17\r\n\r\nid: 3\ndata: bad\n\n"
+)
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        ERROR,
+        ERROR.replace(b"500 Bad", b"503 Busy\r\nnot-executed: 1"),
+        ERROR.replace(b"500 Bad", b"404 No"),
+        SIGNED.replace(b"id-1", b"id-2") + b"\r\n" + events(3, 4),
+        SIGNED.replace(b"replica-signature: s\r\n", b"") + b"\r\n" + events(3, 4),
+        SIGNED + b"content-type: application/json\r\ncontent-length: 2\r\n\r\n{}",
+        SIGNED + b"\r\n" + events(2, 4),
+        SIGNED + b"\r\n" + events(1, 4),
+        b"id: 3\ndata: e3\n\n",
+    ],
+    ids=[
+        "error", "refusal", "not-found", "foreign", "unsigned", "json",
+        "last-event-again", "from-the-start", "no-head",
+    ],
+)  # fmt: skip
+async def test_stream_goes_on_only_with_the_events_that_follow(rest):
+    """Another target's text became a part of a stream that had broken off."""
+    first = target_of(RESET_AFTER_TWO)
+    other = Target()
+    first.acts = other.acts = [first.acts[0], rest]
+    first.requests = other.requests = []
+    async with running_gateway(first, other, **RESUMABLE) as (_, address):
+        status, answer = await ask(address)
+    assert len(first.requests) == 2
+    assert status == 200
+    assert answer.count(b"HTTP/1.1") == 1
+    body = answer.split(b"\r\n\r\n", 1)[1]
+    assert b"".join(part for part in body.split(b"\r\n") if part[:2] == b"id") == (
+        events(1, 2)
+    )
+    assert not answer.endswith(LAST_CHUNK)
