Pass on an answer without events on a route for streams as it is

A JSON answer on such a route has no events, and since streams that end inside an event are broken off it was reported as unknown (502). Only answers whose content type is that of events, or is missing, are read as events; others are buffered. test_answer_of_another_type_on_a_route_for_streams_is_passed_on failed before.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -20,6 +20,7 @@
 from banyanshore.routing.board import NoChoice, TargetRequirements
 from banyanshore.routing.caller_requests import Offer
 from banyanshore.routing.events import (
+    EVENT_STREAM,
     EventSplitter,
     OversizedEventError,
     RepeatedEventError,
@@ -314,8 +315,7 @@
         if not dialect.is_answer_to(answer, self._request):
             self._log("foreign answer dropped", status=answer.status)
             return Outcome.LOST
-        is_success = 200 <= answer.status < 300
-        if is_success and self._screened.route.kind is RouteKind.STREAMING:
+        if self._is_event_stream(answer):
             return await self._relay_events(answer)
         if self._exchange.started:
             return Outcome.BROKEN_OFF
@@ -327,6 +327,12 @@
         self._log_end("answered", answer.status, **self._body_details())
         return None
 
+    def _is_event_stream(self, answer):
+        if self._screened.route.kind is not RouteKind.STREAMING:
+            return False
+        media_type = answer.get_header(b"content-type", EVENT_STREAM)
+        return 200 <= answer.status < 300 and media_type.startswith(EVENT_STREAM)
+
     async def _relay_events(self, answer):
         """Relay events as they arrive, each one completely.
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -363,3 +363,14 @@
     (line,) = [row for row in caplog.records if row.message == "answer broke off"]
     assert line.framing == "close"
     assert line.incomplete_event_bytes == len(b"id: 3\nda")
+
+
+async def test_answer_of_another_type_on_a_route_for_streams_is_passed_on():
+    """A body without events would look like a stream that ends inside an event."""
+    body = b'{"text": "a\\n\\nb"}'
+    length = b"content-length: %d\r\n\r\n" % len(body)
+    target = Target(SIGNED + b"content-type: application/json\r\n" + length + body)
+    async with running_gateway(target, kind="streaming") as (_, address):
+        status, answer = await ask(address)
+    assert status == 200
+    assert answer.endswith(body)
