--- a/tests/gateway/crashing.py
+++ b/tests/gateway/crashing.py
@@ -27,6 +27,8 @@
 from tests.http.raw import reset, running_listener
 from tests.ports import free_ports
 
+# Part of a prompt that crashes targets.
+DEADLY_PART = b"dead:"
 POISON = make_request("POST", body=b"poison")
 HARMLESS = make_request("POST", body=b"sound")
 
@@ -120,7 +122,7 @@
             except (anyio.EndOfStream, anyio.BrokenResourceError):
                 await stream.aclose()
                 return
-        is_poison = data.endswith(b"poison")
+        is_poison = data.endswith(b"poison") or DEADLY_PART in data
         survival_seconds = self._fleet.survival_seconds_by_arrival.get(
             len(self._fleet.poison_arrivals())
         )
