Refuse the part of prompts that crashes targets

Cause: evidence was kept for whole requests only; these share one part of the prompt. Change: a target's crash is evidence against the shared parts of the requests there whose answers had not begun; an answer that begins is evidence for its parts. Both are weighed by a likelihood ratio, with the rate at which other requests are lost (routing/prompt_parts.py). Gateways exchange crashes, counts of suspected parts and verdicts over their hubs, so without control; verdicts in force are repeated each second for gateways that start or were out of touch. Refusal lasts as long as for whole requests (60 s, eight times longer after each further crash); answers clear it.

--- a/banyanshore/gateway/news.py
+++ b/banyanshore/gateway/news.py
@@ -17,10 +17,13 @@
     items_for,
 )
 from banyanshore.membership.load_reports import (
+    BegunAnswersReport,
     CrashNotice,
     LoadReport,
+    PartNotice,
     PlacementNotice,
     TargetAnswered,
+    UnbegunLossNotice,
     UpdateBatch,
 )
 from banyanshore.transport import LinkPool, notify_all_or_drop
@@ -157,6 +160,15 @@
     def _apply_target_answered(self, now, notification):
         return self._suspects.record_target_answered(notification)
 
+    def _apply_unbegun_loss(self, now, notice):
+        return self._suspects.parts.record_loss_notice(notice)
+
+    def _apply_begun_report(self, now, report):
+        return self._suspects.parts.record_begun_report(report)
+
+    def _apply_part_notice(self, now, notice):
+        return self._suspects.parts.record_part_notice(notice)
+
     async def run(self, links_options, handler):
         """Forward the gathered updates until cancelled.
 
@@ -199,6 +211,7 @@
         senders = {row.instance for row in self._registry.members_of(GATEWAY_ROLE)}
         addresses = {row.address for row in self._registry.targets.rows()}
         self._filter.keep_only(senders, addresses)
+        self._suspects.parts.forget_departed(senders)
 
 
 _APPLY_BY_TYPE = {
@@ -206,4 +219,7 @@
     PlacementNotice: UpdateExchange._apply_placement,
     CrashNotice: UpdateExchange._apply_crash,
     TargetAnswered: UpdateExchange._apply_target_answered,
+    UnbegunLossNotice: UpdateExchange._apply_unbegun_loss,
+    BegunAnswersReport: UpdateExchange._apply_begun_report,
+    PartNotice: UpdateExchange._apply_part_notice,
 }
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -13,6 +13,7 @@
 from banyanshore.gateway.relay import WeightsRelay
 from banyanshore.gateway.run import RequestRun
 from banyanshore.gateway.screening import Rejection, Screening
+from banyanshore.gateway.suspected_parts import SuspectedParts
 from banyanshore.gateway.suspects import Suspects
 from banyanshore.gateway.withdrawals import Withdrawals
 from banyanshore.http.listener import Listener, ListenerLimits
@@ -20,10 +21,13 @@
 from banyanshore.membership.feed import GATEWAY_ROLE, FeedClient, MemberRow, Registry
 from banyanshore.membership.follower import Follower
 from banyanshore.membership.load_reports import (
+    BegunAnswersReport,
     CrashNotice,
     LoadReport,
+    PartNotice,
     PlacementNotice,
     TargetAnswered,
+    UnbegunLossNotice,
     UpdateBatch,
 )
 from banyanshore.routing.board import TargetBoard
@@ -102,10 +106,13 @@
         self.feed.on_rows.append(self._on_rows)
         self.feed.on_ages.append(self._record_ages)
         self.feed.on_confirmed.append(self._on_confirmed)
-        self.suspects = Suspects(self.registry, self.metrics)
+        parts = SuspectedParts(member, self.metrics)
+        self.suspects = Suspects(self.registry, self.metrics, parts)
         self.updates = UpdateExchange(member, self.registry, self.board, self.suspects)
         self.suspects.send = self.updates.send
         self.suspects.forward_again = self.updates.forward_again
+        parts.send = self.updates.send
+        parts.forward_again = self.updates.forward_again
         self.relay = WeightsRelay(self, make_origin)
 
     def _member(self):
@@ -325,6 +332,9 @@
             PieceReceived: _on_piece_received,
             PlacementNotice: _on_update,
             TargetAnswered: _on_update,
+            UnbegunLossNotice: _on_update,
+            BegunAnswersReport: _on_update,
+            PartNotice: _on_update,
         }
     )
 
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -25,6 +25,7 @@
     OversizedEventError,
     RepeatedEventError,
 )
+from banyanshore.routing.prompt_parts import shared_part_digests
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.timeouts import event_timeout, head_timeout
 from banyanshore.state.routes import RouteKind
@@ -59,6 +60,7 @@
         self._screened = screened
         self._request = screened.request
         self._body = body
+        self._parts = shared_part_digests(screened.request)
         self._arrived_at = arrived_at
         self._deadline = arrived_at + timeout
         self._attempts = Attempts(route.may_repeat, max(1, route.max_attempts))
@@ -114,7 +116,7 @@
         unconfirmed = gateway.feed.confirmed_seconds_ago
         if not gateway.screening.is_still_allowed(self._screened, unconfirmed):
             return NoChoice(Reason.CUT_OFF)
-        if gateway.suspects.is_refused(self._screened, self._body):
+        if gateway.suspects.is_refused(self._screened, self._body, self._parts):
             return NoChoice(Reason.CRASHES_TARGETS)
         now = time.monotonic()
         names = gateway.gateway_names()
@@ -181,7 +183,7 @@
         suspects = self._gateway.suspects
         overdue_at = now + self._healthy_head_timeout()
         offer_in_flight = suspects.begin(
-            row, self._screened, self._body, now, overdue_at
+            row, self._screened, self._body, now, overdue_at, self._parts
         )
         self._offer_in_flight = offer_in_flight
         load = board.load(row.address)
@@ -349,6 +351,7 @@
             self._incomplete_event_bytes = splitter.incomplete_bytes
             if events:
                 has_events = True
+                await self._gateway.suspects.record_begun(self._offer_in_flight)
                 await self._send_events(answer, events, event_id)
                 answer.record_progress(self._event_timeout())
         if splitter.is_inside_event:
--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -3,12 +3,12 @@
 import logging
 import math
 import time
-from collections import deque
 from dataclasses import dataclass
 from functools import partial
 
 import anyio
 
+from banyanshore.gateway.findings import Findings
 from banyanshore.http.upstream import Reachability, probe_address
 from banyanshore.membership.load_reports import CrashNotice, TargetAnswered
 from banyanshore.routing.crashes import (
@@ -38,10 +38,6 @@
 RESTART_CHECK_INTERVAL = 0.25
 # Seconds between repeats of crash updates.
 REPEAT_INTERVAL = 1.0
-# Seconds for which a gateway repeats its own findings, longer than a link takes to
-# reopen, and the maximum number of findings.
-FINDING_REPEAT_SECONDS = 5.0
-MAX_FINDINGS = 64
 # Seconds for which a target that has begun to answer any request isn't probed for other
 # overdue answers: a full target is slow.
 RECENT_HEAD_SECONDS = 1.0
@@ -54,7 +50,9 @@
     :param row: row of the target.
     :param offered_at: time at which the request was sent to it.
     :param overdue_at: time by which a healthy target would have begun to answer.
+    :param parts: digests of the parts of its prompt that others may share.
     :ivar has_head: whether the head of an answer has arrived.
+    :ivar has_begun: whether an event or a complete body has arrived.
     :ivar is_lost: whether the answer counts as lost or was given up.
     """
 
@@ -63,7 +61,9 @@
     body: bytes
     offered_at: float
     overdue_at: float
+    parts: tuple = ()
     has_head: bool = False
+    has_begun: bool = False
     is_lost: bool = False
 
     @property
@@ -77,11 +77,13 @@
 
     :param registry: the :class:`~banyanshore.membership.feed.Registry`.
     :param metrics: the :class:`~banyanshore.telemetry.gateway.GatewayMetrics`.
+    :param parts: the :class:`~banyanshore.gateway.suspected_parts.SuspectedParts`.
     :ivar send: coroutine function that sends an update to the other gateways.
     :ivar forward_again: function that forwards updates again if this gateway is a hub.
     """
 
-    def __init__(self, registry, metrics):
+    def __init__(self, registry, metrics, parts):
+        self.parts = parts
         self.send = None
         self.forward_again = None
         self._metrics = metrics
@@ -92,7 +94,7 @@
         self._probed_ids = set()
         self._followed_ids = set()
         self._offers_by_key = {}
-        self._findings = deque(maxlen=MAX_FINDINGS)
+        self._findings = Findings()
         self._head_at_by_id = {}
 
     async def run(self):
@@ -105,6 +107,7 @@
                 self._record_overdue()
                 await self.find_restarts()
                 await self._report_answers()
+                await self.parts.tick()
                 if time.monotonic() >= repeat_at:
                     repeat_at = time.monotonic() + REPEAT_INTERVAL
                     await self._repeat_updates()
@@ -115,29 +118,35 @@
         :param make_update: function that gets the time and returns the update.
         """
         now = time.monotonic()
-        self._findings.append((now, make_update))
+        self._findings.add(now, make_update)
         await self.send(make_update(now))
 
     async def _repeat_updates(self):
         """Send updates again that may have been lost, or that new gateways need."""
         now = time.monotonic()
-        while self._findings and now - self._findings[0][0] > FINDING_REPEAT_SECONDS:
-            self._findings.popleft()
-        for _, make_update in self._findings:
+        for make_update in self._findings.recent(now):
             await self.send(make_update(now))
         self.forward_again(
             _crash_update(crash, now) for crash in self._detector.crashes_to_repeat()
         )
+        await self.parts.repeat_updates()
 
-    def is_refused(self, screened, body):
-        """Return whether a request is refused because it crashes its targets."""
+    def is_refused(self, screened, body, parts):
+        """Return whether a request is refused because it crashes its targets.
+
+        :param parts: digests of the parts of its prompt that others may share.
+        """
+        if self.parts.find_refused(parts) is not None:
+            return True
         if not self._detector.has_records:
             return False
         return self._detector.is_refused(time.monotonic(), _fingerprint(screened, body))
 
-    def begin(self, row, screened, body, offered_at, overdue_at):
+    def begin(self, row, screened, body, offered_at, overdue_at, parts=()):
         """Return the :class:`OfferInFlight` of an offer that is about to be sent."""
-        offer_in_flight = OfferInFlight(row, screened, body, offered_at, overdue_at)
+        offer_in_flight = OfferInFlight(
+            row, screened, body, offered_at, overdue_at, parts
+        )
         self._offers_by_key[id(offer_in_flight)] = offer_in_flight
         return offer_in_flight
 
@@ -146,6 +155,12 @@
         offer_in_flight.has_head = True
         self._head_at_by_id[offer_in_flight.target_id] = time.monotonic()
 
+    async def record_begun(self, offer_in_flight):
+        """Record that an event or a complete body has arrived."""
+        if not offer_in_flight.has_begun:
+            offer_in_flight.has_begun = True
+            await self.parts.record_begun(offer_in_flight)
+
     def end(self, offer_in_flight):
         """Forget an offer; a lost answer remains recorded as a possible crash."""
         del self._offers_by_key[id(offer_in_flight)]
@@ -182,6 +197,7 @@
             time.monotonic(),
         )
         self._detector.record_lost(crash)
+        self.parts.record_lost(offer_in_flight)
         request_id = offer_in_flight.screened.request.request_id
         self._log(message, crash, request_id=request_id)
         return crash
@@ -247,6 +263,7 @@
 
     async def record_answer(self, offer_in_flight):
         """Record a complete answer, evidence for the request and its target."""
+        await self.record_begun(offer_in_flight)
         await self._withdraw(offer_in_flight.target_id, offer_in_flight.offered_at)
         if not self._detector.has_records:
             return
@@ -276,6 +293,7 @@
         """Withdraw the crash of a target that was alive at a later time."""
         if not self._detector.record_answer(target_id, alive_at):
             return
+        self.parts.withdraw_exit(target_id)
         address, incarnation = target_id
         logger.info(
             "target has not exited after all",
@@ -302,6 +320,8 @@
         await self._report_crashes(found)
 
     async def _report_crashes(self, crashes):
+        for target_id in dict.fromkeys(crash.id for crash in crashes):
+            await self.parts.record_exit(target_id)
         for crash in crashes:
             self._log("target ended while it ran a request", crash, logging.WARNING)
             await self._send_finding(partial(_crash_update, crash))
@@ -327,7 +347,8 @@
         """Apply the update that a target has answered another gateway."""
         offered_at = time.monotonic() - update.offered_seconds_ago
         target_id = update.address, update.incarnation
-        self._detector.record_answer(target_id, offered_at)
+        if self._detector.record_answer(target_id, offered_at):
+            self.parts.withdraw_exit(target_id)
         if update.fingerprint:
             survival = Survival(target_id, update.fingerprint, offered_at)
             self._detector.record_complete_answer(survival, is_reported=True)
--- a/banyanshore/membership/hubs.py
+++ b/banyanshore/membership/hubs.py
@@ -15,10 +15,13 @@
 from functools import lru_cache
 
 from banyanshore.membership.load_reports import (
+    BegunAnswersReport,
     CrashNotice,
     LoadReport,
+    PartNotice,
     PlacementNotice,
     TargetAnswered,
+    UnbegunLossNotice,
     supersedes,
 )
 
@@ -139,6 +142,7 @@
         self._instance = instance
         self._placement_by_sender = {}
         self._report_by_address = {}
+        self._begun_report_by_sender = {}
 
     def is_new(self, item):
         """Return whether an item was not received before, and remember it."""
@@ -148,6 +152,8 @@
         """Forget all senders and targets except the given ones."""
         for name in self._placement_by_sender.keys() - senders:
             del self._placement_by_sender[name]
+        for name in self._begun_report_by_sender.keys() - senders:
+            del self._begun_report_by_sender[name]
         for address in self._report_by_address.keys() - addresses:
             del self._report_by_address[address]
 
@@ -165,8 +171,16 @@
         self._report_by_address[report.address] = report
         return True
 
+    def _is_new_begun_report(self, report):
+        if report.sender == self._instance:
+            return False
+        if not supersedes(report, self._begun_report_by_sender.get(report.sender)):
+            return False
+        self._begun_report_by_sender[report.sender] = report
+        return True
+
     def _is_always_new(self, notice):
-        # Consumers of these notices deduplicate them by target.
+        # Consumers of these notices deduplicate them by target or part.
         return True
 
 
@@ -175,6 +189,9 @@
     PlacementNotice: DuplicateFilter._is_new_placement,
     CrashNotice: DuplicateFilter._is_always_new,
     TargetAnswered: DuplicateFilter._is_always_new,
+    UnbegunLossNotice: DuplicateFilter._is_always_new,
+    BegunAnswersReport: DuplicateFilter._is_new_begun_report,
+    PartNotice: DuplicateFilter._is_always_new,
 }
 
 
--- a/banyanshore/membership/load_reports.py
+++ b/banyanshore/membership/load_reports.py
@@ -100,12 +100,61 @@
     fingerprint: bytes = b""
 
 
+@message(117)
+class UnbegunLossNotice:
+    """Notify other gateways of what a gateway lost at a crash before it had begun.
+
+    :param address: HTTP address of the target that crashed.
+    :param incarnation: incarnation of the target that crashed.
+    :param lost_seconds_ago: time since the answers were lost.
+    :param parts: digests of the parts of the prompts of these requests.
+    """
+
+    address: str
+    incarnation: int
+    lost_seconds_ago: float
+    parts: tuple
+
+
+@message(118)
+class BegunAnswersReport:
+    """Report how many answers have begun, by suspected part of the prompt.
+
+    :param sender: name of the gateway.
+    :param incarnation: identifies one run of its process.
+    :param sequence: number of the report.
+    :param counts: pairs of digest and count.
+    """
+
+    sender: str
+    incarnation: int
+    sequence: int
+    counts: tuple
+
+
+@message(119)
+class PartNotice:
+    """Notify other gateways of a part of prompts that crashes targets, or doesn't.
+
+    :param part: digest of the part.
+    :param crashes: number of crashes that count against it; 0 once it is cleared.
+    :param lost_seconds_ago: time since the last of these crashes.
+    :param base_rate: share of other requests that were lost before they began.
+    """
+
+    part: bytes
+    crashes: int
+    lost_seconds_ago: float
+    base_rate: float = 0.0
+
+
 @message(115)
 class UpdateBatch:
     """Carry a batch of updates.
 
-    :param items: :class:`LoadReport`, :class:`PlacementNotice`, :class:`CrashNotice`
-        and :class:`TargetAnswered`.
+    :param items: :class:`LoadReport`, :class:`PlacementNotice`, :class:`CrashNotice`,
+        :class:`TargetAnswered`, :class:`UnbegunLossNotice`,
+        :class:`BegunAnswersReport` and :class:`PartNotice`.
     :param is_for_hub: whether the receiver forwards the items in its data centre.
     """
 
--- a/banyanshore/platform/caller_dialect.py
+++ b/banyanshore/platform/caller_dialect.py
@@ -61,7 +61,7 @@
         prompt_tokens, max_answer_tokens = _parse_token_usage(
             exchange.get_header(_TOKEN_USAGE, "")
         )
-        prefixes = exchange.get_header(_PREFIX_HASH, "")
+        *shared_parts, session = _parse_prefixes(exchange.get_header(_PREFIX_HASH, ""))
         last_event_id = exchange.get_header(_LAST_EVENT_ID, "")
         return CallerRequest(
             request_id,
@@ -74,13 +74,14 @@
             exchange.get_header(_MODEL, ""),
             prompt_tokens,
             max_answer_tokens,
-            prefixes.rpartition(",")[2].partition(":")[0],
+            session,
             int(last_event_id) if last_event_id.isdecimal() else 0,
             tuple(
                 (name, value)
                 for name, value in strip_hop_by_hop(exchange.headers)
                 if name not in _REPLACED_HEADERS
             ),
+            tuple(part for part in shared_parts if part),
         )
 
     def build(self, request, body, offer):
@@ -163,6 +164,17 @@
     return seconds if 0 <= seconds < math.inf else None
 
 
+def _parse_prefixes(value):
+    """Return the ids of a list of ID:TOKENS entries, the session's last.
+
+    >>> _parse_prefixes("5c1e:800, 91bd:410")
+    ['5c1e', '91bd']
+    >>> _parse_prefixes("")
+    ['']
+    """
+    return [entry.partition(":")[0].strip() for entry in value.split(",")]
+
+
 def _parse_token_usage(value):
     first, _, second = value.partition(",")
     if first.strip().isdecimal() and second.strip().isdecimal():
--- a/banyanshore/routing/caller_requests.py
+++ b/banyanshore/routing/caller_requests.py
@@ -18,6 +18,8 @@
     :param last_event_id: id of the last event of a stream that the caller received,
         else 0.
     :param headers: headers to pass on, as pairs of bytes.
+    :param shared_parts: identifiers of the parts of the prompt that other requests may
+        share, in order.
     """
 
     request_id: str
@@ -33,6 +35,7 @@
     session: str = ""
     last_event_id: int = 0
     headers: tuple = ()
+    shared_parts: tuple = ()
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/banyanshore/routing/prompt_parts.py
@@ -0,0 +1,412 @@
+"""Detection of parts of prompts that crash the targets that answer them; does no I/O.
+
+Load pattern: requests share parts of their prompts, and one such part crashes each
+target that begins to answer it, along with all other requests there. No two of these
+requests are alike, and other parts of theirs are in sound requests, too. Targets crash
+faster than they come back, so that most other requests are refused.
+
+The evidence against a part is that a target crashed while it had a request with the
+part whose answer had not begun. A request whose answer had begun before the crash has
+not caused it. The evidence for a part is each answer to a request with it that has
+begun. Both are weighed by a likelihood ratio: how much likelier are they if the part
+crashes its targets, than if its requests are lost as often as others are, since they
+ran beside the cause? A crash that a refused part explains counts against no other part.
+
+All gateways know of all crashes; each counts the answers that have begun by itself, and
+reports those that share a part with a crash. A part that one gateway refuses is refused
+by all.
+"""
+
+import hashlib
+import math
+from collections import deque
+from dataclasses import dataclass
+
+from banyanshore.routing.crashes import CRASHES_TO_REFUSE, EXPIRY_SECONDS
+from banyanshore.routing.crashes import refusal_seconds as seconds_refused
+
+# Likelihood ratio from which a part is refused: each crash makes some ten parts
+# suspects, and hardly any day may end with a sound one refused.
+REFUSAL_RATIO = 1000.0
+# Bounds of the share of its requests with which a part crashes targets. A part that
+# crashes them less often costs more by being refused than by being served.
+MIN_CRASH_SHARE = 0.3
+MAX_CRASH_SHARE = 0.95
+# Requests that are assumed to have begun without a loss, for the rate of losses of
+# others while few are known.
+ASSUMED_BEGUN = 20
+# Seconds after a crash before it is weighed, in which reports of other gateways arrive.
+SETTLE_SECONDS = 0.3
+# Seconds after a report of a crash for which the evidence is weighed again.
+JUDGING_SECONDS = 2.0
+# Seconds by which gateways may differ on the time of one crash.
+SAME_CRASH_SECONDS = 0.5
+# Crashes within this time count as one, since they have a common cause.
+SIMULTANEOUS_SECONDS = 0.05
+# Seconds for which answers that have begun, and lost requests, are counted: at least
+# this time, at most twice.
+COUNTING_SECONDS = 30.0
+# Maximum parts of one prompt, and of all prompts in the counts, that are considered.
+MAX_PARTS_PER_PROMPT = 16
+MAX_COUNTED_PARTS = 16_384
+# Maximum crashes, parts of one crash, and refused parts; the oldest are dropped.
+MAX_CRASHES = 512
+MAX_PARTS_PER_CRASH = 256
+MAX_REFUSED = 64
+MAX_CLEARED = 256
+# Maximum parts in one report of answers that have begun.
+MAX_REPORTED_PARTS = 64
+
+
+def part_digest(model, part):
+    """Return the digest of a part of a prompt for a model."""
+    data = f"{model}\0{part}".encode()
+    return hashlib.blake2b(data, digest_size=8).digest()
+
+
+def shared_part_digests(request):
+    """Return the digests of the parts of a prompt that other requests may share.
+
+    :param request: the :class:`~banyanshore.routing.caller_requests.CallerRequest`.
+    """
+    parts = dict.fromkeys(request.shared_parts[:MAX_PARTS_PER_PROMPT])
+    return tuple(part_digest(request.model, part) for part in parts)
+
+
+@dataclass(frozen=True)
+class UnbegunLoss:
+    """A crash of a target, and the requests there whose answers had not begun.
+
+    :param target_id: address and incarnation of the target.
+    :param parts: digests of the parts of their prompts.
+    """
+
+    target_id: tuple
+    lost_at: float
+    parts: frozenset
+
+
+@dataclass(frozen=True)
+class RefusedPart:
+    """A part whose requests are refused.
+
+    :param crashes: number of crashes that count against it.
+    :param lost_at: time of the last of them.
+    :param base_rate: rate of losses of other requests when it was judged.
+    """
+
+    part: bytes
+    crashes: int
+    lost_at: float
+    base_rate: float
+
+    @property
+    def refused_until(self):
+        """Return the time until which requests with it are refused."""
+        return self.lost_at + seconds_refused(max(CRASHES_TO_REFUSE, self.crashes))
+
+
+def log_likelihood_ratio(crashes, begun, base_rate):
+    """Return the logarithm of the likelihood ratio of a part as the cause of crashes.
+
+    :param crashes: crashes of targets with a request with the part that had not begun.
+    :param begun: answers to requests with the part that have begun.
+    :param base_rate: share of other requests that are lost before they begin.
+
+    >>> log_likelihood_ratio(3, 0, 0.05) > math.log(REFUSAL_RATIO)
+    True
+    >>> log_likelihood_ratio(3, 5, 0.05) > math.log(REFUSAL_RATIO)
+    False
+    """
+    if not crashes:
+        return -math.inf
+    crash_share = crashes / (crashes + begun)
+    crash_share = min(MAX_CRASH_SHARE, max(MIN_CRASH_SHARE, crash_share))
+    if crash_share <= base_rate:
+        return -math.inf
+    against = crashes * math.log(crash_share / base_rate)
+    return against + begun * math.log((1 - crash_share) / (1 - base_rate))
+
+
+def count_distinct(times):
+    """Return the number of times that differ by more than ``SIMULTANEOUS_SECONDS``.
+
+    >>> count_distinct([3.0, 1.0, 1.01])
+    2
+    """
+    count, last = 0, -math.inf
+    for at in sorted(times):
+        if at - last > SIMULTANEOUS_SECONDS:
+            count += 1
+            last = at
+    return count
+
+
+class RecentCounts:
+    """Counts by key over the last ``COUNTING_SECONDS`` or up to twice that."""
+
+    def __init__(self):
+        self._current = {}
+        self._previous = {}
+        self._rotate_at = -math.inf
+
+    def add(self, now, key):
+        """Count a key once more."""
+        if now >= self._rotate_at:
+            is_recent = now < self._rotate_at + COUNTING_SECONDS
+            self._previous = self._current if is_recent else {}
+            self._current = {}
+            self._rotate_at = now + COUNTING_SECONDS
+        # The least recently counted key comes first.
+        self._current[key] = self._current.pop(key, 0) + 1
+        if len(self._current) > MAX_COUNTED_PARTS:
+            del self._current[next(iter(self._current))]
+
+    def get(self, now, key):
+        """Return the count of a key."""
+        if now >= self._rotate_at + COUNTING_SECONDS:
+            return 0
+        return self._current.get(key, 0) + self._previous.get(key, 0)
+
+
+class PartDetector:
+    """Find the parts of prompts that crash targets."""
+
+    def __init__(self):
+        self._loss_by_target_id = {}
+        self._refused_by_part = {}
+        # Times of the last crashes of which parts were cleared.
+        self._cleared_at_by_part = {}
+        self._begun = RecentCounts()
+        self._begun_total = RecentCounts()
+        # Own requests that were lost before they began: time and parts.
+        self._own_losses = deque(maxlen=MAX_CRASHES)
+        # Answers that other gateways report to have begun: time and count.
+        self._reported_by_part_by_sender = {}
+        # Crashes are weighed again until this time.
+        self._judge_until = -math.inf
+        # Answers after the last crash of a refused part.
+        self._survivals_by_part = {}
+
+    @property
+    def has_refused(self):
+        """Return whether any part is refused."""
+        return bool(self._refused_by_part)
+
+    def find_refused(self, now, parts):
+        """Return the :class:`RefusedPart` that a prompt contains, or ``None``."""
+        for part in parts:
+            row = self._refused_by_part.get(part)
+            if row is not None and now < row.refused_until:
+                return row
+        return None
+
+    def record_begun(self, now, offered_at, parts):
+        """Record that the answer to a request has begun.
+
+        :return: the :class:`RefusedPart` rows that are cleared by it.
+        """
+        self._begun_total.add(now, None)
+        for part in parts:
+            self._begun.add(now, part)
+        return [row for part in parts if (row := self._survive(offered_at, part))]
+
+    def _survive(self, offered_at, part):
+        """Clear a part once as many answers have begun as crashes count against it."""
+        row = self._refused_by_part.get(part)
+        if row is None or offered_at <= row.lost_at:
+            return None
+        self._survivals_by_part[part] = self._survivals_by_part.get(part, 0) + 1
+        if self._survivals_by_part[part] < row.crashes:
+            return None
+        self.clear(part, row.lost_at)
+        return row
+
+    def record_own_loss(self, now, parts):
+        """Record a request of this gateway that was lost before it began."""
+        self._own_losses.append((now, parts))
+
+    def record_crash(self, now, loss):
+        """Record a crash that this or another gateway has found; return if it is new.
+
+        Each gateway reports the requests that it had there.
+        """
+        known = self._loss_by_target_id.get(loss.target_id)
+        parts, lost_at = loss.parts, loss.lost_at
+        if known is not None:
+            parts, lost_at = known.parts | parts, min(known.lost_at, lost_at)
+            if parts == known.parts:
+                return False
+        parts = frozenset(sorted(parts)[:MAX_PARTS_PER_CRASH])
+        row = UnbegunLoss(loss.target_id, lost_at, parts)
+        self._loss_by_target_id[loss.target_id] = row
+        if len(self._loss_by_target_id) > MAX_CRASHES:
+            del self._loss_by_target_id[next(iter(self._loss_by_target_id))]
+        self._judge_until = now + JUDGING_SECONDS
+        return True
+
+    def withdraw_crash(self, target_id):
+        """Withdraw a crash, since the target has not exited after all."""
+        loss = self._loss_by_target_id.pop(target_id, None)
+        for part in loss.parts & self._refused_by_part.keys() if loss else ():
+            times = self._crash_times(part, -math.inf)
+            if count_distinct(times) < CRASHES_TO_REFUSE:
+                del self._refused_by_part[part]
+
+    def suspected_parts(self, now):
+        """Return the parts of recent crashes, those of the last crash first."""
+        parts = {}
+        for loss in reversed(self._loss_by_target_id.values()):
+            if now - loss.lost_at <= COUNTING_SECONDS:
+                parts.update(dict.fromkeys(sorted(loss.parts)))
+        return list(parts)
+
+    def begun_to_report(self, now):
+        """Return the own counts of answers with suspected parts, at most the limit."""
+        counts = [(p, self._begun.get(now, p)) for p in self.suspected_parts(now)]
+        return tuple((p, count) for p, count in counts if count)[:MAX_REPORTED_PARTS]
+
+    def record_report(self, now, sender, counts):
+        """Record how many answers with some parts have begun at another gateway.
+
+        :param counts: pairs of part and count.
+        :return: the :class:`RefusedPart` rows that are cleared by it.
+        """
+        self._reported_by_part_by_sender[sender] = {
+            part: (now, count) for part, count in counts[:MAX_REPORTED_PARTS]
+        }
+        cleared = []
+        for part, _ in counts:
+            row = self._refused_by_part.get(part)
+            if row is not None and not self._is_guilty(now, row):
+                self.clear(part, row.lost_at)
+                cleared.append(row)
+        return cleared
+
+    def forget_senders(self, senders):
+        """Forget the reports of all but the given gateways."""
+        for name in self._reported_by_part_by_sender.keys() - senders:
+            del self._reported_by_part_by_sender[name]
+
+    def _count_begun(self, now, part):
+        reported = [
+            count
+            for rows in self._reported_by_part_by_sender.values()
+            for at, count in (rows.get(part, (-math.inf, 0)),)
+            if now - at <= COUNTING_SECONDS
+        ]
+        return self._begun.get(now, part) + sum(reported)
+
+    def _is_guilty(self, now, row):
+        begun = self._count_begun(now, row.part)
+        ratio = log_likelihood_ratio(row.crashes, begun, row.base_rate)
+        return ratio >= math.log(REFUSAL_RATIO)
+
+    def judge(self, now):
+        """Weigh the evidence; return the :class:`RefusedPart` rows that are new."""
+        self._forget(now)
+        if now > self._judge_until:
+            return []
+        found = self._add_crashes_of_refused()
+        while (row := self._find_guilty(now)) is not None:
+            self.refuse(row)
+            found.append(row)
+        return found
+
+    def _add_crashes_of_refused(self):
+        """Count further crashes by parts that are known; return their new rows."""
+        found = []
+        for part, row in list(self._refused_by_part.items()):
+            times = self._crash_times(part, row.lost_at)
+            if times:
+                crashes = row.crashes + count_distinct(times)
+                new = RefusedPart(part, crashes, max(times), row.base_rate)
+                self.refuse(new)
+                found.append(new)
+        return found
+
+    def _crash_times(self, part, after):
+        """Return the times of the crashes with a part that came after another one."""
+        return [
+            row.lost_at
+            for row in self._loss_by_target_id.values()
+            if part in row.parts and row.lost_at > after + SAME_CRASH_SECONDS
+        ]
+
+    def _find_guilty(self, now):
+        """Return the likeliest cause of the crashes not explained yet, or ``None``."""
+        times_by_part = {}
+        for loss in self._loss_by_target_id.values():
+            is_settled = now - loss.lost_at >= SETTLE_SECONDS
+            if is_settled and loss.parts.isdisjoint(self._refused_by_part):
+                for part in loss.parts:
+                    if not self._is_cleared(part, loss.lost_at):
+                        times_by_part.setdefault(part, []).append(loss.lost_at)
+        best, best_ratio = None, math.log(REFUSAL_RATIO)
+        for part, times in sorted(times_by_part.items()):
+            crashes = count_distinct(times)
+            if crashes < CRASHES_TO_REFUSE:
+                continue
+            base_rate = self._base_rate(now, part)
+            begun = self._count_begun(now, part)
+            ratio = log_likelihood_ratio(crashes, begun, base_rate)
+            if ratio > best_ratio:
+                best_ratio = ratio
+                best = RefusedPart(part, crashes, max(times), base_rate)
+        return best
+
+    def _base_rate(self, now, part):
+        """Return the rate of losses of requests without a part."""
+        lost = sum(
+            part not in parts
+            for at, parts in self._own_losses
+            if now - at <= COUNTING_SECONDS
+        )
+        begun = self._begun_total.get(now, None) - self._begun.get(now, part)
+        return (lost + 1) / (lost + begun + ASSUMED_BEGUN)
+
+    def _is_cleared(self, part, lost_at):
+        cleared_at = self._cleared_at_by_part.get(part, -math.inf)
+        return lost_at <= cleared_at + SAME_CRASH_SECONDS
+
+    def refuse(self, row):
+        """Refuse a part that this or another gateway has found; return if it is new."""
+        known = self._refused_by_part.get(row.part)
+        if self._is_cleared(row.part, row.lost_at):
+            return False
+        if known is not None and known.crashes >= row.crashes:
+            return False
+        self._refused_by_part.pop(row.part, None)
+        self._refused_by_part[row.part] = row
+        self._survivals_by_part.pop(row.part, None)
+        if len(self._refused_by_part) > MAX_REFUSED:
+            del self._refused_by_part[next(iter(self._refused_by_part))]
+        return True
+
+    def clear(self, part, lost_at):
+        """Clear a part of its crashes up to a time; return whether it was refused."""
+        self._cleared_at_by_part.pop(part, None)
+        self._cleared_at_by_part[part] = lost_at
+        if len(self._cleared_at_by_part) > MAX_CLEARED:
+            del self._cleared_at_by_part[next(iter(self._cleared_at_by_part))]
+        self._survivals_by_part.pop(part, None)
+        row = self._refused_by_part.get(part)
+        if row is None or row.lost_at > lost_at:
+            return False
+        del self._refused_by_part[part]
+        return True
+
+    def refused_to_repeat(self, now):
+        """Return the rows of the parts that are refused now."""
+        return [
+            row for row in self._refused_by_part.values() if now < row.refused_until
+        ]
+
+    def _forget(self, now):
+        for part, row in list(self._refused_by_part.items()):
+            refused = row.refused_until - row.lost_at
+            if now - row.lost_at > max(EXPIRY_SECONDS, 2 * refused):
+                del self._refused_by_part[part]
+        for target_id, loss in list(self._loss_by_target_id.items()):
+            if now - loss.lost_at > EXPIRY_SECONDS:
+                del self._loss_by_target_id[target_id]
--- a/banyanshore/telemetry/gateway.py
+++ b/banyanshore/telemetry/gateway.py
@@ -32,6 +32,11 @@
             "Answers lost with their connection, by what was found out of them.",
             ["finding"],
         )
+        self.suspected_parts = self.registry.counter(
+            "banyanshore_gateway_suspected_parts",
+            "Verdicts on parts of prompts that crash targets, by verdict.",
+            ["verdict"],
+        )
         self.withdrawn_offers = self.registry.counter(
             "banyanshore_gateway_withdrawn_offers",
             "Requests withdrawn from targets with older weights, by service.",
