Withdraw requests with a refused part from targets that haven't begun them

Change: once a gateway refuses a part, it withdraws its offers with the part whose answers have no head yet. If such a target crashes all the same, the part still explains it.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -180,12 +180,6 @@
         request = self._gateway.dialect.build(self._request, self._body, offer)
         await self._gateway.announce_placement(now, row, self._screened)
         self._is_offered = True
-        suspects = self._gateway.suspects
-        overdue_at = now + self._healthy_head_timeout()
-        offer_in_flight = suspects.begin(
-            row, self._screened, self._body, now, overdue_at, self._parts
-        )
-        self._offer_in_flight = offer_in_flight
         load = board.load(row.address)
         withdrawals = self._gateway.withdrawals
         waiting_offer = withdrawals.begin(
@@ -193,6 +187,17 @@
             choice.model_version,
             load.expected_first_byte_seconds(now),
         )
+        suspects = self._gateway.suspects
+        offer_in_flight = suspects.begin(
+            row,
+            self._screened,
+            self._body,
+            now,
+            now + self._healthy_head_timeout(),
+            self._parts,
+            waiting_offer.scope,
+        )
+        self._offer_in_flight = offer_in_flight
         load.record_sent(now)
         has_returned = False
         try:
@@ -246,13 +251,17 @@
             return Outcome.NOT_SENT
         except WithdrawnError:
             self._gateway.metrics.withdrawn_offers.labels(self._screened.service).inc()
-            self._log("withdrawn", why="newer-weights")
+            self._log("withdrawn", why=self._withdrawal_reason())
             return Outcome.WITHDRAWN
         except BrokenAnswerError as error:
             self._log("answer broke off", why=error.message, **self._body_details())
             started = self._exchange.started
             return Outcome.BROKEN_OFF if started else Outcome.LOST
 
+    def _withdrawal_reason(self):
+        is_refused = self._gateway.suspects.parts.find_refused(self._parts)
+        return Reason.CRASHES_TARGETS if is_refused else "newer-weights"
+
     def _may_offer_again(self):
         attempts = self._attempts
         return attempts.may_repeat and attempts.offers < attempts.max_offers
--- a/banyanshore/gateway/suspected_parts.py
+++ b/banyanshore/gateway/suspected_parts.py
@@ -23,11 +23,13 @@
     :param metrics: the :class:`~banyanshore.telemetry.gateway.GatewayMetrics`.
     :ivar send: coroutine function that sends an update to the other gateways.
     :ivar forward_again: function that forwards updates again if this gateway is a hub.
+    :ivar on_refused: function that is called with each part that is refused.
     """
 
     def __init__(self, member, metrics):
         self.send = None
         self.forward_again = None
+        self.on_refused = None
         self._member = member
         self._metrics = metrics
         self._detector = PartDetector()
@@ -78,6 +80,7 @@
         now = time.monotonic()
         for row in self._detector.judge(now):
             self._log("part of prompts is refused", row, logging.WARNING)
+            self.on_refused(row.part)
             await self._send_finding(partial(_part_notice, row))
         counts = self._detector.begun_to_report(now)
         if counts != self._reported_counts:
@@ -140,6 +143,7 @@
         is_new = self._detector.refuse(row)
         if is_new:
             self._log("told of a part of prompts to refuse", row)
+            self.on_refused(row.part)
         return is_new
 
     def _forget_lost(self, now):
--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -3,7 +3,7 @@
 import logging
 import math
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 
 import anyio
@@ -51,6 +51,7 @@
     :param offered_at: time at which the request was sent to it.
     :param overdue_at: time by which a healthy target would have begun to answer.
     :param parts: digests of the parts of its prompt that others may share.
+    :param scope: cancel scope that withdraws the offer if no head has arrived.
     :ivar has_head: whether the head of an answer has arrived.
     :ivar has_begun: whether an event or a complete body has arrived.
     :ivar is_lost: whether the answer counts as lost or was given up.
@@ -62,6 +63,7 @@
     offered_at: float
     overdue_at: float
     parts: tuple = ()
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     has_head: bool = False
     has_begun: bool = False
     is_lost: bool = False
@@ -84,6 +86,7 @@
 
     def __init__(self, registry, metrics, parts):
         self.parts = parts
+        parts.on_refused = self._withdraw_offers
         self.send = None
         self.forward_again = None
         self._metrics = metrics
@@ -142,11 +145,12 @@
             return False
         return self._detector.is_refused(time.monotonic(), _fingerprint(screened, body))
 
-    def begin(self, row, screened, body, offered_at, overdue_at, parts=()):
-        """Return the :class:`OfferInFlight` of an offer that is about to be sent."""
-        offer_in_flight = OfferInFlight(
-            row, screened, body, offered_at, overdue_at, parts
-        )
+    def begin(self, *arguments):
+        """Return the :class:`OfferInFlight` of an offer that is about to be sent.
+
+        :param arguments: those of the class.
+        """
+        offer_in_flight = OfferInFlight(*arguments)
         self._offers_by_key[id(offer_in_flight)] = offer_in_flight
         return offer_in_flight
 
@@ -165,6 +169,14 @@
         """Forget an offer; a lost answer remains recorded as a possible crash."""
         del self._offers_by_key[id(offer_in_flight)]
 
+    def _withdraw_offers(self, part):
+        """Withdraw the offers with a part that is refused from now on."""
+        for offer in self._offers_by_key.values():
+            if part in offer.parts and not offer.has_head:
+                # If the target crashes all the same, the part explains it.
+                self.parts.record_lost(offer)
+                offer.scope.cancel()
+
     async def record_lost(self, offer_in_flight):
         """Record an answer that was lost with its connection, and probe its target.
 
--- a/tests/gateway/crashing.py
+++ b/tests/gateway/crashing.py
@@ -135,6 +135,8 @@
             await anyio.sleep(survival_seconds)
             await stream.send(COMPLETE)
             is_poison = False
+        elif await self._has_caller_left(stream):
+            return
         if is_poison and self._is_silent:
             # Kept open until the fleet ends.
             self._fleet.silent_streams.append(stream)
@@ -143,8 +145,18 @@
                 reset(stream)
             await stream.aclose()
         if is_poison:
+            self._fleet.crashes += 1
             self._crashed.set()
 
+    async def _has_caller_left(self, stream):
+        """Read the prompt of a poisoned request; a target drops one that is left."""
+        with anyio.move_on_after(self._fleet.poison_seconds):
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                await stream.receive()
+            await stream.aclose()
+            return True
+        return False
+
 
 class CrashingFleet:
     """Gateways and targets, and the requests that reached the targets.
@@ -158,6 +170,8 @@
     def __init__(self, stack, tasks, route):
         self.arrivals = []
         self.work_seconds = 0.05
+        self.poison_seconds = 0.0
+        self.crashes = 0
         self.silent_streams = []
         self.survival_seconds_by_arrival = {}
         self.gateways = []
--- a/tests/gateway/test_parts_that_end_targets.py
+++ b/tests/gateway/test_parts_that_end_targets.py
@@ -85,3 +85,16 @@
         fleet.caller_addresses = fleet.caller_addresses[-1:]
         await send_mixed(fleet, 4, first=100)
         assert len(fleet.poison_arrivals()) == before
+
+
+async def test_requests_with_a_refused_part_are_withdrawn_from_targets():
+    """Requests that targets had not begun yet crashed these after the verdict, too."""
+    async with crashing_fleet(down_seconds=30.0, **ROUTE) as fleet:
+        fleet.poison_seconds = 1.5
+        for number in range(60):
+            await fleet.send(make_sound(number), number % 4)
+        await send_mixed(fleet, 12, first=20)
+        await anyio.sleep(2.0)
+        # Three crashes and the time to judge them; without withdrawals, those of
+        # ``poison_seconds`` more.
+        assert fleet.crashes <= 6
