Refuse odd numbers and texts of heartbeats at the boundary

Change: the reader of JSON values bounds every number (2^53) and text (4096 encodable characters), and addresses are IPv4 in plain form.

--- a/banyanshore/platform/registration.py
+++ b/banyanshore/platform/registration.py
@@ -1,8 +1,12 @@
 """Decode the registrations that targets send as heartbeats."""
 
+import re
+from ipaddress import AddressValueError, IPv4Address
+
 from banyanshore.membership.registry import TargetRow, TargetState
 from banyanshore.platform.values import DecodeError, Reader, parse_object
 
+_PORT = re.compile(r"[0-9]{1,5}")
 _STATE_BY_NAME = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 
 
@@ -54,7 +58,14 @@
 
 def _check_address(address):
     host, _, port = address.rpartition(":")
-    parts = host.split(".")
-    is_host = len(parts) == 4 and all(p.isdecimal() and int(p) < 256 for p in parts)
-    if not is_host or not port.isdecimal() or not 0 < int(port) < 65536:
+    is_port = _PORT.fullmatch(port) and 0 < int(port) < 65536
+    if not is_port or not _is_ipv4_address(host):
         raise DecodeError("address", address, "IP:PORT")
+
+
+def _is_ipv4_address(host):
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return True
--- a/banyanshore/platform/values.py
+++ b/banyanshore/platform/values.py
@@ -1,10 +1,12 @@
 """Read and validate values of decoded JSON."""
 
 import json
-import math
 
 from banyanshore.core.exceptions import BanyanshoreError
 
+# Largest number: larger ones lose precision, and none in use comes near.
+MAX_NUMBER = 2**53
+MAX_TEXT_CHARACTERS = 4096
 _REQUIRED = object()
 
 
@@ -53,7 +55,7 @@
 
     def string(self, name, default=_REQUIRED):
         """Return a string."""
-        return self._read(name, default, "a text", lambda v: isinstance(v, str))
+        return self._read(name, default, "a text", _is_text)
 
     def boolean(self, name, default=_REQUIRED):
         """Return a boolean."""
@@ -64,13 +66,13 @@
         return self._read(
             name,
             default,
-            "a whole number, 0 or more",
-            lambda v: _is_integer(v) and v >= 0,
+            "a whole number from 0 to 2^53",
+            lambda v: _is_integer(v) and 0 <= v <= MAX_NUMBER,
         )
 
     def number(self, name, default=_REQUIRED):
         """Return a number of 0 or more."""
-        return self._read(name, default, "a number, 0 or more", _is_number)
+        return self._read(name, default, "a number from 0 to 2^53", _is_number)
 
     def seconds(self, name, default=_REQUIRED):
         """Return the value in seconds of a field in milliseconds."""
@@ -83,7 +85,7 @@
             name,
             default,
             "a list of texts",
-            lambda v: isinstance(v, list) and all(isinstance(i, str) for i in v),
+            lambda v: isinstance(v, list) and all(map(_is_text, v)),
         )
 
     def objects(self, name, default=_REQUIRED):
@@ -111,13 +113,26 @@
         return f"{self.path}.{name}" if self.path else name
 
 
+def _is_text(value):
+    """Return whether a value is a text of a usual length that can be encoded."""
+    if not isinstance(value, str) or len(value) > MAX_TEXT_CHARACTERS:
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        # A lone surrogate, which JSON can escape.
+        return False
+    return True
+
+
 def _is_integer(value):
     return isinstance(value, int) and not isinstance(value, bool)
 
 
 def _is_number(value):
     is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
-    return is_number and math.isfinite(value) and value >= 0
+    # Comparisons with NaN are false.
+    return is_number and 0 <= value <= MAX_NUMBER
 
 
 def _reject_constant(name):
@@ -125,5 +140,8 @@
 
 
 def _shorten(value):
-    text = repr(value)
+    try:
+        text = repr(value)
+    except RecursionError:
+        text = f"a deeply nested {type(value).__name__}"
     return text if len(text) <= 80 else f"{text[:77]}..."
