Don't believe a refusal that answers another request

Gateways open a connection for each request, and the loader's session drops a connection with unread bytes, so a repeated refusal reaches neither on a kept connection. But the gateway looked at the mark of a refusal before the id: a refusal with another request's id was taken as not run. Three rows of test_refusal_of_another_request_proves_nothing failed before (503 with Retry-After instead of 502).

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -319,7 +319,8 @@
     async def _process_answer(self, answer):
         """Relay an answer; return the outcome if it isn't one for the caller."""
         dialect = self._gateway.dialect
-        if dialect.is_not_executed(answer):
+        is_refusal = dialect.is_not_executed(answer)
+        if is_refusal and dialect.has_matching_request_id(answer, self._request):
             self._is_offered = False
             self._log("target refused", status=answer.status)
             return Outcome.NOT_RUN
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -140,6 +140,14 @@
     assert b"ok" not in answer.split(b"\r\n\r\n", 1)[1]
 
 
+@pytest.mark.parametrize("status", [b"503 Busy", b"421 Other", b"429 Wait"])
+async def test_refusal_of_another_request_proves_nothing(status):
+    """A target's refusal was taken as not run, whichever request it answered."""
+    other = NOT_RUN.replace(b"503 Busy", status + b"\r\nrequest-id: id-2")
+    async with running_gateway(Target(other), **ONCE) as (_, address):
+        assert (await ask(address))[0] == 502
+
+
 async def test_unsigned_success_is_dropped():
     plain = b"HTTP/1.1 200 OK\r\nrequest-id: id-1\r\ncontent-length: 2\r\n\r\nok"
     async with running_gateway(Target(plain), **ONCE) as (_, address):
