Play late transfers of the thin-link tests in virtual time alone

Traced: whether a transfer is late is asked of CLOCK_BOOTTIME, which the virtual world didn't replace, while the world's own clock starts at 1000 s. On a machine that has run for less than about 1000 s the transfer never counted as late: with a boot time of 500 or 999 s it takes 6.30 s always, with 1500 s 5.60 s. Change: the test's world replaces that clock too; the bounds are the same.

--- a/tests/weights/thin_link.py
+++ b/tests/weights/thin_link.py
@@ -308,6 +308,8 @@
     async def run():
         loop = asyncio.get_running_loop()
         monkeypatch.setattr(time, "monotonic", loop.time)
+        # Whether a transfer is late depends on the time since the machine started.
+        monkeypatch.setattr(time, "clock_gettime", lambda clock: loop.time())
         monkeypatch.setattr(anyio.to_thread, "run_sync", run_inline)
         world = World(rate_at, known_seconds, request_interval)
         with anyio.fail_after(600):
