Don't acknowledge the removal of a target that control doesn't know

A control instance that didn't know a target acknowledged its removal with 200 and told nobody; the others kept sending to it until its heartbeats expired. Now it answers 503, and the target goes on to an instance that knows it; a removal that is sent again is acknowledged as before.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -189,6 +189,10 @@
         known = self._registry.targets.by_key.get(target_id)
         return known.row if known else None
 
+    def has_departed(self, target_id):
+        """Return whether a target is known to have left for good."""
+        return self._registry.targets.has_departed(target_id)
+
     async def record(self, row):
         """Record a row that was sent to this instance directly."""
         is_changed = self._registry.record(time.monotonic(), row)
--- a/banyanshore/membership/registry.py
+++ b/banyanshore/membership/registry.py
@@ -199,6 +199,10 @@
             self._drop(key)
         return True
 
+    def has_departed(self, key):
+        """Return whether a final departure of a row is remembered."""
+        return key in self._departed_by_key
+
     def final_departures(self):
         """Return the departures that are remembered."""
         return [
--- a/banyanshore/platform/control_api.py
+++ b/banyanshore/platform/control_api.py
@@ -104,7 +104,11 @@
         if row is not None:
             departure = Departure("target", target_id, row.incarnation, True)
             await self._feed.forget(departure)
-        return 200, {}
+            return 200, {}
+        if self._feed.has_departed(target_id):
+            return 200, {}
+        # Another control instance may know it, and its incarnation to tell others of.
+        return 503, {"error": f"no such target is known: {target_id!r}"}
 
 
 _ACTION_BY_CALL = {
--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -5,6 +5,7 @@
 
 from banyanshore.control.feed import FeedServer
 from banyanshore.membership.feed import MemberRow, Registry
+from banyanshore.membership.registry import TargetRow
 from banyanshore.platform.control_api import ControlApi
 from banyanshore.state import StateHolder
 from banyanshore.telemetry.control import ControlMetrics
@@ -31,10 +32,9 @@
         self.status = status
 
 
-async def test_removal_that_nobody_is_told_of_is_not_acknowledged():
-    """The other control instances, which knew the target, kept sending to it."""
+def make_feed():
     member = MemberRow("x", "control", "dc", "r", "10.0.0.1:7700", 1, 1)
-    feed = FeedServer(
+    return FeedServer(
         Settings,
         member,
         StateHolder(keep_previous=True),
@@ -42,7 +42,22 @@
         None,
         ControlMetrics(),
     )
+
+
+async def remove(feed):
     removal = Removal()
     with anyio.fail_after(2):
         await ControlApi(None, feed).handle(removal)
-    assert removal.status == 503
+    return removal.status
+
+
+async def test_removal_that_nobody_is_told_of_is_not_acknowledged():
+    """The other control instances, which knew the target, kept sending to it."""
+    assert await remove(make_feed()) == 503
+
+
+async def test_removal_that_is_sent_again_is_acknowledged_again():
+    feed = make_feed()
+    row = TargetRow("t", "s", "10.0.0.2:80", "dc", "v1", 4, "ready", 0.0, 1, 1)
+    await feed.record(row)
+    assert [await remove(feed), await remove(feed)] == [200, 200]
