Refuse all parts that the evidence doesn't tell apart, and clear those explained

A sound part that is offered again beside the cause has the same evidence against it. Of two such parts one was refused, and its crashes counted against the other no more, which might be the cause. Now both are refused; once the cause has crashed one more target without the other part, the other is cleared. Found by reading; test_parts_that_nothing_tells_apart_are_refused_until_one_is_cleared failed before.

--- a/banyanshore/gateway/suspected_parts.py
+++ b/banyanshore/gateway/suspected_parts.py
@@ -82,6 +82,8 @@
             self._log("part of prompts is refused", row, logging.WARNING)
             self.on_refused(row.part)
             await self._send_finding(partial(_part_notice, row))
+        for row in self._detector.take_explained():
+            await self._send_cleared(row)
         counts = self._detector.begun_to_report(now)
         if counts != self._reported_counts:
             self._reported_counts = counts
--- a/banyanshore/routing/prompt_parts.py
+++ b/banyanshore/routing/prompt_parts.py
@@ -28,6 +28,8 @@
 # Likelihood ratio from which a part is refused: each crash makes some ten parts
 # suspects, and hardly any day may end with a sound one refused.
 REFUSAL_RATIO = 1000.0
+# Factor within which likelihood ratios don't tell two parts apart.
+SAME_RATIO = 3.0
 # Bounds of the share of its requests with which a part crashes targets. A part that
 # crashes them less often costs more by being refused than by being served.
 MIN_CRASH_SHARE = 0.3
@@ -308,11 +310,29 @@
         if now > self._judge_until:
             return []
         found = self._add_crashes_of_refused()
-        while (row := self._find_guilty(now)) is not None:
-            self.refuse(row)
-            found.append(row)
+        while rows := self._find_guilty(now):
+            for row in rows:
+                self.refuse(row)
+            found += rows
         return found
 
+    def take_explained(self):
+        """Clear and return the refused parts whose crashes another part explains."""
+        taken = []
+        for part, row in list(self._refused_by_part.items()):
+            losses = [r for r in self._loss_by_target_id.values() if part in r.parts]
+            others = [
+                other.part
+                for other in self._refused_by_part.values()
+                if other.crashes > row.crashes
+            ]
+            if losses and any(
+                all(other in loss.parts for loss in losses) for other in others
+            ):
+                self.clear(part, row.lost_at)
+                taken.append(row)
+        return taken
+
     def _add_crashes_of_refused(self):
         """Count further crashes by parts that are known; return their new rows."""
         found = []
@@ -334,7 +354,10 @@
         ]
 
     def _find_guilty(self, now):
-        """Return the likeliest cause of the crashes not explained yet, or ``None``."""
+        """Return the likeliest causes of the crashes that are not explained yet.
+
+        :return: rows that the evidence doesn't tell apart, empty without a cause.
+        """
         times_by_part = {}
         for loss in self._loss_by_target_id.values():
             is_settled = now - loss.lost_at >= SETTLE_SECONDS
@@ -342,18 +365,20 @@
                 for part in loss.parts:
                     if not self._is_cleared(part, loss.lost_at):
                         times_by_part.setdefault(part, []).append(loss.lost_at)
-        best, best_ratio = None, math.log(REFUSAL_RATIO)
+        ratio_by_row = {}
         for part, times in sorted(times_by_part.items()):
             crashes = count_distinct(times)
             if crashes < CRASHES_TO_REFUSE:
                 continue
             base_rate = self._base_rate(now, part)
             begun = self._count_begun(now, part)
-            ratio = log_likelihood_ratio(crashes, begun, base_rate)
-            if ratio > best_ratio:
-                best_ratio = ratio
-                best = RefusedPart(part, crashes, max(times), base_rate)
-        return best
+            row = RefusedPart(part, crashes, max(times), base_rate)
+            ratio_by_row[row] = log_likelihood_ratio(crashes, begun, base_rate)
+        best = max(ratio_by_row.values(), default=-math.inf)
+        if best < math.log(REFUSAL_RATIO):
+            return []
+        least = max(math.log(REFUSAL_RATIO), best - math.log(SAME_RATIO))
+        return [row for row, ratio in ratio_by_row.items() if ratio >= least]
 
     def _base_rate(self, now, part):
         """Return the rate of losses of requests without a part."""
--- a/tests/routing/test_prompt_parts.py
+++ b/tests/routing/test_prompt_parts.py
@@ -73,6 +73,19 @@
     assert not detector.find_refused(14.0, (SOUND,))
 
 
+def test_parts_that_nothing_tells_apart_are_refused_until_one_is_cleared():
+    """A sound part that was offered again beside the cause hid the cause."""
+    detector = PartDetector()
+    serve(detector, 9.0, 60, SYSTEM)
+    rows = crash_three(detector, DEADLY, SOUND)
+    assert {row.part for row in rows} == {DEADLY, SOUND}
+    crash(detector, 14.0, "t-3", DEADLY)
+    assert [row.part for row in detector.judge(14.5)] == [DEADLY]
+    assert [row.part for row in detector.take_explained()] == [SOUND]
+    assert detector.find_refused(15.0, (DEADLY,))
+    assert not detector.find_refused(15.0, (SOUND,))
+
+
 def test_answers_at_other_gateways_clear_a_part():
     detector = PartDetector()
     serve(detector, 9.0, 60, SYSTEM)
