Bound the reports and the memory of suspected parts

Found by reading, with the sizes of docs/CAPACITY.md in mind. Each change of a count of answers with a suspected part was sent to all gateways four times a second, for 30 s after a crash: some 3 KB/s from each gateway to each other one. Now a count is reported once its part has two crashes, and again when it has doubled. And the lost requests of a target that keeps losing some, but never exits, were kept for good; now each is forgotten after 10 s. The loss of a crash is the last one, not an answer that was given up seconds before.

--- a/banyanshore/gateway/suspected_parts.py
+++ b/banyanshore/gateway/suspected_parts.py
@@ -37,7 +37,6 @@
         # Lost requests that had not begun, by target: time and parts.
         self._lost_by_target_id = {}
         self._sequence = 0
-        self._reported_counts = ()
 
     def find_refused(self, parts):
         """Return the :class:`RefusedPart` that a prompt contains, or ``None``."""
@@ -59,15 +58,14 @@
 
     async def record_exit(self, target_id):
         """Record that a target with lost requests has exited."""
-        rows = self._lost_by_target_id.get(target_id)
-        if not rows:
-            return
+        rows = self._lost_by_target_id.get(target_id, ())
         for at, parts in rows:
             self._detector.record_own_loss(at, parts)
-        lost_at = min(at for at, _ in rows)
-        loss = UnbegunLoss(
-            target_id, lost_at, frozenset().union(*(parts for _, parts in rows))
-        )
+        parts = frozenset().union(*(parts for _, parts in rows))
+        if not parts:
+            return
+        lost_at = max(at for at, _ in rows)
+        loss = UnbegunLoss(target_id, lost_at, parts)
         if self._detector.record_crash(time.monotonic(), loss):
             await self._send_finding(partial(_loss_notice, loss))
 
@@ -84,9 +82,7 @@
             await self._send_finding(partial(_part_notice, row))
         for row in self._detector.take_explained():
             await self._send_cleared(row)
-        counts = self._detector.begun_to_report(now)
-        if counts != self._reported_counts:
-            self._reported_counts = counts
+        if counts := self._detector.take_begun_to_report(now):
             self._sequence += 1
             member = self._member
             await self.send(
@@ -150,7 +146,10 @@
 
     def _forget_lost(self, now):
         for target_id, rows in list(self._lost_by_target_id.items()):
-            if now - rows[-1][0] > MAX_RESTART_SECONDS:
+            kept = [row for row in rows if now - row[0] <= MAX_RESTART_SECONDS]
+            if kept:
+                self._lost_by_target_id[target_id] = kept
+            else:
                 del self._lost_by_target_id[target_id]
 
     def _log(self, message, row, level=logging.INFO):
--- a/banyanshore/routing/prompt_parts.py
+++ b/banyanshore/routing/prompt_parts.py
@@ -19,7 +19,7 @@
 
 import hashlib
 import math
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 
 from banyanshore.routing.crashes import CRASHES_TO_REFUSE, EXPIRY_SECONDS
@@ -183,6 +183,8 @@
         self._begun_total = RecentCounts()
         # Own requests that were lost before they began: time and parts.
         self._own_losses = deque(maxlen=MAX_CRASHES)
+        # Last reports of own answers: time and count.
+        self._reported_by_part = {}
         # Answers that other gateways report to have begun: time and count.
         self._reported_by_part_by_sender = {}
         # Crashes are weighed again until this time.
@@ -255,18 +257,42 @@
             if count_distinct(times) < CRASHES_TO_REFUSE:
                 del self._refused_by_part[part]
 
-    def suspected_parts(self, now):
-        """Return the parts of recent crashes, those of the last crash first."""
-        parts = {}
-        for loss in reversed(self._loss_by_target_id.values()):
-            if now - loss.lost_at <= COUNTING_SECONDS:
-                parts.update(dict.fromkeys(sorted(loss.parts)))
-        return list(parts)
+    def take_begun_to_report(self, now):
+        """Return the own counts of answers with suspected parts, to be reported now.
 
-    def begun_to_report(self, now):
-        """Return the own counts of answers with suspected parts, at most the limit."""
-        counts = [(p, self._begun.get(now, p)) for p in self.suspected_parts(now)]
-        return tuple((p, count) for p, count in counts if count)[:MAX_REPORTED_PARTS]
+        A count is reported once its part has crashed a target twice, and again when it
+        has doubled, so that reports stay few however many answers begin.
+
+        :return: pairs of part and count, at most ``MAX_REPORTED_PARTS``.
+        """
+        self._reported_by_part = {
+            part: row
+            for part, row in self._reported_by_part.items()
+            if now - row[0] <= COUNTING_SECONDS
+        }
+        counts = []
+        for part in self._suspected_parts(now):
+            count = self._begun.get(now, part)
+            _, reported = self._reported_by_part.get(part, (now, 0))
+            if count >= max(1, 2 * reported):
+                counts.append((part, count))
+        counts = tuple(counts[:MAX_REPORTED_PARTS])
+        self._reported_by_part.update((part, (now, count)) for part, count in counts)
+        return counts
+
+    def _suspected_parts(self, now):
+        """Return the parts of several recent crashes."""
+        crashes_by_part = Counter(
+            part
+            for loss in self._loss_by_target_id.values()
+            if now - loss.lost_at <= COUNTING_SECONDS
+            for part in loss.parts
+        )
+        return sorted(
+            part
+            for part, crashes in crashes_by_part.items()
+            if crashes >= CRASHES_TO_REFUSE - 1
+        )
 
     def record_report(self, now, sender, counts):
         """Record how many answers with some parts have begun at another gateway.
@@ -274,9 +300,12 @@
         :param counts: pairs of part and count.
         :return: the :class:`RefusedPart` rows that are cleared by it.
         """
-        self._reported_by_part_by_sender[sender] = {
-            part: (now, count) for part, count in counts[:MAX_REPORTED_PARTS]
-        }
+        rows = self._reported_by_part_by_sender.setdefault(sender, {})
+        for part, count in counts[:MAX_REPORTED_PARTS]:
+            rows.pop(part, None)
+            rows[part] = (now, count)
+        while len(rows) > MAX_REPORTED_PARTS:
+            del rows[next(iter(rows))]
         cleared = []
         for part, _ in counts:
             row = self._refused_by_part.get(part)
--- a/tests/routing/test_prompt_parts.py
+++ b/tests/routing/test_prompt_parts.py
@@ -8,6 +8,7 @@
 
 from banyanshore.routing.crashes import REFUSAL_SECONDS
 from banyanshore.routing.prompt_parts import (
+    COUNTING_SECONDS,
     MAX_CRASHES,
     MAX_REFUSED,
     PartDetector,
@@ -142,6 +143,31 @@
     assert detector.refused_to_repeat(13.0) == [row]
 
 
+def test_counts_of_a_part_are_reported_after_two_crashes_and_when_they_double():
+    """Each answer changed the counts, and each change was sent to all gateways."""
+    detector = PartDetector()
+    serve(detector, 9.0, 60, SYSTEM)
+    crash(detector, 10.0, "t-0", SYSTEM, DEADLY)
+    assert not detector.take_begun_to_report(10.1)
+    crash(detector, 11.0, "t-1", SYSTEM, DEADLY)
+    assert detector.take_begun_to_report(11.1) == ((SYSTEM, 60),)
+    serve(detector, 12.0, 59, SYSTEM)
+    assert not detector.take_begun_to_report(12.0)
+    serve(detector, 12.0, 1, SYSTEM, DEADLY)
+    assert detector.take_begun_to_report(12.0) == ((DEADLY, 1), (SYSTEM, 120))
+    serve(detector, 12.0, 1, DEADLY)
+    assert detector.take_begun_to_report(12.0) == ((DEADLY, 2),)
+    assert not detector.take_begun_to_report(12.0 + 2 * COUNTING_SECONDS)
+
+
+def test_reports_of_one_gateway_add_up():
+    detector = PartDetector()
+    detector.record_report(10.0, "edge-2", ((SOUND, 40),))
+    detector.record_report(10.0, "edge-2", ((SYSTEM, 7),))
+    serve(detector, 9.0, 60, SYSTEM)
+    assert not crash_three(detector, SOUND)
+
+
 def test_endless_fresh_parts_take_bounded_memory():
     detector = PartDetector()
     for number in range(3000):
@@ -270,7 +296,7 @@
         for gateway, detector in enumerate(self.detectors):
             for row in detector.judge(now):
                 self.tell(now, gateway, lambda d, at, row: d.refuse(row), row)
-            counts = detector.begun_to_report(now)
+            counts = detector.take_begun_to_report(now)
             if counts:
                 for other in self.detectors:
                     if other is not detector:
