--- a/tests/http/raw.py
+++ b/tests/http/raw.py
@@ -6,6 +6,8 @@
 import anyio
 
 from banyanshore.core.groups import open_task_group
+from banyanshore.http.asgi import make_application
+from banyanshore.http.server import serve_http
 from tests.ports import free_ports
 
 
@@ -20,6 +22,29 @@
         tasks.cancel_scope.cancel()
 
 
+@contextlib.asynccontextmanager
+async def running_web_server(handle):
+    """Serve the requests of an ASGI application; yield a connection to it.
+
+    :param handle: coroutine function that answers each request.
+    """
+    (port,) = free_ports(1)
+    address = f"127.0.0.1:{port}"
+    shutdown = anyio.Event()
+    async with open_task_group() as tasks:
+        tasks.start_soon(serve_http, make_application(handle), address, shutdown)
+        with anyio.fail_after(5):
+            while True:
+                try:
+                    stream = await connect(address)
+                    break
+                except OSError:
+                    await anyio.sleep(0.01)
+        async with stream:
+            yield stream
+        shutdown.set()
+
+
 async def connect(address):
     host, _, port = address.partition(":")
     return await anyio.connect_tcp(host, int(port))
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -1,19 +1,13 @@
 """Answers that break off on their way through an entry."""
 
-import contextlib
 from types import SimpleNamespace
 
-import anyio
 import pytest
 
-from banyanshore.core.groups import open_task_group
-from banyanshore.http.asgi import make_application
 from banyanshore.http.callers import CallersApi
-from banyanshore.http.server import serve_http
 from banyanshore.routing.calls import CallResult, ResultKind
 from banyanshore.routing.messages import FailureReason, Started
-from tests.http.raw import connect, read_all
-from tests.ports import free_ports
+from tests.http.raw import read_all, running_web_server
 
 pytestmark = pytest.mark.anyio
 
@@ -42,25 +36,6 @@
     )
 
 
-@contextlib.asynccontextmanager
-async def running_entry(handle):
-    (port,) = free_ports(1)
-    address = f"127.0.0.1:{port}"
-    shutdown = anyio.Event()
-    async with open_task_group() as tasks:
-        tasks.start_soon(serve_http, make_application(handle), address, shutdown)
-        with anyio.fail_after(5):
-            while True:
-                try:
-                    stream = await connect(address)
-                    break
-                except OSError:
-                    await anyio.sleep(0.01)
-        async with stream:
-            yield stream
-        shutdown.set()
-
-
 async def test_stream_that_broke_off_is_not_framed_as_complete():
     """The error event was followed by the last chunk, as a complete stream is."""
     api = make_api()
@@ -69,7 +44,7 @@
     async def handle(request):
         await api._run_repeatable(request, call, ())
 
-    async with running_entry(handle) as stream:
+    async with running_web_server(handle) as stream:
         await stream.send(REQUEST)
         answer = await read_all(stream)
     assert EVENTS in answer
