Weigh crashes and answers of the same time, in bounded time

Two faults of the new detector, found by reading and measuring. Crashes of the last 15 minutes were weighed against the answers of one: three targets that crash by chance in that time could have refused a sound part with few requests. Now both are of the last two minutes, answers of up to four.

--- a/banyanshore/routing/prompt_parts.py
+++ b/banyanshore/routing/prompt_parts.py
@@ -45,17 +45,20 @@
 SAME_CRASH_SECONDS = 0.5
 # Crashes within this time count as one, since they have a common cause.
 SIMULTANEOUS_SECONDS = 0.05
-# Seconds for which answers that have begun, and lost requests, are counted: at least
-# this time, at most twice.
-COUNTING_SECONDS = 30.0
+# Seconds for which crashes and lost requests count against parts that aren't refused,
+# and answers that have begun count for parts: the latter at least for this time, at
+# most for twice.
+COUNTING_SECONDS = 120.0
 # Maximum parts of one prompt, and of all prompts in the counts, that are considered.
 MAX_PARTS_PER_PROMPT = 16
 MAX_COUNTED_PARTS = 16_384
 # Maximum crashes, parts of one crash, and refused parts; the oldest are dropped.
-MAX_CRASHES = 512
+MAX_CRASHES = 256
 MAX_PARTS_PER_CRASH = 256
 MAX_REFUSED = 64
 MAX_CLEARED = 256
+# Maximum parts that are weighed at a time, those of the most crashes.
+MAX_WEIGHED = 256
 # Maximum parts in one report of answers that have begun.
 MAX_REPORTED_PARTS = 64
 
@@ -144,6 +147,24 @@
     return count
 
 
+def find_common_parts(losses, min_crashes):
+    """Return the parts of several crashes, those of the most crashes first.
+
+    >>> losses = [UnbegunLoss(1, 0.0, {b"a", b"b"}), UnbegunLoss(2, 1.0, {b"b"})]
+    >>> find_common_parts(losses, 2)
+    [b'b']
+    """
+    crashes_by_part = Counter()
+    for loss in losses:
+        crashes_by_part.update(loss.parts)
+    found = [
+        (-crashes, part)
+        for part, crashes in crashes_by_part.items()
+        if crashes >= min_crashes
+    ]
+    return [part for _, part in sorted(found)[:MAX_WEIGHED]]
+
+
 class RecentCounts:
     """Counts by key over the last ``COUNTING_SECONDS`` or up to twice that."""
 
@@ -271,7 +292,10 @@
             if now - row[0] <= COUNTING_SECONDS
         }
         counts = []
-        for part in self._suspected_parts(now):
+        suspects = find_common_parts(
+            self._unexplained_losses(now), CRASHES_TO_REFUSE - 1
+        )
+        for part in suspects:
             count = self._begun.get(now, part)
             _, reported = self._reported_by_part.get(part, (now, 0))
             if count >= max(1, 2 * reported):
@@ -280,19 +304,14 @@
         self._reported_by_part.update((part, (now, count)) for part, count in counts)
         return counts
 
-    def _suspected_parts(self, now):
-        """Return the parts of several recent crashes."""
-        crashes_by_part = Counter(
-            part
+    def _unexplained_losses(self, now):
+        """Return the recent crashes that no refused part explains."""
+        return [
+            loss
             for loss in self._loss_by_target_id.values()
             if now - loss.lost_at <= COUNTING_SECONDS
-            for part in loss.parts
-        )
-        return sorted(
-            part
-            for part, crashes in crashes_by_part.items()
-            if crashes >= CRASHES_TO_REFUSE - 1
-        )
+            and loss.parts.isdisjoint(self._refused_by_part)
+        ]
 
     def record_report(self, now, sender, counts):
         """Record how many answers with some parts have begun at another gateway.
@@ -387,15 +406,18 @@
 
         :return: rows that the evidence doesn't tell apart, empty without a cause.
         """
-        times_by_part = {}
-        for loss in self._loss_by_target_id.values():
-            is_settled = now - loss.lost_at >= SETTLE_SECONDS
-            if is_settled and loss.parts.isdisjoint(self._refused_by_part):
-                for part in loss.parts:
-                    if not self._is_cleared(part, loss.lost_at):
-                        times_by_part.setdefault(part, []).append(loss.lost_at)
+        losses = [
+            loss
+            for loss in self._unexplained_losses(now)
+            if now - loss.lost_at >= SETTLE_SECONDS
+        ]
         ratio_by_row = {}
-        for part, times in sorted(times_by_part.items()):
+        for part in find_common_parts(losses, CRASHES_TO_REFUSE):
+            times = [
+                loss.lost_at
+                for loss in losses
+                if part in loss.parts and not self._is_cleared(part, loss.lost_at)
+            ]
             crashes = count_distinct(times)
             if crashes < CRASHES_TO_REFUSE:
                 continue
--- a/tests/routing/test_prompt_parts.py
+++ b/tests/routing/test_prompt_parts.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+import time
 
 import pytest
 
@@ -168,6 +169,29 @@
     assert not crash_three(detector, SOUND)
 
 
+def test_crashes_by_chance_over_a_long_time_make_no_part_suspect():
+    """Crashes of 15 minutes were weighed against the answers of one."""
+    detector = PartDetector()
+    for number in range(3):
+        at = 10.0 + number * (COUNTING_SECONDS / 2 + 1.0)
+        serve(detector, at, 60, SYSTEM)
+        crash(detector, at, f"t-{number}", SOUND)
+    assert not detector.judge(at + 1.0)
+
+
+def test_many_crashes_of_many_parts_are_weighed_in_short_time():
+    """A tick took three seconds with all bounds reached."""
+    detector = PartDetector()
+    for number in range(MAX_CRASHES):
+        parts = [part_digest("m", f"{number}-{step}") for step in range(300)]
+        crash(detector, 10.0 + number / 10, f"t-{number}", SYSTEM, *parts)
+    now = 10.0 + MAX_CRASHES / 10 + 1.0
+    began = time.process_time()
+    detector.judge(now)
+    detector.take_begun_to_report(now)
+    assert time.process_time() - began < 0.25
+
+
 def test_endless_fresh_parts_take_bounded_memory():
     detector = PartDetector()
     for number in range(3000):
@@ -184,9 +208,10 @@
     counts.add(1.0, "a")
     counts.add(20.0, "a")
     assert counts.get(30.0, "a") == 2
-    assert counts.get(100.0, "a") == 0
-    counts.add(100.0, "a")
-    assert counts.get(100.0, "a") == 1
+    later = 1.0 + 2 * COUNTING_SECONDS
+    assert counts.get(later, "a") == 0
+    counts.add(later, "a")
+    assert counts.get(later, "a") == 1
 
 
 class Schedule:
