Report counts of refused parts, judge each part once, read 64 parts of a prompt

Found by reading the new detector; each with a test that fails on the code before. Counts of answers with a part stopped being reported once a gateway refused the part, so that others could not clear it (test_counts_of_a_refused_part_are_still_reported). Parts of a prompt after the sixteenth were not looked at; a head has room for more. Offers are made by their own class where they are sent, no logic changed.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -9,6 +9,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import UnavailableError
 from banyanshore.core.framing import Framing
+from banyanshore.gateway.suspects import OfferInFlight
 from banyanshore.http.upstream import (
     CONNECT_TIMEOUT,
     BrokenAnswerError,
@@ -188,7 +189,7 @@
             load.expected_first_byte_seconds(now),
         )
         suspects = self._gateway.suspects
-        offer_in_flight = suspects.begin(
+        offer_in_flight = OfferInFlight(
             row,
             self._screened,
             self._body,
@@ -197,6 +198,7 @@
             self._parts,
             waiting_offer.scope,
         )
+        suspects.begin(offer_in_flight)
         self._offer_in_flight = offer_in_flight
         load.record_sent(now)
         has_returned = False
--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -145,14 +145,9 @@
             return False
         return self._detector.is_refused(time.monotonic(), _fingerprint(screened, body))
 
-    def begin(self, *arguments):
-        """Return the :class:`OfferInFlight` of an offer that is about to be sent.
-
-        :param arguments: those of the class.
-        """
-        offer_in_flight = OfferInFlight(*arguments)
+    def begin(self, offer_in_flight):
+        """Record an :class:`OfferInFlight` that is about to be sent."""
         self._offers_by_key[id(offer_in_flight)] = offer_in_flight
-        return offer_in_flight
 
     def record_head(self, offer_in_flight):
         """Record that the head of an answer has arrived."""
--- a/banyanshore/routing/prompt_parts.py
+++ b/banyanshore/routing/prompt_parts.py
@@ -22,8 +22,11 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 
-from banyanshore.routing.crashes import CRASHES_TO_REFUSE, EXPIRY_SECONDS
-from banyanshore.routing.crashes import refusal_seconds as seconds_refused
+from banyanshore.routing.crashes import (
+    CRASHES_TO_REFUSE,
+    EXPIRY_SECONDS,
+    refusal_seconds,
+)
 
 # Likelihood ratio from which a part is refused: each crash makes some ten parts
 # suspects, and hardly any day may end with a sound one refused.
@@ -50,7 +53,7 @@
 # most for twice.
 COUNTING_SECONDS = 120.0
 # Maximum parts of one prompt, and of all prompts in the counts, that are considered.
-MAX_PARTS_PER_PROMPT = 16
+MAX_PARTS_PER_PROMPT = 64
 MAX_COUNTED_PARTS = 16_384
 # Maximum crashes, parts of one crash, and refused parts; the oldest are dropped.
 MAX_CRASHES = 256
@@ -108,7 +111,7 @@
     @property
     def refused_until(self):
         """Return the time until which requests with it are refused."""
-        return self.lost_at + seconds_refused(max(CRASHES_TO_REFUSE, self.crashes))
+        return self.lost_at + refusal_seconds(max(CRASHES_TO_REFUSE, self.crashes))
 
 
 def log_likelihood_ratio(crashes, begun, base_rate):
@@ -292,10 +295,7 @@
             if now - row[0] <= COUNTING_SECONDS
         }
         counts = []
-        suspects = find_common_parts(
-            self._unexplained_losses(now), CRASHES_TO_REFUSE - 1
-        )
-        for part in suspects:
+        for part in find_common_parts(self._recent_losses(now), CRASHES_TO_REFUSE - 1):
             count = self._begun.get(now, part)
             _, reported = self._reported_by_part.get(part, (now, 0))
             if count >= max(1, 2 * reported):
@@ -304,13 +304,11 @@
         self._reported_by_part.update((part, (now, count)) for part, count in counts)
         return counts
 
-    def _unexplained_losses(self, now):
-        """Return the recent crashes that no refused part explains."""
+    def _recent_losses(self, now):
         return [
             loss
             for loss in self._loss_by_target_id.values()
             if now - loss.lost_at <= COUNTING_SECONDS
-            and loss.parts.isdisjoint(self._refused_by_part)
         ]
 
     def record_report(self, now, sender, counts):
@@ -358,8 +356,10 @@
         if now > self._judge_until:
             return []
         found = self._add_crashes_of_refused()
-        while rows := self._find_guilty(now):
+        judged = set()
+        while rows := [r for r in self._find_guilty(now) if r.part not in judged]:
             for row in rows:
+                judged.add(row.part)
                 self.refuse(row)
             found += rows
         return found
@@ -408,8 +408,9 @@
         """
         losses = [
             loss
-            for loss in self._unexplained_losses(now)
+            for loss in self._recent_losses(now)
             if now - loss.lost_at >= SETTLE_SECONDS
+            and loss.parts.isdisjoint(self._refused_by_part)
         ]
         ratio_by_row = {}
         for part in find_common_parts(losses, CRASHES_TO_REFUSE):
--- a/tests/routing/test_prompt_parts.py
+++ b/tests/routing/test_prompt_parts.py
@@ -161,6 +161,32 @@
     assert not detector.take_begun_to_report(12.0 + 2 * COUNTING_SECONDS)
 
 
+def test_counts_of_a_refused_part_are_still_reported():
+    """A sound part that one gateway refused was never cleared by the others."""
+    detector = PartDetector()
+    serve(detector, 9.0, 60, SYSTEM, SOUND)
+    for number in range(3):
+        crash(detector, 10.0 + number, f"t-{number}", SOUND)
+    detector.refuse(RefusedPart(SOUND, 3, 12.0, 0.05))
+    assert detector.take_begun_to_report(12.5) == ((SOUND, 60),)
+
+
+def test_more_guilty_parts_than_are_kept_are_judged_once():
+    """Parts that were dropped were refused again, without end."""
+    detector = PartDetector()
+    serve(detector, 9.0, 1000, SYSTEM)
+    parts = [b"deadly-%d" % number for number in range(MAX_REFUSED + 10)]
+    for number, (_, part) in enumerate(itertools.product(range(3), parts)):
+        detector.record_crash(
+            10.0, UnbegunLoss((number, 1), 10.0 + number / 10, frozenset({part}))
+        )
+    assert len(detector.judge(11.9 + 20.0)) == 0
+    detector.record_crash(32.0, UnbegunLoss(("last", 1), 32.0, frozenset({SOUND})))
+    rows = detector.judge(33.0)
+    assert len(rows) == len(parts)
+    assert len(detector.refused_to_repeat(33.0)) == MAX_REFUSED
+
+
 def test_reports_of_one_gateway_add_up():
     detector = PartDetector()
     detector.record_report(10.0, "edge-2", ((SOUND, 40),))
