Recognize the content type of events in any case of letters

Media types don't depend on case. Streams with one in other letters were not read as events by agents and entries, so that one that ended inside an event counted as complete: with Text/Event-Stream as the content type, rows of tests/engines/test_ends_of_answers.py fail on the code before. One function decides for gateways, agents and entries.

--- a/banyanshore/engines/http.py
+++ b/banyanshore/engines/http.py
@@ -14,9 +14,9 @@
     EngineUnreachableError,
 )
 from banyanshore.routing.events import (
-    EVENT_STREAM,
     EventSplitter,
     OversizedEventError,
+    is_event_stream,
 )
 
 # Headers that apply to one connection only and are not forwarded (RFC 9110, 7.6.1).
@@ -60,13 +60,12 @@
         return self._response.headers.get(name)
 
     async def iter_body(self):
-        """Yield the body in pieces; each piece of a stream of events ends with one.
+        """Yield the body in pieces, a stream of events in whole events.
 
         :raises EngineError: the response broke off, or ended inside an event.
         """
-        content_type = self._response.headers.get("content-type", "")
-        is_event_stream = content_type.startswith(EVENT_STREAM)
-        pieces = self._iter_events() if is_event_stream else self._response.aiter_raw()
+        has_events = is_event_stream(self._response.headers.get("content-type", ""))
+        pieces = self._iter_events() if has_events else self._response.aiter_raw()
         try:
             async for data in pieces:
                 yield data
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -21,10 +21,10 @@
 from banyanshore.routing.board import NoChoice, TargetRequirements
 from banyanshore.routing.caller_requests import Offer
 from banyanshore.routing.events import (
-    EVENT_STREAM,
     EventSplitter,
     OversizedEventError,
     RepeatedEventError,
+    is_event_stream,
 )
 from banyanshore.routing.prompt_parts import shared_part_digests
 from banyanshore.routing.retry_after import Reason
@@ -342,10 +342,11 @@
         return None
 
     def _is_event_stream(self, answer):
-        if self._screened.route.kind is not RouteKind.STREAMING:
+        is_streaming = self._screened.route.kind is RouteKind.STREAMING
+        if not is_streaming or not 200 <= answer.status < 300:
             return False
-        media_type = answer.get_header(b"content-type", EVENT_STREAM)
-        return 200 <= answer.status < 300 and media_type.startswith(EVENT_STREAM)
+        content_type = answer.get_header(b"content-type")
+        return content_type is None or is_event_stream(content_type)
 
     async def _relay_events(self, answer):
         """Relay events as they arrive, each one completely.
--- a/banyanshore/http/callers.py
+++ b/banyanshore/http/callers.py
@@ -22,7 +22,7 @@
     bad_request,
 )
 from banyanshore.routing.calls import ANSWERED, ResultKind
-from banyanshore.routing.events import EVENT_STREAM
+from banyanshore.routing.events import is_event_stream
 from banyanshore.routing.messages import FailureReason, RefusalReason
 
 logger = logging.getLogger(__name__)
@@ -60,7 +60,7 @@
         """Send the status and the headers."""
         self._observe_first_byte(time.monotonic() - self._began_at)
         content_type = dict(started.headers).get(b"content-type", b"")
-        self.is_event_stream = content_type.startswith(EVENT_STREAM.encode())
+        self.is_event_stream = is_event_stream(content_type.decode("latin-1"))
         await self._request.start(
             started.status, answer_headers(started, self._headers)
         )
--- a/banyanshore/routing/events.py
+++ b/banyanshore/routing/events.py
@@ -8,8 +8,7 @@
 
 from banyanshore.core.exceptions import BanyanshoreError
 
-# Media type of a stream of events.
-EVENT_STREAM = "text/event-stream"
+_EVENT_STREAM = "text/event-stream"
 # Largest event that is buffered until it is complete, in bytes; typical events have
 # less than a thousand.
 MAX_EVENT_BYTES = 256 * 1024
@@ -19,6 +18,15 @@
 _OVERLAP = max(map(len, _SEPARATORS)) - 1
 
 
+def is_event_stream(content_type):
+    """Return whether a content type is that of a stream of events.
+
+    >>> is_event_stream("Text/Event-Stream; charset=utf-8"), is_event_stream("")
+    (True, False)
+    """
+    return content_type.partition(";")[0].strip().lower() == _EVENT_STREAM
+
+
 class OversizedEventError(BanyanshoreError):
     """Raised when an event exceeds the maximum size."""
 
--- a/tests/engines/test_ends_of_answers.py
+++ b/tests/engines/test_ends_of_answers.py
@@ -12,7 +12,7 @@
 pytestmark = pytest.mark.anyio
 
 HEAD_BY_KIND = {
-    "stream": b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n",
+    "stream": b"HTTP/1.1 200 OK\r\ncontent-type: Text/Event-Stream; charset=utf-8\r\n",
     "body": b"HTTP/1.1 200 OK\r\n",
 }
 DISPATCH = Dispatch("id-1", "w", "s", "GET", "/p", (), b"", 2.0, 0, False, b"")
