--- a/tests/routing/test_prompt_parts.py
+++ b/tests/routing/test_prompt_parts.py
@@ -379,6 +379,13 @@
     assert schedule.sound_refused <= 0.1 * schedule.sound_sent
 
 
+def test_two_deadly_parts_in_three_tenths_of_the_requests_stop():
+    """So many other requests are lost beside them that verdicts take long."""
+    schedule = Schedule(0, {b"d": 1.0, b"e": 1.0}, 0.3)
+    schedule.run(60.0)
+    assert len(schedule.late_arrivals(3.0)) <= 6
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_targets_that_crash_by_chance_make_no_part_suspect(seed):
     schedule = Schedule(seed, {}, 0.0, chance_crashes=0.02)
