Connect once more if the process stood still while a connection opened

A stall of the event loop for 0.7 s while the connection opens gives just this, always: the timeout of 0.5 s ends before the open connection is seen, the target counts as unreachable, and the request is refused as not run, which is true (no request reached the target). So a gateway that was frozen for half a second refused requests that its target could run. Change: if the timeout of a connection ends late by a tenth of a second, so that the process must have stood still, it connects once more.

--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -35,6 +35,8 @@
 MAX_INLINE_BYTES = 8 * 1024
 # Timeout in seconds of connecting, within a region or across regions.
 CONNECT_TIMEOUT = 0.5
+# Seconds by which a timer is late if the process stood still.
+LATE_TIMER_SECONDS = 0.1
 # Maximum number of informational (1xx) heads; a healthy target sends one or two.
 MAX_INFORMATIONAL_HEADS = 8
 # Bytes that count as progress of a body that isn't a stream of events.
@@ -312,11 +314,26 @@
     return Reachability.OPEN
 
 
-async def _connect(address, timeout):
+async def _open_stream(address, timeout):
+    """Connect within a timeout; try once more if the process stood still meanwhile.
+
+    The connection may have opened during that time, but the timeout ends first.
+    """
     host, port = split_address(address)
+    began_at = time.monotonic()
     try:
         with anyio.fail_after(timeout):
-            stream = await anyio.connect_tcp(host, port)
+            return await anyio.connect_tcp(host, port)
+    except TimeoutError:
+        if time.monotonic() - began_at < timeout + LATE_TIMER_SECONDS:
+            raise
+    with anyio.fail_after(timeout):
+        return await anyio.connect_tcp(host, port)
+
+
+async def _connect(address, timeout):
+    try:
+        stream = await _open_stream(address, timeout)
     except (OSError, TimeoutError) as error:
         raise UnavailableError(
             f"can't connect: {error!r}", step="connect", peer=address
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -1,7 +1,9 @@
 """Tests of the HTTP client: invalid, interrupted and late answers of a target."""
 
+import asyncio
 import contextlib
 import socket
+import time
 
 import anyio
 import pytest
@@ -236,3 +238,29 @@
         full.listen(0)
         waiting.connect(("127.0.0.1", port))
         assert await probe_address(f"127.0.0.1:{port}", 0.2) is Reachability.SILENT
+
+
+async def test_connection_that_opened_while_the_process_stood_still_is_used(
+    monkeypatch,
+):
+    """The timeout ended first, and a request was refused that a target could run."""
+    connect_tcp, calls = anyio.connect_tcp, []
+
+    async def connect_and_stall(host, port):
+        calls.append(port)
+        if len(calls) == 1:
+            asyncio.get_running_loop().call_soon(time.sleep, 0.3)
+        return await connect_tcp(host, port)
+
+    async def answer_requests(stream):
+        # The first connection closes without one.
+        with contextlib.suppress(anyio.EndOfStream):
+            await answering(OK)(stream)
+
+    monkeypatch.setattr(anyio, "connect_tcp", connect_and_stall)
+    async with (
+        scripted_server(answer_requests) as server,
+        open_answer(server.address, GET, connect_timeout=0.1) as answer,
+    ):
+        assert await answer.read_body(10) == b"ok"
+    assert len(calls) == 2
