--- a/banyanshore/gateway/suspected_parts.py
+++ b/banyanshore/gateway/suspected_parts.py
@@ -17,7 +17,7 @@
 
 
 class SuspectedParts:
-    """Exchange the evidence for and against parts of prompts, and judge it.
+    """Exchange the evidence for and against parts of prompts, and weigh it.
 
     :param member: row of this gateway.
     :param metrics: the :class:`~banyanshore.telemetry.gateway.GatewayMetrics`.
@@ -74,9 +74,9 @@
         self._detector.withdraw_crash(target_id)
 
     async def tick(self):
-        """Judge the evidence, and report the own counts."""
+        """Weigh the evidence, and report the own counts."""
         now = time.monotonic()
-        for row in self._detector.judge(now):
+        for row in self._detector.weigh(now):
             self._log("part of prompts is refused", row, logging.WARNING)
             self.on_refused(row.part)
             await self._send_finding(partial(_part_notice, row))
--- a/banyanshore/routing/prompt_parts.py
+++ b/banyanshore/routing/prompt_parts.py
@@ -43,7 +43,7 @@
 # Seconds after a crash before it is weighed, in which reports of other gateways arrive.
 SETTLE_SECONDS = 0.3
 # Seconds after a report of a crash for which the evidence is weighed again.
-JUDGING_SECONDS = 2.0
+WEIGHING_SECONDS = 2.0
 # Seconds by which gateways may differ on the time of one crash.
 SAME_CRASH_SECONDS = 0.5
 # Crashes within this time count as one, since they have a common cause.
@@ -100,7 +100,7 @@
 
     :param crashes: number of crashes that count against it.
     :param lost_at: time of the last of them.
-    :param base_rate: rate of losses of other requests when it was judged.
+    :param base_rate: rate of losses of other requests when it was weighed.
     """
 
     part: bytes
@@ -212,7 +212,7 @@
         # Answers that other gateways report to have begun: time and count.
         self._reported_by_part_by_sender = {}
         # Crashes are weighed again until this time.
-        self._judge_until = -math.inf
+        self._weigh_until = -math.inf
         # Answers after the last crash of a refused part.
         self._survivals_by_part = {}
 
@@ -270,7 +270,7 @@
         self._loss_by_target_id[loss.target_id] = row
         if len(self._loss_by_target_id) > MAX_CRASHES:
             del self._loss_by_target_id[next(iter(self._loss_by_target_id))]
-        self._judge_until = now + JUDGING_SECONDS
+        self._weigh_until = now + WEIGHING_SECONDS
         return True
 
     def withdraw_crash(self, target_id):
@@ -326,7 +326,7 @@
         cleared = []
         for part, _ in counts:
             row = self._refused_by_part.get(part)
-            if row is not None and not self._is_guilty(now, row):
+            if row is not None and not self._is_likely_cause(now, row):
                 self.clear(part, row.lost_at)
                 cleared.append(row)
         return cleared
@@ -345,21 +345,23 @@
         ]
         return self._begun.get(now, part) + sum(reported)
 
-    def _is_guilty(self, now, row):
+    def _is_likely_cause(self, now, row):
         begun = self._count_begun(now, row.part)
         ratio = log_likelihood_ratio(row.crashes, begun, row.base_rate)
         return ratio >= math.log(REFUSAL_RATIO)
 
-    def judge(self, now):
+    def weigh(self, now):
         """Weigh the evidence; return the :class:`RefusedPart` rows that are new."""
         self._forget(now)
-        if now > self._judge_until:
+        if now > self._weigh_until:
             return []
         found = self._add_crashes_of_refused()
-        judged = set()
-        while rows := [r for r in self._find_guilty(now) if r.part not in judged]:
+        weighed = set()
+        while rows := [
+            r for r in self._find_likely_causes(now) if r.part not in weighed
+        ]:
             for row in rows:
-                judged.add(row.part)
+                weighed.add(row.part)
                 self.refuse(row)
             found += rows
         return found
@@ -401,7 +403,7 @@
             if part in row.parts and row.lost_at > after + SAME_CRASH_SECONDS
         ]
 
-    def _find_guilty(self, now):
+    def _find_likely_causes(self, now):
         """Return the likeliest causes of the crashes that are not explained yet.
 
         :return: rows that the evidence doesn't tell apart, empty without a cause.
--- a/tests/gateway/crashing.py
+++ b/tests/gateway/crashing.py
@@ -28,7 +28,7 @@
 from tests.ports import free_ports
 
 # Part of a prompt that crashes targets.
-DEADLY_PART = b"dead:"
+CRASHING_PART = b"dead:"
 POISON = make_request("POST", body=b"poison")
 HARMLESS = make_request("POST", body=b"sound")
 
@@ -122,7 +122,7 @@
             except (anyio.EndOfStream, anyio.BrokenResourceError):
                 await stream.aclose()
                 return
-        is_poison = data.endswith(b"poison") or DEADLY_PART in data
+        is_poison = data.endswith(b"poison") or CRASHING_PART in data
         survival_seconds = self._fleet.survival_seconds_by_arrival.get(
             len(self._fleet.poison_arrivals())
         )
--- a/tests/gateway/test_parts_that_end_targets.py
+++ b/tests/gateway/test_parts_that_end_targets.py
@@ -53,7 +53,7 @@
     [(4.5, False), (math.inf, False), (4.5, True)],
     ids=["back-soon", "gone-for-good", "silent"],
 )
-async def test_requests_that_share_a_deadly_part_stop(down_seconds, is_silent):
+async def test_requests_that_share_a_crashing_part_stop(down_seconds, is_silent):
     """Only requests that were equal in all were recognized as the cause of crashes."""
     options = {"down_seconds": down_seconds, "is_silent": is_silent}
     async with crashing_fleet(**options, **ROUTE) as fleet:
@@ -74,7 +74,7 @@
         assert answered >= MIN_SHARE_ANSWERED * 40
 
 
-async def test_gateway_that_starts_later_learns_of_a_deadly_part():
+async def test_gateway_that_starts_later_learns_of_a_crashing_part():
     async with crashing_fleet(gateways=2, down_seconds=0.5, **ROUTE) as fleet:
         await send_mixed(fleet, 15)
         # Long enough for gateways to stop repeating their own findings.
--- a/tests/routing/test_prompt_parts.py
+++ b/tests/routing/test_prompt_parts.py
@@ -19,7 +19,7 @@
     part_digest,
 )
 
-SYSTEM, DEADLY, SOUND = b"system", b"deadly", b"sound"
+SYSTEM, CRASHING, SOUND = b"system", b"crashing", b"sound"
 
 
 def crash(detector, at, target, *parts):
@@ -30,7 +30,7 @@
 def crash_three(detector, *parts, first=10.0):
     for number in range(3):
         crash(detector, first + number, f"t-{number}", *parts)
-    return detector.judge(first + 3.0)
+    return detector.weigh(first + 3.0)
 
 
 def serve(detector, at, count, *parts):
@@ -41,27 +41,27 @@
 def test_part_of_three_crashes_is_refused_and_the_shared_one_is_not():
     detector = PartDetector()
     serve(detector, 9.0, 60, SYSTEM, SOUND)
-    (row,) = crash_three(detector, SYSTEM, DEADLY)
-    assert (row.part, row.crashes) == (DEADLY, 3)
-    assert detector.find_refused(14.0, (SYSTEM, DEADLY))
+    (row,) = crash_three(detector, SYSTEM, CRASHING)
+    assert (row.part, row.crashes) == (CRASHING, 3)
+    assert detector.find_refused(14.0, (SYSTEM, CRASHING))
     assert not detector.find_refused(14.0, (SYSTEM, SOUND))
-    assert not detector.find_refused(12.1 + REFUSAL_SECONDS, (DEADLY,))
+    assert not detector.find_refused(12.1 + REFUSAL_SECONDS, (CRASHING,))
 
 
 def test_two_crashes_prove_nothing():
     detector = PartDetector()
     serve(detector, 9.0, 60, SYSTEM)
     for number in range(2):
-        crash(detector, 10.0 + number, f"t-{number}", DEADLY)
-    assert not detector.judge(12.0)
+        crash(detector, 10.0 + number, f"t-{number}", CRASHING)
+    assert not detector.weigh(12.0)
 
 
 def test_targets_that_exit_together_count_as_one_crash():
     detector = PartDetector()
     serve(detector, 9.0, 60, SYSTEM)
     for number in range(5):
-        crash(detector, 10.0 + number / 200, f"t-{number}", DEADLY)
-    assert not detector.judge(11.0)
+        crash(detector, 10.0 + number / 200, f"t-{number}", CRASHING)
+    assert not detector.weigh(11.0)
 
 
 def test_crash_that_a_refused_part_explains_counts_against_no_other():
@@ -69,9 +69,9 @@
     detector = PartDetector()
     serve(detector, 9.0, 60, SYSTEM)
     for number in range(4):
-        parts = (DEADLY, SOUND) if number < 3 else (DEADLY,)
+        parts = (CRASHING, SOUND) if number < 3 else (CRASHING,)
         crash(detector, 10.0 + number, f"t-{number}", *parts)
-    assert [row.part for row in detector.judge(14.0)] == [DEADLY]
+    assert [row.part for row in detector.weigh(14.0)] == [CRASHING]
     assert not detector.find_refused(14.0, (SOUND,))
 
 
@@ -79,12 +79,12 @@
     """A sound part that was offered again beside the cause hid the cause."""
     detector = PartDetector()
     serve(detector, 9.0, 60, SYSTEM)
-    rows = crash_three(detector, DEADLY, SOUND)
-    assert {row.part for row in rows} == {DEADLY, SOUND}
-    crash(detector, 14.0, "t-3", DEADLY)
-    assert [row.part for row in detector.judge(14.5)] == [DEADLY]
+    rows = crash_three(detector, CRASHING, SOUND)
+    assert {row.part for row in rows} == {CRASHING, SOUND}
+    crash(detector, 14.0, "t-3", CRASHING)
+    assert [row.part for row in detector.weigh(14.5)] == [CRASHING]
     assert [row.part for row in detector.take_explained()] == [SOUND]
-    assert detector.find_refused(15.0, (DEADLY,))
+    assert detector.find_refused(15.0, (CRASHING,))
     assert not detector.find_refused(15.0, (SOUND,))
 
 
@@ -99,7 +99,7 @@
     # The crashes that it was cleared of don't count again.
     assert not detector.refuse(RefusedPart(SOUND, 3, 12.0, 0.05))
     crash(detector, 20.0, "t-9", SOUND)
-    assert not detector.judge(21.0)
+    assert not detector.weigh(21.0)
 
 
 def test_as_many_later_answers_as_crashes_clear_a_part():
@@ -118,13 +118,13 @@
 def test_part_is_refused_for_longer_after_each_further_crash():
     detector = PartDetector()
     serve(detector, 9.0, 60, SYSTEM)
-    crash_three(detector, DEADLY)
+    crash_three(detector, CRASHING)
     later = 12.0 + REFUSAL_SECONDS + 1.0
-    assert not detector.find_refused(later, (DEADLY,))
-    crash(detector, later, "t-3", DEADLY)
-    (row,) = detector.judge(later + 0.5)
+    assert not detector.find_refused(later, (CRASHING,))
+    crash(detector, later, "t-3", CRASHING)
+    (row,) = detector.weigh(later + 0.5)
     assert row.crashes == 4
-    assert detector.find_refused(later + 2 * REFUSAL_SECONDS, (DEADLY,))
+    assert detector.find_refused(later + 2 * REFUSAL_SECONDS, (CRASHING,))
 
 
 def test_withdrawn_crash_lifts_a_refusal():
@@ -137,10 +137,10 @@
 
 def test_verdict_of_another_gateway_is_adopted_once():
     detector = PartDetector()
-    row = RefusedPart(DEADLY, 3, 12.0, 0.05)
+    row = RefusedPart(CRASHING, 3, 12.0, 0.05)
     assert detector.refuse(row)
     assert not detector.refuse(row)
-    assert detector.find_refused(13.0, (DEADLY,)) == row
+    assert detector.find_refused(13.0, (CRASHING,)) == row
     assert detector.refused_to_repeat(13.0) == [row]
 
 
@@ -148,16 +148,16 @@
     """Each answer changed the counts, and each change was sent to all gateways."""
     detector = PartDetector()
     serve(detector, 9.0, 60, SYSTEM)
-    crash(detector, 10.0, "t-0", SYSTEM, DEADLY)
+    crash(detector, 10.0, "t-0", SYSTEM, CRASHING)
     assert not detector.take_begun_to_report(10.1)
-    crash(detector, 11.0, "t-1", SYSTEM, DEADLY)
+    crash(detector, 11.0, "t-1", SYSTEM, CRASHING)
     assert detector.take_begun_to_report(11.1) == ((SYSTEM, 60),)
     serve(detector, 12.0, 59, SYSTEM)
     assert not detector.take_begun_to_report(12.0)
-    serve(detector, 12.0, 1, SYSTEM, DEADLY)
-    assert detector.take_begun_to_report(12.0) == ((DEADLY, 1), (SYSTEM, 120))
-    serve(detector, 12.0, 1, DEADLY)
-    assert detector.take_begun_to_report(12.0) == ((DEADLY, 2),)
+    serve(detector, 12.0, 1, SYSTEM, CRASHING)
+    assert detector.take_begun_to_report(12.0) == ((CRASHING, 1), (SYSTEM, 120))
+    serve(detector, 12.0, 1, CRASHING)
+    assert detector.take_begun_to_report(12.0) == ((CRASHING, 2),)
     assert not detector.take_begun_to_report(12.0 + 2 * COUNTING_SECONDS)
 
 
@@ -171,18 +171,18 @@
     assert detector.take_begun_to_report(12.5) == ((SOUND, 60),)
 
 
-def test_more_guilty_parts_than_are_kept_are_judged_once():
+def test_more_refused_parts_than_are_kept_are_weighed_once():
     """Parts that were dropped were refused again, without end."""
     detector = PartDetector()
     serve(detector, 9.0, 1000, SYSTEM)
-    parts = [b"deadly-%d" % number for number in range(MAX_REFUSED + 10)]
+    parts = [b"crashing-%d" % number for number in range(MAX_REFUSED + 10)]
     for number, (_, part) in enumerate(itertools.product(range(3), parts)):
         detector.record_crash(
             10.0, UnbegunLoss((number, 1), 10.0 + number / 10, frozenset({part}))
         )
-    assert len(detector.judge(11.9 + 20.0)) == 0
+    assert len(detector.weigh(11.9 + 20.0)) == 0
     detector.record_crash(32.0, UnbegunLoss(("last", 1), 32.0, frozenset({SOUND})))
-    rows = detector.judge(33.0)
+    rows = detector.weigh(33.0)
     assert len(rows) == len(parts)
     assert len(detector.refused_to_repeat(33.0)) == MAX_REFUSED
 
@@ -202,7 +202,7 @@
         at = 10.0 + number * (COUNTING_SECONDS / 2 + 1.0)
         serve(detector, at, 60, SYSTEM)
         crash(detector, at, f"t-{number}", SOUND)
-    assert not detector.judge(at + 1.0)
+    assert not detector.weigh(at + 1.0)
 
 
 def test_many_crashes_of_many_parts_are_weighed_in_short_time():
@@ -213,7 +213,7 @@
         crash(detector, 10.0 + number / 10, f"t-{number}", SYSTEM, *parts)
     now = 10.0 + MAX_CRASHES / 10 + 1.0
     began = time.process_time()
-    detector.judge(now)
+    detector.weigh(now)
     detector.take_begun_to_report(now)
     assert time.process_time() - began < 0.25
 
@@ -241,11 +241,11 @@
 
 
 class Schedule:
-    """Requests at some targets, of which those with a deadly part crash their target.
+    """Requests at some targets, of which those with a crashing part crash their target.
 
     Gateways learn of crashes and of each other's counts after ``delay``.
 
-    :param deadly: crash probability by deadly part.
+    :param crashing: crash probability by crashing part.
     :param share: share of the requests that have one.
     """
 
@@ -253,15 +253,15 @@
     DOWN_SECONDS, PREFILL_SECONDS, WRITE_SECONDS = 4.0, 0.25, 0.5
     REQUESTS_PER_SECOND, DELAY = 60.0, 0.3
 
-    def __init__(self, seed, deadly, share, chance_crashes=0.0):
+    def __init__(self, seed, crashing, share, chance_crashes=0.0):
         self.rng = random.Random(seed)
-        self.deadly, self.share = deadly, share
+        self.crashing, self.share = crashing, share
         self.chance_crashes = chance_crashes
         self.detectors = [PartDetector() for _ in range(self.GATEWAYS)]
         self.up_at = [0.0] * self.TARGETS
         self.incarnation = [1] * self.TARGETS
         self.running = [{} for _ in range(self.TARGETS)]
-        self.crash_times, self.deadly_arrivals = [], []
+        self.crash_times, self.crashing_arrivals = [], []
         self.sound_sent, self.sound_refused = 0, 0
         self._events, self._order = [], itertools.count()
 
@@ -282,17 +282,17 @@
     def parts(self, now):
         route = self.rng.randrange(3)
         parts = [b"system-%d" % route, b"shared-%d" % self.rng.randrange(30)]
-        is_deadly = now > 5.0 and self.rng.random() < self.share
-        if is_deadly:
-            parts.append(self.rng.choice(sorted(self.deadly)))
-        return tuple(parts), is_deadly
+        is_crashing = now > 5.0 and self.rng.random() < self.share
+        if is_crashing:
+            parts.append(self.rng.choice(sorted(self.crashing)))
+        return tuple(parts), is_crashing
 
     def arrive(self, now):
-        parts, is_deadly = self.parts(now)
+        parts, is_crashing = self.parts(now)
         gateway = self.rng.randrange(self.GATEWAYS)
-        self.sound_sent += not is_deadly
+        self.sound_sent += not is_crashing
         if self.detectors[gateway].find_refused(now, parts):
-            self.sound_refused += not is_deadly
+            self.sound_refused += not is_crashing
             return
         up = [t for t in range(self.TARGETS) if self.up_at[t] <= now]
         if not up:
@@ -300,8 +300,8 @@
         target = min(up, key=lambda t: len(self.running[t]))
         request = object()
         self.running[target][request] = (gateway, now, parts, False)
-        if is_deadly:
-            self.deadly_arrivals.append(now)
+        if is_crashing:
+            self.crashing_arrivals.append(now)
         begins = now + self.PREFILL_SECONDS * self.rng.uniform(0.5, 1.5)
         self.at(begins, self.begin, target, request)
 
@@ -310,7 +310,7 @@
         if row is None:
             return
         gateway, sent_at, parts, _ = row
-        chance = max((self.deadly.get(p, 0.0) for p in parts), default=0.0)
+        chance = max((self.crashing.get(p, 0.0) for p in parts), default=0.0)
         if self.rng.random() < max(chance, self.chance_crashes):
             self.crash(now, target)
             return
@@ -345,7 +345,7 @@
 
     def tick(self, now):
         for gateway, detector in enumerate(self.detectors):
-            for row in detector.judge(now):
+            for row in detector.weigh(now):
                 self.tell(now, gateway, lambda d, at, row: d.refuse(row), row)
             counts = detector.take_begun_to_report(now)
             if counts:
@@ -356,11 +356,11 @@
     def late_arrivals(self, grace):
         if len(self.crash_times) < 5:
             return []
-        return [at for at in self.deadly_arrivals if at > self.crash_times[4] + grace]
+        return [at for at in self.crashing_arrivals if at > self.crash_times[4] + grace]
 
 
 @pytest.mark.parametrize(
-    ("deadly", "share"),
+    ("crashing", "share"),
     [
         ({b"d": 1.0}, 0.005),
         ({b"d": 1.0}, 0.05),
@@ -371,15 +371,15 @@
     ids=["rare", "usual", "frequent", "half", "two"],
 )
 @pytest.mark.parametrize("seed", range(12))
-def test_deadly_parts_stop_and_sound_requests_go_on(seed, deadly, share):
-    schedule = Schedule(seed, deadly, share)
+def test_crashing_parts_stop_and_sound_requests_go_on(seed, crashing, share):
+    schedule = Schedule(seed, crashing, share)
     schedule.run(60.0)
     # Each part is granted the bound of one.
-    assert len(schedule.late_arrivals(3.0)) <= 3 * len(deadly)
+    assert len(schedule.late_arrivals(3.0)) <= 3 * len(crashing)
     assert schedule.sound_refused <= 0.1 * schedule.sound_sent
 
 
-def test_two_deadly_parts_in_three_tenths_of_the_requests_stop():
+def test_two_crashing_parts_in_three_tenths_of_the_requests_stop():
     """So many other requests are lost beside them that verdicts take long."""
     schedule = Schedule(0, {b"d": 1.0, b"e": 1.0}, 0.3)
     schedule.run(60.0)
@@ -395,7 +395,7 @@
 
 
 def test_first_part_of_a_route_that_crashes_all_its_targets_is_refused():
-    """The system prompt of one route is deadly, those of two others are not."""
+    """The system prompt of one route is crashing, those of two others are not."""
     schedule = Schedule(1, {b"system-1": 1.0}, 0.0)
     schedule.run(60.0)
     for detector in schedule.detectors:
