Record once per answer that it has begun; keep findings in one place

A gateway called the detector for each batch of events, though only the first counts: now for the first alone. Adding and repeating findings was written in two classes: now in Findings. Two comprehensions that needed explaining are plain loops, two comments said why a value was chosen in turned sentences. No bound, check or expectation changed; tests of gateway, routing and membership pass.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -363,8 +363,9 @@
                 raise BrokenAnswerError(error.message, step="events") from None
             self._incomplete_event_bytes = splitter.incomplete_bytes
             if events:
-                has_events = True
-                await self._gateway.suspects.record_begun(self._offer_in_flight)
+                if not has_events:
+                    has_events = True
+                    await self._gateway.suspects.record_begun(self._offer_in_flight)
                 await self._send_events(answer, events, event_id)
                 answer.record_progress(self._event_timeout())
         if splitter.is_inside_event:
--- a/banyanshore/gateway/suspected_parts.py
+++ b/banyanshore/gateway/suspected_parts.py
@@ -94,9 +94,9 @@
 
     async def repeat_updates(self):
         """Send updates again that may have been lost, or that new gateways need."""
+        for update in self._findings.updates_to_repeat():
+            await self.send(update)
         now = time.monotonic()
-        for make_update in self._findings.recent(now):
-            await self.send(make_update(now))
         rows = self._detector.refused_to_repeat(now)
         self.forward_again(_part_notice(row, now) for row in rows)
 
@@ -105,9 +105,7 @@
         self._detector.forget_senders(senders)
 
     async def _send_finding(self, make_update):
-        now = time.monotonic()
-        self._findings.add(now, make_update)
-        await self.send(make_update(now))
+        await self.send(self._findings.add(make_update))
 
     async def _send_cleared(self, row):
         self._log("part of prompts is accepted again", row)
@@ -129,7 +127,7 @@
         cleared = self._detector.record_report(now, report.sender, report.counts)
         for row in cleared:
             self._log("part of prompts is accepted again", row)
-            self._findings.add(now, partial(_cleared_notice, row))
+            self._findings.add(partial(_cleared_notice, row))
         return True
 
     def record_part_notice(self, notice):
--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -120,15 +120,13 @@
 
         :param make_update: function that gets the time and returns the update.
         """
-        now = time.monotonic()
-        self._findings.add(now, make_update)
-        await self.send(make_update(now))
+        await self.send(self._findings.add(make_update))
 
     async def _repeat_updates(self):
         """Send updates again that may have been lost, or that new gateways need."""
+        for update in self._findings.updates_to_repeat():
+            await self.send(update)
         now = time.monotonic()
-        for make_update in self._findings.recent(now):
-            await self.send(make_update(now))
         self.forward_again(
             _crash_update(crash, now) for crash in self._detector.crashes_to_repeat()
         )
--- a/banyanshore/membership/load_reports.py
+++ b/banyanshore/membership/load_reports.py
@@ -134,7 +134,7 @@
 
 @message(119)
 class PartNotice:
-    """Notify other gateways of a part of prompts that crashes targets, or doesn't.
+    """Notify other gateways of a part of prompts that is refused, or cleared.
 
     :param part: digest of the part.
     :param crashes: number of crashes that count against it; 0 once it is cleared.
--- a/banyanshore/routing/prompt_parts.py
+++ b/banyanshore/routing/prompt_parts.py
@@ -28,13 +28,13 @@
     refusal_seconds,
 )
 
-# Likelihood ratio from which a part is refused: each crash makes some ten parts
-# suspects, and hardly any day may end with a sound one refused.
+# Likelihood ratio from which a part is refused; high, since each crash makes all parts
+# of the requests there suspects.
 REFUSAL_RATIO = 1000.0
 # Factor within which likelihood ratios don't tell two parts apart.
 SAME_RATIO = 3.0
-# Bounds of the share of its requests with which a part crashes targets. A part that
-# crashes them less often costs more by being refused than by being served.
+# Bounds of the estimated share of a part's requests that crash their targets. A part
+# with a smaller share is served.
 MIN_CRASH_SHARE = 0.3
 MAX_CRASH_SHARE = 0.95
 # Requests that are assumed to have begun without a loss, for the rate of losses of
@@ -276,7 +276,9 @@
     def withdraw_crash(self, target_id):
         """Withdraw a crash, since the target has not exited after all."""
         loss = self._loss_by_target_id.pop(target_id, None)
-        for part in loss.parts & self._refused_by_part.keys() if loss else ():
+        if loss is None:
+            return
+        for part in loss.parts & self._refused_by_part.keys():
             times = self._crash_times(part, -math.inf)
             if count_distinct(times) < CRASHES_TO_REFUSE:
                 del self._refused_by_part[part]
@@ -337,13 +339,12 @@
             del self._reported_by_part_by_sender[name]
 
     def _count_begun(self, now, part):
-        reported = [
-            count
-            for rows in self._reported_by_part_by_sender.values()
-            for at, count in (rows.get(part, (-math.inf, 0)),)
-            if now - at <= COUNTING_SECONDS
-        ]
-        return self._begun.get(now, part) + sum(reported)
+        count = self._begun.get(now, part)
+        for rows in self._reported_by_part_by_sender.values():
+            at, reported = rows.get(part, (now, 0))
+            if now - at <= COUNTING_SECONDS:
+                count += reported
+        return count
 
     def _is_likely_cause(self, now, row):
         begun = self._count_begun(now, row.part)
