Split the evidence on parts of prompts from their detector

The evidence (digests, counts, likelihood ratio) is now in part_evidence.py, pure functions and values; the detector keeps the state. Moved, not changed; the tests are the same but for their imports.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -26,7 +26,7 @@
     RepeatedEventError,
     is_event_stream,
 )
-from banyanshore.routing.prompt_parts import shared_part_digests
+from banyanshore.routing.part_evidence import shared_part_digests
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.timeouts import event_timeout, head_timeout
 from banyanshore.state.routes import RouteKind
--- a/banyanshore/gateway/suspected_parts.py
+++ b/banyanshore/gateway/suspected_parts.py
@@ -11,7 +11,8 @@
     UnbegunLossNotice,
 )
 from banyanshore.routing.crashes import MAX_RESTART_SECONDS
-from banyanshore.routing.prompt_parts import PartDetector, RefusedPart, UnbegunLoss
+from banyanshore.routing.part_evidence import RefusedPart, UnbegunLoss
+from banyanshore.routing.prompt_parts import PartDetector
 
 logger = logging.getLogger(__name__)
 
--- a/tests/routing/test_prompt_parts.py
+++ b/tests/routing/test_prompt_parts.py
@@ -8,16 +8,18 @@
 import pytest
 
 from banyanshore.routing.crashes import REFUSAL_SECONDS
-from banyanshore.routing.prompt_parts import (
+from banyanshore.routing.part_evidence import (
     COUNTING_SECONDS,
-    MAX_CRASHES,
-    MAX_REFUSED,
-    PartDetector,
     RecentCounts,
     RefusedPart,
     UnbegunLoss,
     part_digest,
 )
+from banyanshore.routing.prompt_parts import (
+    MAX_CRASHES,
+    MAX_REFUSED,
+    PartDetector,
+)
 
 SYSTEM, CRASHING, SOUND = b"system", b"crashing", b"sound"
 
