Split the probes of targets from the suspects of a gateway

The probes and the follow-up of exited targets are now in target_probes.py. Moved, not changed; the tests of the gateway pass unchanged.

--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -9,7 +9,7 @@
 import anyio
 
 from banyanshore.gateway.findings import Findings
-from banyanshore.http.upstream import Reachability, probe_address
+from banyanshore.gateway.target_probes import TargetProbes
 from banyanshore.membership.load_reports import CrashNotice, TargetAnswered
 from banyanshore.routing.crashes import (
     CRASHES_TO_REFUSE,
@@ -21,18 +21,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Delays in seconds before each probe of a target whose answer was lost. A target that
-# has exited refuses connections at once; an unreachable target is probed again, since a
-# full backlog or a lost packet looks the same.
-PROBE_DELAYS = (0.05, 0.25)
-# Seconds between probes of a target that has exited, and for how long it is probed: if
-# a network partition looked like the exit of all targets behind it, the requests that
-# ran there must not be blamed for longer.
-FOLLOW_UP_INTERVAL = 1.0
-FOLLOW_UP_SECONDS = 60.0
-# Seconds after which the new incarnation of a target that accepts connections again
-# would be registered: two heartbeats and the network latency.
-REGISTRATION_SECONDS = 3.0
 # Seconds between checks for restarted targets and for offers without an answer: well
 # within the time in which a restart explains a lost answer.
 RESTART_CHECK_INTERVAL = 0.25
@@ -92,10 +80,7 @@
         self._metrics = metrics
         self._registry = registry
         self._detector = CrashDetector()
-        self._tasks = None
-        # Targets that are being probed, and exited targets that may come back.
-        self._probed_ids = set()
-        self._followed_ids = set()
+        self._probes = TargetProbes(registry, self._record_exit, self._withdraw)
         self._offers_by_key = {}
         self._findings = Findings()
         self._head_at_by_id = {}
@@ -103,7 +88,7 @@
     async def run(self):
         """Look for targets that have exited, until cancelled."""
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
+            self._probes.tasks = tasks
             repeat_at = -math.inf
             while True:
                 await anyio.sleep(RESTART_CHECK_INTERVAL)
@@ -178,14 +163,9 @@
         """
         crash = self._record_loss(offer_in_flight, "answer lost")
         if self._detector.count(crash.fingerprint) == CRASHES_TO_REFUSE - 1:
-            await self._probe(crash.id)
+            await self._probes.probe(crash.id)
         else:
-            self._start_probe(crash.id)
-
-    def _start_probe(self, target_id):
-        if self._tasks is not None and target_id not in self._probed_ids:
-            self._probed_ids.add(target_id)
-            self._tasks.start_soon(self._probe, target_id)
+            self._probes.start(crash.id)
 
     def record_given_up(self, offer_in_flight):
         """Record an offer that was given up at its deadline or when its caller left."""
@@ -219,52 +199,7 @@
             is_overdue = now >= offer.overdue_at and now - head_at > RECENT_HEAD_SECONDS
             if is_overdue and not (offer.has_head or offer.is_lost):
                 crash = self._record_loss(offer, "no answer begun")
-                self._start_probe(crash.id)
-
-    async def _probe(self, target_id):
-        """Probe whether a target still accepts connections."""
-        address, _ = target_id
-        found = set()
-        try:
-            for delay in PROBE_DELAYS:
-                await anyio.sleep(delay)
-                reachability = await probe_address(address)
-                found.add(reachability)
-                if reachability is Reachability.REFUSED:
-                    break
-            if Reachability.REFUSED in found or found == {Reachability.SILENT}:
-                await self._report_crashes(self._detector.record_exit(target_id))
-                self._start_follow_up(target_id)
-        finally:
-            self._probed_ids.discard(target_id)
-
-    def _start_follow_up(self, target_id):
-        if self._tasks is not None and target_id not in self._followed_ids:
-            self._followed_ids.add(target_id)
-            self._tasks.start_soon(self._follow_up, target_id)
-
-    async def _follow_up(self, target_id):
-        """Withdraw the exit of a target that is back with the same incarnation.
-
-        It was unreachable, for instance behind a network partition.
-        """
-        try:
-            with anyio.move_on_after(FOLLOW_UP_SECONDS):
-                await self._wait_until_open(target_id[0])
-                await anyio.sleep(REGISTRATION_SECONDS)
-                if self._is_same_incarnation(target_id):
-                    await self._withdraw(target_id, time.monotonic())
-        finally:
-            self._followed_ids.discard(target_id)
-
-    async def _wait_until_open(self, address):
-        while await probe_address(address) is not Reachability.OPEN:
-            await anyio.sleep(FOLLOW_UP_INTERVAL)
-
-    def _is_same_incarnation(self, target_id):
-        rows = self._registry.targets.rows()
-        registered = {row.incarnation for row in rows if row.address == target_id[0]}
-        return registered == {target_id[1]}
+                self._probes.start(crash.id)
 
     async def record_answer(self, offer_in_flight):
         """Record a complete answer, evidence for the request and its target."""
@@ -308,6 +243,9 @@
             lambda now: TargetAnswered(address, incarnation, now - alive_at)
         )
 
+    async def _record_exit(self, target_id):
+        await self._report_crashes(self._detector.record_exit(target_id))
+
     async def find_restarts(self):
         """Find the targets that have started again after their answers were lost."""
         if not self._detector.has_records:
