Decide in one place that a stream of events is complete

Gateways and agents each had the rule that an answer is broken off inside an event, or without length or chunks before its first. It is now EventSplitter.finish, which both call, and the errors of a stream have one base class.

--- a/banyanshore/engines/http.py
+++ b/banyanshore/engines/http.py
@@ -5,7 +5,7 @@
 
 import httpx
 
-from banyanshore.core.framing import Framing, find_framing
+from banyanshore.core.framing import find_framing
 from banyanshore.engines.base import (
     Engine,
     EngineError,
@@ -15,7 +15,7 @@
 )
 from banyanshore.routing.events import (
     EventSplitter,
-    OversizedEventError,
+    EventStreamError,
     is_event_stream,
 )
 
@@ -69,32 +69,23 @@
         try:
             async for data in pieces:
                 yield data
-        except (httpx.HTTPError, OversizedEventError) as error:
-            raise self._broken_off(repr(error)) from error
+        except (httpx.HTTPError, EventStreamError) as error:
+            raise EngineError(
+                f"the target broke off: {error!r}", step="body", peer=self._peer
+            ) from error
 
     async def _iter_events(self):
         splitter = EventSplitter()
-        has_events = False
         async for data in self._response.aiter_raw():
             events, _ = splitter.feed(data)
             if events:
-                has_events = True
                 yield events
-        if splitter.is_inside_event:
-            raise self._broken_off("ended inside an event")
-        if not has_events and self._ends_with_connection():
-            raise self._broken_off("ended before the first event")
-        yield splitter.take_rest()
-
-    def _ends_with_connection(self):
         response = self._response
-        framing = find_framing(
-            response.request.method, response.status_code, response.headers
+        yield splitter.finish(
+            find_framing(
+                response.request.method, response.status_code, response.headers
+            )
         )
-        return framing is Framing.CLOSE
-
-    def _broken_off(self, why):
-        return EngineError(f"the target broke off: {why}", step="body", peer=self._peer)
 
 
 class ClientPool:
--- /dev/null
+++ b/banyanshore/gateway/event_relay.py
@@ -0,0 +1,59 @@
+"""Relaying of streams of events from targets to a caller."""
+
+from banyanshore.http.upstream import BrokenAnswerError
+from banyanshore.routing.events import EventSplitter, EventStreamError
+
+
+class EventRelay:
+    """Relay the events of one request, which several targets may send in turn.
+
+    :param exchange: the caller's :class:`~banyanshore.http.listener.Exchange`.
+    :param dialect: the :class:`~banyanshore.routing.caller_requests.CallerDialect`.
+    :ivar last_event_id: id of the last event that was passed on, or ``None``.
+    :ivar incomplete_bytes: size of the event that the current answer has begun.
+    """
+
+    def __init__(self, exchange, dialect):
+        self.last_event_id = None
+        self.incomplete_bytes = 0
+        self._exchange = exchange
+        self._dialect = dialect
+
+    async def relay(self, answer, event_timeout, on_begun):
+        """Pass on events as they arrive, each one completely, to the end.
+
+        :param answer: the :class:`~banyanshore.http.upstream.UpstreamAnswer`.
+        :param event_timeout: function that returns the seconds until the next event
+            is due.
+        :param on_begun: coroutine function that is called before the first event.
+        :raises BrokenAnswerError: the answer broke off, or its events are invalid.
+        """
+        splitter = EventSplitter(resumed_after=self.last_event_id)
+        try:
+            while data := await answer.receive():
+                has_begun = splitter.has_events
+                events, event_id = splitter.feed(data)
+                self.incomplete_bytes = splitter.incomplete_bytes
+                if events:
+                    if not has_begun:
+                        await on_begun()
+                    await self._send(answer, events, event_id)
+                    answer.record_progress(event_timeout())
+            rest = splitter.finish(answer.framing)
+        except EventStreamError as error:
+            raise BrokenAnswerError(error.message, step="events") from None
+        await self._send(answer, rest, None)
+        await self._exchange.finish()
+
+    async def _send(self, answer, events, event_id):
+        if not self._exchange.started:
+            # A resumed stream has another length than announced in its first answer.
+            headers = [
+                pair
+                for pair in self._dialect.answer_headers(answer)
+                if pair[0] != b"content-length"
+            ]
+            await self._exchange.start(answer.status, headers)
+        await self._exchange.send(events)
+        if event_id is not None:
+            self.last_event_id = event_id
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -8,7 +8,7 @@
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import UnavailableError
-from banyanshore.core.framing import Framing
+from banyanshore.gateway.event_relay import EventRelay
 from banyanshore.gateway.suspects import OfferInFlight
 from banyanshore.http.upstream import (
     CONNECT_TIMEOUT,
@@ -21,9 +21,6 @@
 from banyanshore.routing.board import NoChoice, TargetRequirements
 from banyanshore.routing.caller_requests import Offer
 from banyanshore.routing.events import (
-    EventSplitter,
-    OversizedEventError,
-    RepeatedEventError,
     is_event_stream,
 )
 from banyanshore.routing.part_evidence import shared_part_digests
@@ -67,17 +64,15 @@
         self._attempts = Attempts(route.may_repeat, max(1, route.max_attempts))
         self._is_offered = False
         self._failure = None
-        self._last_event_id = None
+        self._events = EventRelay(exchange, gateway.dialect)
         self._version = 0
         self._target = ""
         self._address = ""
         self._load = 0
-        self._first_byte_at = None
         # The offer in flight, or ``None``.
         self._offer_in_flight = None
-        # The answer to the current offer, and the size of the event that is incomplete.
+        # The answer to the current offer, or ``None``.
         self._answer = None
-        self._incomplete_event_bytes = 0
 
     @property
     def _seconds_left(self):
@@ -103,7 +98,7 @@
             if outcome is None:
                 return
             step = self._attempts.next_step(outcome, self._try_retry)
-            if outcome is Outcome.BROKEN_OFF and self._last_event_id is None:
+            if outcome is Outcome.BROKEN_OFF and self._events.last_event_id is None:
                 step = Step.BREAK_OFF
             if step is not Step.OFFER:
                 if self._exchange.started:
@@ -167,7 +162,7 @@
         self._target = row.id
         self._address = row.address
         self._answer = None
-        self._incomplete_event_bytes = 0
+        self._events.incomplete_bytes = 0
         self._load = board.load(row.address).estimated_in_flight(now)
         if not self._exchange.started:
             self._version = choice.model_version
@@ -176,7 +171,7 @@
             self._screened.workspace.name,
             self._seconds_left,
             choice.model_version,
-            self._last_event_id,
+            self._events.last_event_id,
         )
         request = self._gateway.dialect.build(self._request, self._body, offer)
         await self._gateway.announce_placement(now, row, self._screened)
@@ -349,50 +344,20 @@
         return content_type is None or is_event_stream(content_type)
 
     async def _relay_events(self, answer):
-        """Relay events as they arrive, each one completely.
+        """Relay events as they arrive.
 
-        :raises BrokenAnswerError: the answer ended before its end was framed, inside an
-            event, or, without framing, before its first event.
+        :raises BrokenAnswerError: the answer broke off, or its events are invalid.
         """
-        splitter = EventSplitter(resumed_after=self._last_event_id)
-        has_events = False
-        while data := await answer.receive():
-            try:
-                events, event_id = splitter.feed(data)
-            except (OversizedEventError, RepeatedEventError) as error:
-                raise BrokenAnswerError(error.message, step="events") from None
-            self._incomplete_event_bytes = splitter.incomplete_bytes
-            if events:
-                if not has_events:
-                    has_events = True
-                    await self._gateway.suspects.record_begun(self._offer_in_flight)
-                await self._send_events(answer, events, event_id)
-                answer.record_progress(self._event_timeout())
-        if splitter.is_inside_event:
-            raise BrokenAnswerError("ended inside an event", step="events")
-        if not has_events and answer.framing is Framing.CLOSE:
-            raise BrokenAnswerError("ended before the first event", step="events")
-        await self._send_events(answer, splitter.take_rest(), None)
-        await self._exchange.finish()
+        offer = self._offer_in_flight
+        await self._events.relay(
+            answer,
+            self._event_timeout,
+            lambda: self._gateway.suspects.record_begun(offer),
+        )
         self._log_end("answered", answer.status, **self._body_details())
         return None
 
-    async def _send_events(self, answer, events, event_id):
-        if not self._exchange.started:
-            self._first_byte_at = time.monotonic()
-            # A resumed stream has another length than announced in its first answer.
-            headers = [
-                pair
-                for pair in self._gateway.dialect.answer_headers(answer)
-                if pair[0] != b"content-length"
-            ]
-            await self._exchange.start(answer.status, headers)
-        await self._exchange.send(events)
-        if event_id is not None:
-            self._last_event_id = event_id
-
     async def _respond(self, status, headers, body):
-        self._first_byte_at = time.monotonic()
         headers = [pair for pair in headers if pair[0] != b"content-length"]
         await self._exchange.respond(status, headers, body)
 
@@ -471,7 +436,7 @@
             return {}
         return {
             "framing": framing.value,
-            "incomplete_event_bytes": self._incomplete_event_bytes,
+            "incomplete_event_bytes": self._events.incomplete_bytes,
         }
 
     def _outdated_details(self):
@@ -487,8 +452,8 @@
         gateway = self._gateway
         first = (
             None
-            if self._first_byte_at is None
-            else self._first_byte_at - self._arrived_at
+            if self._exchange.started_at is None
+            else self._exchange.started_at - self._arrived_at
         )
         gateway.metrics.record_request(
             self._screened.service, outcome, first, now - self._arrived_at
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import time
 from dataclasses import dataclass
 
 import anyio
@@ -67,6 +68,7 @@
     :ivar method: method as bytes.
     :ivar target: path and query as bytes, as received.
     :ivar headers: pairs of bytes, names in lower case.
+    :ivar started_at: monotonic time at which the answer was begun, or ``None``.
     """
 
     def __init__(self, connection, request):
@@ -74,6 +76,7 @@
         self.target = bytes(request.target)
         self.headers = [(bytes(name), bytes(value)) for name, value in request.headers]
         self.started = False
+        self.started_at = None
         self.finished = False
         self._connection = connection
 
@@ -111,6 +114,7 @@
     async def start(self, status, headers):
         """Send the status and headers."""
         self.started = True
+        self.started_at = time.monotonic()
         await self._connection.send_head(status, list(headers))
 
     async def send(self, data):
--- a/banyanshore/routing/events.py
+++ b/banyanshore/routing/events.py
@@ -7,6 +7,7 @@
 import re
 
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.framing import Framing
 
 _EVENT_STREAM = "text/event-stream"
 # Largest event that is buffered until it is complete, in bytes; typical events have
@@ -27,23 +28,33 @@
     return content_type.partition(";")[0].strip().lower() == _EVENT_STREAM
 
 
-class OversizedEventError(BanyanshoreError):
+class EventStreamError(BanyanshoreError):
+    """Base class of errors of a target's stream of events."""
+
+
+class OversizedEventError(EventStreamError):
     """Raised when an event exceeds the maximum size."""
 
 
-class RepeatedEventError(BanyanshoreError):
+class RepeatedEventError(EventStreamError):
     """Raised when a resumed answer repeats an event."""
 
 
+class IncompleteStreamError(EventStreamError):
+    """Raised when an answer has ended before its events were complete."""
+
+
 class EventSplitter:
     """Split the bytes of one answer into complete events.
 
     :param max_event_bytes: largest event that is buffered.
     :param resumed_after: id of the last event before this answer, if it resumes a
         stream, else ``None``.
+    :ivar has_events: whether any event was complete.
     """
 
     def __init__(self, max_event_bytes=MAX_EVENT_BYTES, resumed_after=None):
+        self.has_events = False
         self._rest = bytearray()
         self._resumed_after = resumed_after
         self._max_event_bytes = max_event_bytes
@@ -89,6 +100,7 @@
         complete = bytes(self._rest[:end])
         del self._rest[:end]
         self._check_first_id(complete)
+        self.has_events = self.has_events or bool(complete)
         if len(self._rest) > self._max_event_bytes:
             raise OversizedEventError(
                 f"an event of more than {self._max_event_bytes} bytes", step="events"
@@ -105,6 +117,23 @@
                 f"event {first_id} again after event {after}", step="events"
             )
 
+    def finish(self, framing):
+        """Return what follows the last event of a complete answer, as comments.
+
+        :param framing: the :class:`~banyanshore.core.framing.Framing` of the answer.
+        :raises IncompleteStreamError: the answer has ended inside an event, or, if its
+            end is that of its connection, before its first event.
+
+        >>> splitter = EventSplitter()
+        >>> splitter.feed(b"data: a\\n\\n: end\\n"), splitter.finish(Framing.CHUNKED)
+        ((b'data: a\\n\\n', None), b': end\\n')
+        """
+        if self.is_inside_event:
+            raise IncompleteStreamError("ended inside an event", step="events")
+        if not self.has_events and framing is Framing.CLOSE:
+            raise IncompleteStreamError("ended before the first event", step="events")
+        return self.take_rest()
+
     def take_rest(self):
         """Return and clear the bytes of the incomplete event."""
         rest = bytes(self._rest)
