--- a/tests/gateway/crashing.py
+++ b/tests/gateway/crashing.py
@@ -1,30 +1,16 @@
 """Gateways in this process in front of targets that a request can crash."""
 
 import contextlib
-import itertools
 import socket
 import time
 from dataclasses import dataclass
 
 import anyio
 
-from banyanshore.conf.loader import parse_settings
-from banyanshore.core.clock import boottime_now
-from banyanshore.gateway.process import Gateway
-from banyanshore.http.listener import Listener
 from banyanshore.membership.registry import TargetRow
-from banyanshore.platform.caller_dialect import PlatformDialect
-from banyanshore.state import Fence, PublishedState
-from banyanshore.state.document import to_json
-from banyanshore.transport import serve_peers
-from tests.gateway.deployment import (
-    COMPLETE,
-    SETTINGS,
-    ask,
-    make_document,
-    make_request,
-)
-from tests.http.raw import reset, running_listener
+from tests.gateway.deployment import COMPLETE, make_request
+from tests.gateway.fleet import GatewayFleet
+from tests.http.raw import reset
 from tests.ports import free_ports
 
 # Part of a prompt that crashes targets.
@@ -158,86 +144,27 @@
         return False
 
 
-class CrashingFleet:
+class CrashingFleet(GatewayFleet):
     """Gateways and targets, and the requests that reached the targets.
 
     :ivar arrivals: the :class:`Arrival` rows so far.
-    :ivar statuses: statuses of the answers to callers so far.
     :ivar survival_seconds_by_arrival: processing times of the arrivals of the poisoned
         request that are answered instead, by their number from 0.
     """
 
     def __init__(self, stack, tasks, route):
+        super().__init__(stack, tasks, route)
         self.arrivals = []
         self.work_seconds = 0.05
         self.poison_seconds = 0.0
         self.crashes = 0
         self.silent_streams = []
         self.survival_seconds_by_arrival = {}
-        self.gateways = []
-        self.caller_addresses = []
-        self.statuses = []
-        self._rows_by_number = {}
-        self._stack = stack
-        self._tasks = tasks
-        self._route = route
-
-    def register(self, row):
-        """Register a target at all gateways, as control does."""
-        number = int(row.id.split("-")[1])
-        self._rows_by_number[number] = row
-        for gateway in self.gateways:
-            gateway.registry.record(time.monotonic(), row)
 
     def poison_arrivals(self):
         """Return the arrivals of the poisoned request."""
         return [arrival for arrival in self.arrivals if arrival.is_poison]
 
-    async def add_gateway(self):
-        """Start a gateway that knows all targets and gateways."""
-        number = len(self.gateways)
-        (peers_port,) = free_ports(1)
-        tasks = self._tasks
-        settings = {
-            **SETTINGS,
-            "instance": f"edge-{number}",
-            "peers_bind": f"127.0.0.1:{peers_port}",
-        }
-        gateway = Gateway(parse_settings(settings), PlatformDialect(), None)
-        document = make_document(**self._route)
-        document["services"]["t"] = {"kind": "direct"}
-        gateway.state.apply(PublishedState(1, Fence(1, 1), to_json(document)))
-        gateway.feed.lease.confirmed_at = boottime_now() + 1000
-        for row in self._rows_by_number.values():
-            gateway.registry.record(time.monotonic(), row)
-        self.gateways.append(gateway)
-        for one, other in itertools.product(self.gateways, self.gateways):
-            one.registry.record(time.monotonic(), other._member())
-        for known in self.gateways:
-            known.updates.refresh()
-        await tasks.start(
-            serve_peers,
-            gateway.settings.peers_bind,
-            gateway,
-            gateway.settings.instance,
-            gateway.link_options,
-        )
-        tasks.start_soon(gateway.link_options.ticker.run)
-        tasks.start_soon(gateway.updates.run, gateway.link_options, gateway)
-        tasks.start_soon(gateway.suspects.run)
-        gateway.caller_listener = Listener(gateway._handle, gateway._limits)
-        self.caller_addresses.append(
-            await self._stack.enter_async_context(
-                running_listener(gateway.caller_listener)
-            )
-        )
-
-    async def send(self, request, gateway_number):
-        """Send a request to a gateway, and ignore connection errors."""
-        with contextlib.suppress(OSError, TimeoutError):
-            status, _ = await ask(self.caller_addresses[gateway_number], request)
-            self.statuses.append(status)
-
     async def send_repeatedly(self, request, times, gap_seconds):
         """Send a request repeatedly, to one gateway after the other."""
         async with anyio.create_task_group() as tasks:
