Keep to the request rates that targets name in their answers

Callers noticed nothing, but a target in need that had named 1.1 requests a second got 22 in 4 s (12 allowed), as it had before it named a limit.

Cause: nothing read the header Server-Limit. Class of fault: a bound that all gateways together must keep, which no one enforces as a sum.

Change: routing/request_limits.py keeps what targets state and orders statements of answers that cross; routing/permits.py issues permits from one token bucket for each target, at the hub of the target's data centre that rendezvous hashing picks; the board passes targets without room by, and checks the permit again just before a request is sent, for first offers, retries and resumed streams. Gateways tell each other of limits over the hubs, which repeat those in force. Logs and metrics tell of limits, permits, their age and the tokens that decided.

Ruled out: that gateways applied the limit each alone, or that retries passed it by (the rate did not change when the limit was named; all requests had one offer).

--- a/banyanshore/gateway/news.py
+++ b/banyanshore/gateway/news.py
@@ -19,6 +19,7 @@
 from banyanshore.membership.load_reports import (
     BegunAnswersReport,
     CrashNotice,
+    LimitNotice,
     LoadReport,
     PartNotice,
     PlacementNotice,
@@ -26,6 +27,7 @@
     UnbegunLossNotice,
     UpdateBatch,
 )
+from banyanshore.membership.rendezvous import first
 from banyanshore.transport import LinkPool, notify_all_or_drop
 
 logger = logging.getLogger(__name__)
@@ -43,14 +45,19 @@
         updates on loads.
     :param suspects: the :class:`~banyanshore.gateway.suspects.Suspects` that receives
         updates on crashes.
+    :param limits: the :class:`~banyanshore.gateway.request_limits.LimitExchange` that
+        receives updates on limits.
     """
 
-    def __init__(self, member, registry, board, suspects):
+    def __init__(self, member, registry, board, suspects, limits):
         self._member = member
         self._registry = registry
         self._board = board
         self._suspects = suspects
+        self._limits = limits
         self._links = None
+        # Addresses of hubs that this gateway has asked for permits.
+        self._requested_addresses = set()
         self._filter = DuplicateFilter(member.instance)
         self._numbering = PlacementNumbering(member.instance, member.incarnation)
         # Updates to forward in this data centre, and those to send to others too.
@@ -84,6 +91,13 @@
             for _, hubs in self._other_hubs():
                 recipients += hubs
             peers.update((row.address, row.instance) for row in recipients)
+        hubs = [row for rows in self._hubs_by_data_centre.values() for row in rows]
+        self._requested_addresses &= {row.address for row in hubs}
+        peers.update(
+            (row.address, row.instance)
+            for row in hubs
+            if row.address in self._requested_addresses
+        )
         self._links.keep_only(peers.keys())
         # Updates are dropped while a link opens, so links open before the first update.
         for address, instance in peers.items():
@@ -169,6 +183,26 @@
     def _apply_part_notice(self, now, notice):
         return self._suspects.parts.record_part_notice(notice)
 
+    def _apply_limit(self, now, notice):
+        return self._limits.record_notice(notice)
+
+    def find_owner(self, row):
+        """Return the row of the gateway that issues the permits for a target.
+
+        It is a hub of the target's data centre: a partition that cuts gateways off from
+        it cuts them off from the target as well.
+
+        :return: ``None`` if no gateway is known.
+        """
+        hubs = hubs_for(row.data_centre, self._hubs_by_data_centre)
+        by_instance = {hub.instance: hub for hub in hubs}
+        return by_instance.get(first(row.id, by_instance))
+
+    def open_link(self, row):
+        """Return the link to a hub, which is kept open as long as it is a hub."""
+        self._requested_addresses.add(row.address)
+        return self._links.get(row.address, row.instance)
+
     async def run(self, links_options, handler):
         """Forward the gathered updates until cancelled.
 
@@ -212,6 +246,7 @@
         addresses = {row.address for row in self._registry.targets.rows()}
         self._filter.keep_only(senders, addresses)
         self._suspects.parts.forget_departed(senders)
+        self._limits.forget_departed(time.monotonic())
 
 
 _APPLY_BY_TYPE = {
@@ -222,4 +257,5 @@
     UnbegunLossNotice: UpdateExchange._apply_unbegun_loss,
     BegunAnswersReport: UpdateExchange._apply_begun_report,
     PartNotice: UpdateExchange._apply_part_notice,
+    LimitNotice: UpdateExchange._apply_limit,
 }
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -11,6 +11,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.gateway.news import UpdateExchange
 from banyanshore.gateway.relay import WeightsRelay
+from banyanshore.gateway.request_limits import LimitExchange
 from banyanshore.gateway.run import RequestRun
 from banyanshore.gateway.screening import Rejection, Screening
 from banyanshore.gateway.suspected_parts import SuspectedParts
@@ -23,6 +24,7 @@
 from banyanshore.membership.load_reports import (
     BegunAnswersReport,
     CrashNotice,
+    LimitNotice,
     LoadReport,
     PartNotice,
     PlacementNotice,
@@ -30,9 +32,11 @@
     UnbegunLossNotice,
     UpdateBatch,
 )
+from banyanshore.membership.permits import PermitRequest
 from banyanshore.routing.board import TargetBoard
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.notices import TargetNotices
+from banyanshore.routing.request_limits import RequestLimits
 from banyanshore.routing.retry_after import Reason, retry_after_seconds
 from banyanshore.routing.roster import GatewayRoster
 from banyanshore.routing.shares import ColdShares, RetryShare
@@ -92,6 +96,7 @@
             ColdShares(settings.instance, cold_start.overage, cold_start.margin),
             self._random,
             TargetNotices(settings.max_target_pause_seconds),
+            RequestLimits(),
         )
         self.link_options = LinkOptions.from_settings(settings.transport)
         member = self._member()
@@ -108,7 +113,13 @@
         self.feed.on_confirmed.append(self._on_confirmed)
         parts = SuspectedParts(member, self.metrics)
         self.suspects = Suspects(self.registry, self.metrics, parts)
-        self.updates = UpdateExchange(member, self.registry, self.board, self.suspects)
+        self.limits = LimitExchange(
+            member, self.registry, self.board.limits, self.metrics
+        )
+        self.updates = UpdateExchange(
+            member, self.registry, self.board, self.suspects, self.limits
+        )
+        self.limits.updates = self.updates
         self.suspects.send = self.updates.send
         self.suspects.forward_again = self.updates.forward_again
         parts.send = self.updates.send
@@ -141,6 +152,7 @@
             await tasks.start(self.readiness_listener.serve, self.settings.ready_bind)
             tasks.start_soon(self._upkeep)
             tasks.start_soon(self.suspects.run)
+            tasks.start_soon(self.limits.run)
             tasks.start_soon(self.relay.run)
             tasks.start_soon(self.updates.run, self.link_options, self)
             self._follow(tasks, GATEWAY_ROLE)
@@ -310,6 +322,9 @@
     async def _on_manifest(self, body, responder):
         await self.relay.on_manifest(body, responder)
 
+    async def _on_permit_request(self, body, responder):
+        await self.limits.on_permit_request(body, responder)
+
     async def _on_have(self, connection, update):
         await self.relay.on_have(connection, update)
 
@@ -321,6 +336,7 @@
             ChunkPush: _on_push,
             ChunkRequest: _on_chunk_request,
             ManifestRequest: _on_manifest,
+            PermitRequest: _on_permit_request,
         }
     )
     notice_by_type = MappingProxyType(
@@ -335,6 +351,7 @@
             UnbegunLossNotice: _on_update,
             BegunAnswersReport: _on_update,
             PartNotice: _on_update,
+            LimitNotice: _on_update,
         }
     )
 
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -24,6 +24,7 @@
     is_event_stream,
 )
 from banyanshore.routing.part_evidence import shared_part_digests
+from banyanshore.routing.request_limits import UNLIMITED
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.timeouts import event_timeout, head_timeout
 from banyanshore.state.routes import RouteKind
@@ -71,6 +72,8 @@
         self._load = 0
         # The offer in flight, or ``None``.
         self._offer_in_flight = None
+        # The permit for a target with a limit, or ``None``.
+        self._permit = None
         # The answer to the current offer, or ``None``.
         self._answer = None
 
@@ -94,6 +97,8 @@
                 step = Step.BREAK_OFF if started else self._attempts.refusal()
                 await self._end(step, choice.reason, choice)
                 return
+            if not await self._acquire_permit(choice.row):
+                continue
             outcome = await self._offer(choice)
             if outcome is None:
                 return
@@ -124,6 +129,17 @@
             gateway.padded_names(names),
         )
 
+    async def _acquire_permit(self, row):
+        """Return whether a request may be sent to a target within its limit."""
+        gateway = self._gateway
+        self._permit = None
+        if not gateway.board.limits.is_limited(row):
+            return True
+        request_id = self._request.request_id
+        self._permit = await gateway.limits.acquire(row, request_id)
+        # The limit may have ended meanwhile.
+        return self._permit is not None or not gateway.board.limits.is_limited(row)
+
     def _requirements(self, now):
         model = self._request.model
         versions = self._gateway.versions
@@ -146,7 +162,12 @@
             return False
         now = time.monotonic()
         return gateway.board.may_send(
-            now, choice, self._requirements(now), gateway.state.desired
+            now,
+            boottime_now(),
+            choice,
+            self._requirements(now),
+            gateway.state.desired,
+            self._permit,
         )
 
     def _try_retry(self):
@@ -236,7 +257,7 @@
                 self._gateway.suspects.record_head(offer_in_flight)
                 load = self._gateway.board.load(row.address)
                 load.record_first_byte(time.monotonic(), offer_in_flight.offered_at)
-                self._record_notice(row, answer)
+                await self._record_notice(row, answer, offer_in_flight.offered_at)
                 return await self._process_answer(answer)
         except UnavailableError as error:
             self._is_offered = False
@@ -292,7 +313,7 @@
         elif outcome is None:
             self._gateway.board.record_success(row)
 
-    def _record_notice(self, row, answer):
+    async def _record_notice(self, row, answer, offered_at):
         """Record a target's notice about itself in the head of its answer."""
         dialect = self._gateway.dialect
         if not dialect.has_matching_request_id(answer, self._request):
@@ -312,6 +333,26 @@
             until = notices.paused_until(row)
             seconds = None if until == math.inf else round(until - now, 2)
             self._log("target left alone", why=reason, for_seconds=seconds)
+        await self._record_limit(row, answer, notice, offered_at)
+
+    async def _record_limit(self, row, answer, notice, offered_at):
+        if notice.invalid_limit is not None:
+            self._gateway.metrics.limits.labels("unreadable").inc()
+            self._log(
+                "limit is no number", why=notice.invalid_limit[:MAX_LOGGED_CHARACTERS]
+            )
+        per_second = notice.per_second
+        # Only a whole answer to this request shows that a limit has ended.
+        if per_second == UNLIMITED and not self._is_success(answer):
+            return
+        if per_second is not None:
+            await self._gateway.limits.record_answer(
+                row, per_second, offered_at, self._request.request_id
+            )
+
+    def _is_success(self, answer):
+        is_answer = self._gateway.dialect.is_answer_to(answer, self._request)
+        return is_answer and 200 <= answer.status < 300
 
     async def _process_answer(self, answer):
         """Relay an answer; return the outcome if it isn't one for the caller."""
--- a/banyanshore/membership/hubs.py
+++ b/banyanshore/membership/hubs.py
@@ -17,6 +17,7 @@
 from banyanshore.membership.load_reports import (
     BegunAnswersReport,
     CrashNotice,
+    LimitNotice,
     LoadReport,
     PartNotice,
     PlacementNotice,
@@ -192,6 +193,7 @@
     UnbegunLossNotice: DuplicateFilter._is_always_new,
     BegunAnswersReport: DuplicateFilter._is_new_begun_report,
     PartNotice: DuplicateFilter._is_always_new,
+    LimitNotice: DuplicateFilter._is_always_new,
 }
 
 
--- a/banyanshore/membership/load_reports.py
+++ b/banyanshore/membership/load_reports.py
@@ -148,13 +148,32 @@
     base_rate: float = 0.0
 
 
+@message(120)
+class LimitNotice:
+    """Notify other gateways of the limit that a target states.
+
+    :param target: id of the target.
+    :param incarnation: incarnation of the target.
+    :param per_second: requests per second that it takes from all gateways, ``inf`` if
+        it has no limit any more.
+    :param offered_seconds_ago: time since the answered request was offered.
+    :param stated_seconds_ago: time since the head of its answer arrived.
+    """
+
+    target: str
+    incarnation: int
+    per_second: float
+    offered_seconds_ago: float
+    stated_seconds_ago: float
+
+
 @message(115)
 class UpdateBatch:
     """Carry a batch of updates.
 
     :param items: :class:`LoadReport`, :class:`PlacementNotice`, :class:`CrashNotice`,
         :class:`TargetAnswered`, :class:`UnbegunLossNotice`,
-        :class:`BegunAnswersReport` and :class:`PartNotice`.
+        :class:`BegunAnswersReport`, :class:`PartNotice` and :class:`LimitNotice`.
     :param is_for_hub: whether the receiver forwards the items in its data centre.
     """
 
--- a/banyanshore/platform/caller_dialect.py
+++ b/banyanshore/platform/caller_dialect.py
@@ -1,6 +1,7 @@
 """Translate callers' requests and targets' answers from and to the platform's HTTP."""
 
 import math
+import re
 
 from banyanshore.http.listener import RequestError
 from banyanshore.http.upstream import OutgoingRequest
@@ -30,6 +31,11 @@
 # With status 503: seconds for which this gateway must not send requests to the target.
 _RETRY_AFTER = b"retry-after"
 _UNAVAILABLE = 503
+# Requests per second that the target takes from all gateways together.
+_LIMIT = b"server-limit"
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+", re.ASCII)
+# Longest text of a limit that is read, in characters.
+_MAX_LIMIT_CHARACTERS = 32
 # Status of a target that is not the expected one, or has another model version.
 _MISDIRECTED = 421
 
@@ -110,13 +116,11 @@
             # The answer comes from another target.
             return TargetNotice()
         is_leaving = answer.get_header(_LEAVING, "0").strip() != "0"
-        text = answer.get_header(_RETRY_AFTER)
-        if text is None or answer.status != _UNAVAILABLE:
-            return TargetNotice(is_leaving)
-        seconds = _parse_seconds(text)
-        if seconds is None:
-            return TargetNotice(is_leaving, invalid_pause=text)
-        return TargetNotice(is_leaving, seconds)
+        pause_seconds, invalid_pause = _parse_pause(answer)
+        per_second, invalid_limit = _parse_limits(answer)
+        return TargetNotice(
+            is_leaving, pause_seconds, invalid_pause, per_second, invalid_limit
+        )
 
     def is_answer_to(self, answer, request):
         """Return whether an answer is one to this request."""
@@ -155,6 +159,36 @@
     return seconds if 0 <= seconds < math.inf else math.inf
 
 
+def _parse_pause(answer):
+    """Return the seconds of a pause, 0 for none, and the text of an invalid one."""
+    text = answer.get_header(_RETRY_AFTER)
+    if text is None or answer.status != _UNAVAILABLE:
+        return 0.0, ""
+    seconds = _parse_seconds(text)
+    return (0.0, text) if seconds is None else (seconds, "")
+
+
+def _parse_limits(answer):
+    """Return the lowest limit that an answer states, and the text of an invalid one.
+
+    The limit is ``inf`` without the header, ``None`` if all are invalid. The text is
+    ``None`` if all are valid.
+    """
+    fields = [
+        value.decode("latin-1") for name, value in answer.headers if name == _LIMIT
+    ]
+    texts = [text.strip() for field in fields for text in field.split(",")]
+    if not texts:
+        return math.inf, None
+    valid = [text for text in texts if _is_limit(text)]
+    invalid = next((text for text in texts if not _is_limit(text)), None)
+    return min(map(float, valid), default=None), invalid
+
+
+def _is_limit(text):
+    return len(text) <= _MAX_LIMIT_CHARACTERS and _DECIMAL.fullmatch(text) is not None
+
+
 def _parse_seconds(value):
     """Return finite seconds of 0 or more, or ``None`` if the text is invalid."""
     try:
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -17,6 +17,7 @@
 from banyanshore.membership.registry import TargetState
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.notices import TargetNotices
+from banyanshore.routing.request_limits import RequestLimits
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.shares import USED_PART
 from banyanshore.routing.target_load import TargetLoad
@@ -73,7 +74,7 @@
     """The reason why no target can be selected.
 
     :param available_in: seconds until the first target accepts requests again, if all
-        have asked for a pause.
+        have asked for a pause or are at their limits.
     """
 
     reason: Reason
@@ -123,10 +124,12 @@
     :param cold_shares: the :class:`~banyanshore.routing.shares.ColdShares`.
     :param rng: source of the noise.
     :param notices: the :class:`~banyanshore.routing.notices.TargetNotices`.
+    :param limits: the :class:`~banyanshore.routing.request_limits.RequestLimits`.
     """
 
-    def __init__(self, settings, table, cold_shares, rng, notices=None):
+    def __init__(self, settings, table, cold_shares, rng, notices=None, limits=None):
         self.notices = notices or TargetNotices()
+        self.limits = limits or RequestLimits()
         self._settings = settings
         self._table = table
         self._cold_shares = cold_shares
@@ -269,19 +272,27 @@
         ]
         if not eligible:
             return NoChoice(Reason.COLD)
+        within_limit = [k for k in eligible if self.limits.may_request(now, k.row)]
+        if not within_limit:
+            room_at = self.limits.first_room_at([k.row for k in eligible])
+            return NoChoice(Reason.TARGETS_LIMITED, room_at - now)
         engine = service.get("engine")
         model = EngineModel.from_row(engine) if engine else None
         best = min(
-            eligible,
+            within_limit,
             key=lambda candidate: self._estimated_start_seconds(now, candidate, model),
         )
         return Choice(best.row, self.version_at(best.row) if requirements.model else 0)
 
-    def may_send(self, now, choice, requirements, desired):
+    def may_send(self, now, boottime, choice, requirements, desired, permit):
         """Return whether a choice is still valid, just before the request is sent.
 
         Load pattern: while a connection takes long to open, or this process was
-        stalled, targets leave, ask for a pause or are taken out of service.
+        stalled, targets leave, ask for a pause, name a limit or are taken out of
+        service.
+
+        :param permit: the :class:`~banyanshore.routing.permits.Permit` of the request,
+            or ``None``.
         """
         row = choice.row
         known = self._table.by_key.get(row.id)
@@ -291,7 +302,12 @@
         version = choice.model_version
         oldest = self._oldest_version(now, row, requirements)
         is_allowed = not version or version >= oldest
-        return is_in_service and is_allowed and self.notices.accepts_requests(now, row)
+        return (
+            is_in_service
+            and is_allowed
+            and self.notices.accepts_requests(now, row)
+            and self.limits.may_send(boottime, row, permit)
+        )
 
     def _no_choice_while_paused(self, now, serving):
         resumes_at = self.notices.first_pause_end(
--- a/banyanshore/routing/notices.py
+++ b/banyanshore/routing/notices.py
@@ -31,11 +31,16 @@
     :param is_leaving: whether the target takes no more requests.
     :param pause_seconds: seconds for which it asks to get no requests, 0 for none.
     :param invalid_pause: text of an invalid pause, as received.
+    :param per_second: requests per second that it takes from all gateways together,
+        ``inf`` for any number, ``None`` if the answer doesn't tell.
+    :param invalid_limit: text of an invalid limit, as received, or ``None``.
     """
 
     is_leaving: bool = False
     pause_seconds: float = 0.0
     invalid_pause: str = ""
+    per_second: float | None = None
+    invalid_limit: str | None = None
 
 
 @dataclass(frozen=True)
--- a/banyanshore/routing/retry_after.py
+++ b/banyanshore/routing/retry_after.py
@@ -30,6 +30,7 @@
     LEAVING = "leaving"
     CRASHES_TARGETS = "crashes-targets"
     TARGETS_PAUSED = "targets-asked-for-time"
+    TARGETS_LIMITED = "targets-limited"
 
 
 @dataclass(frozen=True)
@@ -59,6 +60,8 @@
         Reason.LEAVING: Span(0.02, 0.1),
         # Added to the time at which the first pause ends, which all callers get.
         Reason.TARGETS_PAUSED: Span(0.0, 1.0),
+        # Added to the time at which the first target has room within its limit.
+        Reason.TARGETS_LIMITED: Span(0.0, 1.0),
         # The first refusal period of a request that crashes targets.
         Reason.CRASHES_TARGETS: Span(60.0, 60.0),
     }
--- a/banyanshore/telemetry/gateway.py
+++ b/banyanshore/telemetry/gateway.py
@@ -27,6 +27,16 @@
             "Targets that began to be left alone since an answer said so, by reason.",
             ["reason"],
         )
+        self.limits = self.registry.counter(
+            "banyanshore_gateway_request_limits",
+            "Changes of the limits that targets name, by how they were learned.",
+            ["change"],
+        )
+        self.permits = self.registry.counter(
+            "banyanshore_gateway_permit_requests",
+            "Requests for permits to send to limited targets, by outcome.",
+            ["outcome"],
+        )
         self.lost_answers = self.registry.counter(
             "banyanshore_gateway_lost_answers",
             "Answers lost with their connection, by what was found out of them.",
--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -233,6 +233,7 @@
     """The head of an answer without a notice."""
 
     status = 200
+    headers = ()
 
     def get_header(self, name, default=None):
         return default
