Take only requests that can be answered before a planned stop ends

Callers of a gateway that was stopped in calm got no answer: requests taken up to 2.6 s after the stop began could last until their route's timeout, 6 s, and were cut after 7.2 s of a grace of 8 s, among them requests that may not be repeated. With a shorter grace than 2.6 s all that ran at its end were cut.

Cause: the time until which requests are taken was a constant, and the deadlines of those that run were not bound to the end of the process. Class of fault: work is accepted without a look at the time that is left for it.

Change: core/stopping.py decides by the grace and the request's own time; requests that could outlast 0.85 of the grace are refused as not run, with a time to come back that sends the caller elsewhere; those that run get this time as their deadline, and then an honest failure. _refuses_after is now StopPlan.refuses_at; the test that set it sets that.

Ruled out: that only slow targets are concerned (0.2 s of work was cut, too, at a grace of 1.5 s).

--- a/banyanshore/conf/registered.py
+++ b/banyanshore/conf/registered.py
@@ -12,6 +12,9 @@
 # Fraction of a deployment's time bound after which a process acts, so that work in
 # progress at that time still completes within the bound.
 BOUND_FRACTION = 0.9
+# Fraction of the grace period after which a stopping process has answered its requests;
+# the answers are written before it ends.
+ANSWER_FRACTION = 0.85
 # Heartbeat intervals without a heartbeat after which a target is dropped; several,
 # since single heartbeats arrive seconds late.
 EXPIRY_INTERVALS = 5
@@ -156,6 +159,11 @@
         """Return the seconds after which no request may start on older versions."""
         return self.version_bound_ms / 1000
 
+    @property
+    def stop_answer_seconds(self):
+        """Return the seconds after which a stopping gateway has answered all."""
+        return ANSWER_FRACTION * self.grace_seconds
+
     @property
     def stop_timeout(self):
         """Return the longest time in seconds that a planned stop waits for requests."""
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -1,7 +1,6 @@
 """The gateway process: a reverse proxy from callers to registered targets."""
 
 import logging
-import math
 import random
 import time
 from types import MappingProxyType
@@ -9,10 +8,11 @@
 import anyio
 
 from banyanshore.core.clock import boottime_now
+from banyanshore.core.stopping import NOT_STOPPING, StopPlan
 from banyanshore.gateway.news import UpdateExchange
 from banyanshore.gateway.relay import WeightsRelay
 from banyanshore.gateway.request_limits import LimitExchange
-from banyanshore.gateway.run import RequestRun
+from banyanshore.gateway.run import RequestRun, answer_seconds
 from banyanshore.gateway.screening import Rejection, Screening
 from banyanshore.gateway.suspected_parts import SuspectedParts
 from banyanshore.gateway.suspects import Suspects
@@ -61,6 +61,8 @@
 # Seconds for which a leaving gateway still accepts connections, until callers are no
 # longer sent to it: two readiness checks a second apart, and the network latency.
 LEAVE_SECONDS = 2.6
+# Rejection of a request that this gateway can't answer before it stops.
+LEAVING = Rejection(503, "leaving", Reason.LEAVING)
 # Seconds between clean-ups of state that is no longer needed.
 UPKEEP_INTERVAL = 5.0
 
@@ -86,8 +88,9 @@
         self.withdrawals = Withdrawals(rule, self.newer_known_for)
         self.screening = Screening(settings.key_lease_seconds)
         self.leaving = False
-        # Time after which requests are refused, since the gateway is leaving.
-        self._refuses_after = math.inf
+        self.stop_plan = NOT_STOPPING
+        # The requests that are being processed.
+        self.runs = set()
         cold_start = settings.cold_start
         self._random = random.Random()
         self.board = TargetBoard(
@@ -268,18 +271,16 @@
     async def _handle(self, exchange):
         arrived_at = time.monotonic()
         request = self.dialect.parse(exchange)
-        if arrived_at >= self._refuses_after:
-            # The caller's connection has carried no answer since the stop began, so it
-            # has not been notified that the gateway is leaving.
-            rejection = Rejection(503, "leaving", Reason.LEAVING)
-            await self._reject(exchange, request, rejection)
-            return
-        screened = self.screening.screen(request, self.feed.confirmed_seconds_ago)
+        screened = self._screen(request, arrived_at)
         if isinstance(screened, Rejection):
             await self._reject(exchange, request, screened)
             return
         self.retry_share(screened.service).record_request(arrived_at)
         body = await exchange.read_body()
+        if not self.stop_plan.accepts(arrived_at, answer_seconds(screened)):
+            # The stop began while the body arrived.
+            await self._reject(exchange, request, LEAVING)
+            return
         run = RequestRun(self, exchange, screened, body, arrived_at)
         try:
             ended = await exchange.run_while_connected(run.run)
@@ -288,6 +289,14 @@
         if not ended:
             run.log_caller_left()
 
+    def _screen(self, request, arrived_at):
+        """Return the :class:`Screened` request, or the :class:`Rejection` of it."""
+        screened = self.screening.screen(request, self.feed.confirmed_seconds_ago)
+        if isinstance(screened, Rejection):
+            return screened
+        seconds = answer_seconds(screened)
+        return screened if self.stop_plan.accepts(arrived_at, seconds) else LEAVING
+
     async def _reject(self, exchange, request, rejection):
         retry_after = self.retry_after_seconds(
             rejection.reason, request.caller_timeout_seconds
@@ -366,13 +375,20 @@
         self.leaving = True
         self.caller_listener.leaving = True
         logger.info("stopping", extra={"in_flight": self.caller_listener.active})
-        self._refuses_after = time.monotonic() + LEAVE_SECONDS
-        with anyio.move_on_after(self.settings.stop_timeout):
-            while not force_requested.is_set():
-                is_over = time.monotonic() >= self._refuses_after
-                if is_over and not self.caller_listener.active:
-                    break
-                await anyio.sleep(0.05)
+        now = time.monotonic()
+        settings = self.settings
+        self.stop_plan = StopPlan(
+            now + min(LEAVE_SECONDS, settings.stop_answer_seconds),
+            now + settings.stop_answer_seconds,
+            now + settings.stop_timeout,
+        )
+        for run in self.runs:
+            run.shorten_deadline(self.stop_plan.answers_due_at)
+        while not force_requested.is_set() and now < self.stop_plan.ends_at:
+            if now >= self.stop_plan.refuses_at and not self.caller_listener.active:
+                break
+            await anyio.sleep(min(0.05, self.stop_plan.ends_at - now))
+            now = time.monotonic()
         if self.caller_listener.active:
             logger.error(
                 "requests cut off", extra={"in_flight": self.caller_listener.active}
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -42,6 +42,12 @@
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
+def answer_seconds(screened):
+    """Return the seconds within which a request must be answered."""
+    timeout = screened.route.timeout_seconds
+    return min(screened.request.caller_timeout_seconds, timeout)
+
+
 class RequestRun:
     """One request that this gateway processes.
 
@@ -53,7 +59,6 @@
 
     def __init__(self, gateway, exchange, screened, body, arrived_at):
         route = screened.route
-        timeout = min(screened.request.caller_timeout_seconds, route.timeout_seconds)
         self._gateway = gateway
         self._exchange = exchange
         self._screened = screened
@@ -61,7 +66,9 @@
         self._body = body
         self._parts = shared_part_digests(screened.request)
         self._arrived_at = arrived_at
-        self._deadline = arrived_at + timeout
+        self._deadline = arrived_at + answer_seconds(screened)
+        # Cancels the request at its deadline.
+        self._scope = anyio.CancelScope()
         self._attempts = Attempts(route.may_repeat, max(1, route.max_attempts))
         self._is_offered = False
         self._failure = None
@@ -83,11 +90,23 @@
 
     async def run(self):
         """Answer the request by its deadline."""
+        self.shorten_deadline(self._gateway.stop_plan.answers_due_at)
+        runs = self._gateway.runs
+        runs.add(self)
+        try:
+            with self._scope:
+                await self._offer_until_answered()
+            if self._scope.cancelled_caught:
+                await self._on_deadline()
+        finally:
+            runs.discard(self)
+
+    def shorten_deadline(self, deadline):
+        """Answer the request by a time, if it is before its deadline."""
+        self._deadline = min(self._deadline, deadline)
+        # The clock of anyio is not the monotonic clock on all of its backends.
         seconds = self._seconds_left - DEADLINE_MARGIN
-        with anyio.move_on_after(seconds if seconds < math.inf else None) as scope:
-            await self._offer_until_answered()
-        if scope.cancelled_caught:
-            await self._on_deadline()
+        self._scope.deadline = anyio.current_time() + seconds
 
     async def _offer_until_answered(self):
         while True:
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from banyanshore.core.stopping import StopPlan
 from banyanshore.membership.registry import Departure, MemberRow
 from tests.gateway.deployment import (
     COMPLETE,
@@ -296,7 +297,7 @@
 async def test_leaving_gateway_refuses_late_requests():
     target = Target(COMPLETE)
     async with running_gateway(target) as (gateway, address):
-        gateway._refuses_after = 0.0
+        gateway.stop_plan = StopPlan(refuses_at=0.0)
         status, answer = await ask(address)
     assert status == 503
     assert b"retry-after: " in answer
