Reopen the log of an entry after its disk has failed

Operators of a deployment whose disks were full for some seconds each, one after another, got no patch accepted any more, while all processes ran.

Cause: an entry whose write failed stopped voting until it was restarted, and each one so hit was one vote less; control has reopened its log since an earlier fault, entries never did. Class of fault: a temporary failure of a resource that is taken as final in one of two programs that use the same part.

Change: consensus/log_runner.py runs the log and reopens it, for entries and control alike (control's own loop is moved there). The status document asks for the current member.

Evidence: test_patches_are_accepted_after_all_disks_were_full_in_turn (file size limit of the running process at 0 for 3 s, a patch at a time) fails before, since the first entry stays failed for 15 s after its disk has room, and passes after.

--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from banyanshore.consensus.log_runner import LogRunner
 from banyanshore.consensus.messages import instance_of
 from banyanshore.consensus.node import ConsensusNode
 from banyanshore.consensus.rpc import (
@@ -16,7 +17,6 @@
     ReadRequest,
     VersionRequest,
 )
-from banyanshore.consensus.storage import Storage, StorageError
 from banyanshore.control.feed import FeedServer
 from banyanshore.control.orders import Orders
 from banyanshore.core.clock import boottime_now
@@ -40,8 +40,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Seconds between attempts to reopen the log after a disk failure.
-DISK_RETRY_SECONDS = 0.5
 # Seconds between announcements of this instance to other control instances.
 ANNOUNCE_INTERVAL = 1.0
 # Seconds after which this instance checks by itself that its state is current.
@@ -127,7 +125,7 @@
                 self.settings.control_bind,
                 self.link_options,
             )
-            tasks.start_soon(self._run_log)
+            tasks.start_soon(self._log.run)
             tasks.start_soon(self.link_options.ticker.run)
             tasks.start_soon(self.feed.run)
             tasks.start_soon(self._announce)
@@ -146,7 +144,8 @@
         settings = self.settings
         self.link_options = LinkOptions.from_settings(settings.transport)
         self.links = LinkPool(tasks, self, settings.control_bind, self.link_options)
-        self._open_log()
+        self._log = LogRunner(settings.data_dir, self._make_node, self._use_node)
+        self._on_applied()
         self.client = StateClient(self._log_settings, self.links, self.node, lambda: "")
         self.orders = Orders(self.state, self.client, self.metrics)
         self.feed = FeedServer(
@@ -163,40 +162,25 @@
         """Use the control instances named in changed settings."""
         self.feed.seeds = tuple(settings.seeds)
 
-    def _open_log(self):
-        """Open the log from disk.
+    @property
+    def node(self):
+        """Return the member of the log that runs in this instance."""
+        return self._log.node
 
-        :raises StorageError: the disk can't be read or written.
-        """
+    def _make_node(self, storage):
         self.machine = StateMachine()
-        self.node = ConsensusNode(
+        return ConsensusNode(
             self._log_settings,
-            Storage(self.settings.data_dir),
+            storage,
             self.machine,
             self._send_raft,
             self._on_applied,
             self._find_control_peers,
         )
-        self._on_applied()
-
-    async def _run_log(self):
-        """Run the log; reopen it from disk after the disk has failed."""
-        while True:
-            await self.node.run()
-            logger.error("disk lost", extra={"data_dir": self.settings.data_dir})
-            await self._reopen_log()
-            logger.info("disk regained", extra={"data_dir": self.settings.data_dir})
 
-    async def _reopen_log(self):
-        while True:
-            await anyio.sleep(DISK_RETRY_SECONDS)
-            try:
-                self._open_log()
-            except StorageError as error:
-                logger.warning("disk still unavailable", extra={"why": str(error)})
-                continue
-            self.client.use_node(self.node)
-            return
+    def _use_node(self, node):
+        self._on_applied()
+        self.client.use_node(node)
 
     def _find_control_peers(self):
         """Return the names of the other known control instances."""
--- a/banyanshore/entry/process.py
+++ b/banyanshore/entry/process.py
@@ -6,8 +6,8 @@
 
 import anyio
 
+from banyanshore.consensus.log_runner import LogRunner
 from banyanshore.consensus.node import ConsensusNode
-from banyanshore.consensus.storage import Storage
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.entry.claimed import AnswerRecovery, ClaimedCalls
 from banyanshore.entry.destinations import DestinationChooser
@@ -66,7 +66,8 @@
         self.random = random.Random()
         self.local_orders = LocalOrders(settings.data_centre, settings.data_dir)
         self.selector = Selector(self.targets, self.random)
-        self.node = None
+        # The log of a voter, else ``None``.
+        self.log = None
         self.versions = None
         # Number of running HTTP servers.
         self._running_servers = 0
@@ -87,8 +88,8 @@
                 self.settings.instance,
                 self.link_options,
             )
-            if self.node is not None:
-                tasks.start_soon(self.node.run)
+            if self.log is not None:
+                tasks.start_soon(self.log.run)
             tasks.start_soon(self.link_options.ticker.run)
             tasks.start_soon(self.versions.run)
             tasks.start_soon(self.dissemination.run)
@@ -117,7 +118,7 @@
             self.entries.expects_connection_from,
         )
         if self.own_peer.voter or settings.data_dir:
-            self._build_node()
+            self._open_log()
         self.client = StateClient(
             settings, self.links, self.node, self.entries.leader_hint
         )
@@ -182,15 +183,30 @@
             self.local_orders,
         )
 
-    def _build_node(self):
-        storage = Storage(self.settings.data_dir)
-        machine = StateMachine()
-        self.machine = machine
-        self.node = ConsensusNode(
-            self.settings, storage, machine, self._send_raft, self._on_applied
+    @property
+    def node(self):
+        """Return the member of the log that runs in this instance, or ``None``."""
+        return self.log.node if self.log is not None else None
+
+    def _open_log(self):
+        """Open the log from disk.
+
+        :raises StorageError: the disk can't be read or written.
+        """
+        self.log = LogRunner(self.settings.data_dir, self._make_node, self._use_node)
+        if self.machine.version:
+            self._on_applied()
+
+    def _make_node(self, storage):
+        self.machine = StateMachine()
+        return ConsensusNode(
+            self.settings, storage, self.machine, self._send_raft, self._on_applied
         )
-        if machine.version:
+
+    def _use_node(self, node):
+        if self.machine.version:
             self._on_applied()
+        self.client.use_node(node)
 
     def _build_apis(self):
         reporter = StatusReporter(
@@ -199,7 +215,7 @@
             self.entries,
             self.targets,
             self.proxy,
-            self.node,
+            lambda: self.node,
             self.client,
             self.local_orders,
         )
--- a/banyanshore/entry/status.py
+++ b/banyanshore/entry/status.py
@@ -6,32 +6,33 @@
 class StatusReporter:
     """Build the status document.
 
-    :param node: the local :class:`~banyanshore.consensus.node.ConsensusNode`, or
-        ``None``.
+    :param get_node: callable that returns the local
+        :class:`~banyanshore.consensus.node.ConsensusNode`, or ``None``.
     :param local_orders: the :class:`~banyanshore.entry.local_orders.LocalOrders`.
     """
 
     def __init__(
-        self, settings, state, entries, targets, proxy, node, client, local_orders
+        self, settings, state, entries, targets, proxy, get_node, client, local_orders
     ):
         self._settings = settings
         self._state = state
         self._entries = entries
         self._targets = targets
         self._proxy = proxy
-        self._node = node
+        self._get_node = get_node
         self._client = client
         self._local_orders = local_orders
 
     def report(self, now):
         """Return the status as values that can be encoded as JSON."""
         version = self._state.version
+        node = self._get_node()
         return {
             "instance": self._settings.instance,
             "data_centre": self._settings.data_centre,
             "state": self._state_row(now),
             "leader": self._client.leader,
-            "log": dataclasses.asdict(self._node.status()) if self._node else None,
+            "log": dataclasses.asdict(node.status()) if node else None,
             "in_flight": self._proxy.in_flight,
             "waiting": self._proxy.waiting.length,
             "local_order": self._local_orders.number or None,
--- a/tests/processes/test_control_failures.py
+++ b/tests/processes/test_control_failures.py
@@ -1,5 +1,7 @@
 """Kills, freezes, lost disks, partitions and races of the processes with the state."""
 
+import contextlib
+import resource
 import shutil
 import signal
 import threading
@@ -152,6 +154,35 @@
     return deployment.status(entry)["state"]["version"]
 
 
+@contextlib.contextmanager
+def full_disk(process):
+    """Let a process extend or write no file, as on a full disk."""
+    limits = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, limits[1]))
+    try:
+        yield
+    finally:
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limits)
+
+
+def test_patches_are_accepted_after_all_disks_were_full_in_turn(deployment):
+    """A full disk ended the vote of its entry until it was restarted."""
+    number = 0
+    for voter in VOTERS:
+        with full_disk(deployment.processes[voter]):
+            until = time.monotonic() + 3.0
+            while time.monotonic() < until:
+                number += 1
+                patch_number(deployment, number, "entry-4")
+        wait_for(
+            lambda voter=voter: deployment.status(voter)["log"]["role"] != "failed",
+            what="the disk to be regained",
+        )
+    for _ in range(5):
+        number += 1
+        patch_number(deployment, number, "entry-4", timeout=4)
+
+
 def test_version_reaches_a_data_centre_whose_only_voter_has_died():
     # The digest interval is so long that only a version sent at once arrives in time.
     options = {"digest_interval": 15.0, "routing": {"target_expiry": 60.0}}
