Reopen the log only once the disk accepts writes

An instance reopened its log every half second while its disk was still full, took part until its next write, as a leader in the test, and failed again.

Change: before the log is reopened, a file of 64 KiB is written, synced and removed.

Evidence: test_instance_whose_disk_is_full_does_not_take_part samples the role for a second; before: failed, follower and leader, after: failed only. It then accepts a change once the disk has room.

--- a/banyanshore/consensus/log_runner.py
+++ b/banyanshore/consensus/log_runner.py
@@ -17,7 +17,7 @@
 
     Load pattern: the disks of several instances are full for some seconds, one after
     another. An instance whose log stays closed after its disk has room again is one
-    vote less for good.
+    vote less for good; one that reopens it too early fails again at its next write.
 
     :param data_dir: folder of the log.
     :param make_node: callable that is given the opened
@@ -45,6 +45,7 @@
         while True:
             await anyio.sleep(DISK_RETRY_SECONDS)
             try:
+                await anyio.to_thread.run_sync(Storage.check_writable, self._data_dir)
                 self.node = self._make_node(Storage(self._data_dir))
             except StorageError as error:
                 logger.warning("disk still unavailable", extra={"why": str(error)})
--- a/banyanshore/consensus/storage.py
+++ b/banyanshore/consensus/storage.py
@@ -24,6 +24,8 @@
 # Length of the payload, CRC-32 of all that follows, number of bytes synced before.
 _RECORD_HEADER = struct.Struct("<IIQ")
 _CHECKSUM = struct.Struct("<I")
+# Size of the file by which the room on the disk is checked, in bytes.
+PROBE_BYTES = 64 * 1024
 
 
 class StorageError(BanyanshoreError):
@@ -65,6 +67,19 @@
         self.hard_state = HardState(*self._read_value("vote", (0, "")))
         self.log = self._load_log()
 
+    @staticmethod
+    def check_writable(folder):
+        """Write and remove a file of the size of a large record.
+
+        :raises StorageError: the disk refuses the write.
+        """
+        path = Path(folder) / "probe"
+        try:
+            replace_file(path, (bytes(PROBE_BYTES),))
+            path.unlink()
+        except OSError as error:
+            raise _io_error(folder, "probe", error) from error
+
     def save_hard_state(self, hard_state):
         """Make the term and the vote durable."""
         self._write_value("vote", (hard_state.term, hard_state.voted_for))
@@ -241,11 +256,7 @@
             raise self._io_error(f"write-{name}", error) from error
 
     def _io_error(self, step, error):
-        return StorageError(
-            f"{self.folder}: {error.strerror or error}; check the disk's space and "
-            "rights, then start again",
-            step=step,
-        )
+        return _io_error(self.folder, step, error)
 
     def _corruption(self, name, detail):
         return StorageError(
@@ -256,6 +267,14 @@
         )
 
 
+def _io_error(folder, step, error):
+    return StorageError(
+        f"{folder}: {error.strerror or error}; check the disk's space and rights, then "
+        "start again",
+        step=step,
+    )
+
+
 def _pack_record(entry, synced_before):
     payload = encode(entry)
     rest = struct.pack("<Q", synced_before) + payload
--- a/tests/control/test_disk.py
+++ b/tests/control/test_disk.py
@@ -106,6 +106,29 @@
     return control
 
 
+async def test_instance_whose_disk_is_full_does_not_take_part(tmp_path, monkeypatch):
+    """Its log was reopened while the disk refused writes, again and again."""
+    monkeypatch.setattr(log_runner, "DISK_RETRY_SECONDS", 0.05)
+    disks = FullDisks(monkeypatch)
+    port, peer_port = free_ports(2)
+    address = f"127.0.0.1:{port}"
+    async with anyio.create_task_group() as tasks:
+        control = start_control(tasks, address, [address], peer_port, tmp_path)
+        await anyio.sleep(0.1)
+        await make_order(control, 2)
+        disks.folders.add(tmp_path)
+        with pytest.raises(UnavailableError):
+            await control.orders.set_model_version("m", 3)
+        roles = set()
+        for _ in range(100):
+            roles.add(control.node.status().role)
+            await anyio.sleep(0.01)
+        assert roles == {"failed"}
+        disks.folders.clear()
+        await make_order(control, 3)
+        tasks.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("instances", [3, 5])
 async def test_changes_are_accepted_after_all_disks_were_full_in_turn(
     instances, tmp_path, monkeypatch
