Show only accepted voters in the status of a member

It waits for the new voters in the status, then kills an entry.

Cause, suspected: the status showed the voters of the newest change as soon as the leader had appended it. A leader that is killed then takes the change with it; the others still count the voter that is gone, and two of four are no quorum. An operator who follows docs/howto/voters.md would be misled alike.

Change: the status shows the voters of the last accepted change.

Evidence: test_voters_in_the_status_are_those_of_an_accepted_change fails before, passes after; the ten tests of control's failures pass.

--- a/banyanshore/consensus/node.py
+++ b/banyanshore/consensus/node.py
@@ -53,7 +53,11 @@
 
 @dataclass(frozen=True)
 class NodeStatus:
-    """Status of a member in the status document for operators."""
+    """Status of a member in the status document for operators.
+
+    :param voters: voters of the last accepted change. A later one may be lost with the
+        leader that proposed it.
+    """
 
     member: str
     role: str
@@ -122,12 +126,13 @@
     def status(self):
         """Return the :class:`NodeStatus`."""
         raft = self.raft
+        accepted_members, _ = raft.log.members_at(raft.commit_index)
         return NodeStatus(
             raft.member,
             "failed" if self._failure else raft.role.value,
             raft.term,
             self.leader_instance,
-            raft.members.voters,
+            accepted_members.voters,
             raft.log.last_index,
             raft.commit_index,
             self._failure,
