--- a/tests/routing/test_share_schedules.py
+++ b/tests/routing/test_share_schedules.py
@@ -12,11 +12,12 @@
 
 from banyanshore.routing import roster, shares
 from banyanshore.routing.roster import FleetSize, GatewayRoster
-from banyanshore.routing.shares import ColdShares
+from banyanshore.routing.shares import ColdShares, RetryShare
 
 STEP = 0.05
 PER_SECOND, OVERAGE, MARGIN = 36.0, 1.5, 5.0
 BOUND = PER_SECOND * OVERAGE + MARGIN
+RETRY_BURST, RETRY_WINDOW = 104, 10.0
 # Numbers of gateways that schedules usually begin with.
 SIZES = (3, 8, 8, 20)
 
@@ -53,6 +54,9 @@
     :param sizes: numbers of gateways, one of which the seed picks.
     """
 
+    gateway_class = Gateway
+    window_seconds = 1.0
+
     def __init__(self, seed, sizes=SIZES):
         self.rng = random.Random(seed)
         self.now = 100.0
@@ -69,12 +73,12 @@
 
     def start(self, name):
         """Start a gateway, also in place of one that was cut off."""
-        gateway = Gateway(name, self.now)
+        gateway = self.gateway_class(name, self.now)
         gateway.joins_at = self.now + self.rng.uniform(0.1, 1.0)
         self.gateways[name] = gateway
 
     def run(self, seconds, fault_rate=0.02):
-        """Run the schedule; return the most requests that arrived in any second.
+        """Run the schedule; return the most requests that arrived in any window.
 
         :param fault_rate: probability of a fault at each step.
         """
@@ -85,7 +89,7 @@
             self.exchange_updates()
             for gateway in self.gateways.values():
                 self.arrivals.extend([self.now] * gateway.send(self.now))
-            while self.arrivals and self.now - self.arrivals[0] > 1.0:
+            while self.arrivals and self.now - self.arrivals[0] > self.window_seconds:
                 self.arrivals.popleft()
             self.worst = max(self.worst, len(self.arrivals))
         return self.worst
@@ -160,6 +164,34 @@
             gateway.roster.record_fleet_size(self.fleet_size.max_count(self.now))
 
 
+class RetryingGateway(Gateway):
+    """A gateway that retries as often as its share allows, without new requests."""
+
+    def __init__(self, name, now):
+        super().__init__(name, now)
+        self.shares = RetryShare(0.2, RETRY_BURST, RETRY_WINDOW)
+
+    def send(self, now):
+        if not self.registered:
+            return 0
+        names = self.roster.names(now, self.registered)
+        sent = 0
+        while self.shares.try_spend(now, len(names)):
+            sent += 1
+        return sent
+
+
+class RetrySchedule(Schedule):
+    gateway_class = RetryingGateway
+    window_seconds = RETRY_WINDOW
+
+
+def test_retries_of_gateways_that_restart_stay_within_their_bound():
+    """A gateway that has just started counts few others, and has its burst again."""
+    worst = max(RetrySchedule(seed).run(60.0) for seed in range(10))
+    assert worst <= RETRY_BURST
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_cold_target_stays_within_its_rate_limit(seed):
     assert Schedule(seed).run(60.0) <= BOUND
