Forget the limits of targets two minutes after they have ended

The end of a limit was kept as long as its target was registered, renewed by each answer, and repeated by the hubs to all gateways each second. A limit that ended is now kept from its first proof, for as long as delayed notices may be on their way. test_limits_that_ended_are_forgotten fails before, passes after.

--- a/banyanshore/routing/request_limits.py
+++ b/banyanshore/routing/request_limits.py
@@ -14,8 +14,8 @@
 
 # Limit of a target that names none.
 UNLIMITED = math.inf
-# Seconds for which the limit of a target is kept after its row is gone, since a delayed
-# heartbeat may bring the row back for as long.
+# Seconds for which a limit is kept after it has ended or the row of its target is gone:
+# delayed notices and heartbeats may bring either back for as long.
 RETENTION_SECONDS = 120.0
 
 
@@ -57,12 +57,13 @@
         :param key: id and incarnation of the target.
         """
         known = self._statement_by_key.get(key)
-        if known is None and statement.per_second == UNLIMITED:
+        per_second = UNLIMITED if known is None else known.per_second
+        if per_second == statement.per_second == UNLIMITED:
             return False
         if known is not None and not statement.replaces(known):
             return False
         self._statement_by_key[key] = statement
-        has_changed = known is None or known.per_second != statement.per_second
+        has_changed = per_second != statement.per_second
         if has_changed:
             # What the owner has told was for another limit.
             self._holder_by_key.pop(key, None)
@@ -107,10 +108,12 @@
         return self._statement_by_key.items()
 
     def keep_only(self, now, rows):
-        """Forget the limits of targets that have been unregistered for a while."""
+        """Forget limits that ended, or whose targets were unregistered, a while ago."""
         known = {target_key(row) for row in rows}
         for key, statement in list(self._statement_by_key.items()):
-            if now - statement.stated_at > RETENTION_SECONDS and key not in known:
+            is_old = now - statement.stated_at > RETENTION_SECONDS
+            is_over = statement.per_second == UNLIMITED or key not in known
+            if is_old and is_over:
                 del self._statement_by_key[key]
                 self._holder_by_key.pop(key, None)
 
--- a/tests/routing/test_limit_schedules.py
+++ b/tests/routing/test_limit_schedules.py
@@ -413,3 +413,24 @@
     assert limits.may_send(6.4, ROW, permit)
     assert not limits.may_send(6.6, ROW, permit)
     assert holder.take(6.6) is None
+
+
+def test_limits_that_ended_are_forgotten():
+    """Hubs repeated the ends of limits to all gateways for ever."""
+    limits = RequestLimits()
+    limits.record(KEY, LimitStatement(2.0, 4.5, 5.0))
+    limits.record(KEY, LimitStatement(UNLIMITED, 5.5, 6.0))
+    limits.record(KEY, LimitStatement(UNLIMITED, 100.0, 101.0))
+    limits.keep_only(120.0, [ROW])
+    assert limits.in_force()
+    limits.keep_only(127.0, [ROW])
+    assert not limits.in_force()
+
+
+def test_limit_of_a_registered_target_is_kept():
+    limits = RequestLimits()
+    limits.record(KEY, LimitStatement(2.0, 4.5, 5.0))
+    limits.keep_only(1000.0, [ROW])
+    assert limits.is_limited(ROW)
+    limits.keep_only(1000.0, [])
+    assert not limits.is_limited(ROW)
