Answer requests that outlast the stop of an entry

Callers of whole answers got a 500 of the web server, without an outcome; streams broke off without the error event that tells so.

Change: at the end of stop_timeout the entry ends the calls in flight, which tells each caller that the outcome is unknown, and waits up to a second for these answers.

Evidence: test_entry_that_stops_answers_a_request_that_outlasts_its_stop and test_entry_that_stops_ends_a_stream_that_outlasts_its_stop_with_an_error fail before (500; a token as the last event) and pass after.

--- a/banyanshore/entry/process.py
+++ b/banyanshore/entry/process.py
@@ -323,10 +323,11 @@
         with anyio.move_on_after(self.settings.stop_timeout):
             while self._is_busy() and not force_requested.is_set():
                 await anyio.sleep(0.05)
-        if self.proxy.in_flight:
-            logger.error(
-                "stopped with requests cut off", extra={"cut": self.proxy.in_flight}
-            )
+        if ended := self.proxy.end_all():
+            logger.error("stopped with requests cut off", extra={"cut": ended})
+            with anyio.move_on_after(GRACEFUL_SECONDS):
+                while self._is_busy():
+                    await anyio.sleep(0.02)
         http_shutdown.set()
         # The servers exit by themselves once the last bytes of answers are sent.
         with anyio.move_on_after(2 * GRACEFUL_SECONDS):
--- a/banyanshore/entry/proxy.py
+++ b/banyanshore/entry/proxy.py
@@ -6,6 +6,7 @@
 never once any of an answer has reached the caller.
 """
 
+import contextlib
 import logging
 import math
 import time
@@ -78,6 +79,8 @@
         self.in_flight = 0
         self._call_added = anyio.Event()
         self._copies_by_fingerprint = {}
+        # Cancel scopes of the calls in flight.
+        self._scopes = set()
         metrics.waiting.set_function(lambda: self.waiting.length)
         metrics.in_flight.set_function(lambda: self.in_flight)
 
@@ -114,13 +117,34 @@
             attributes = {"request.id": call.request_id, "service": call.service}
             with self._tracer.span("entry", call.traceparent, **attributes) as parent:
                 call = replace(call, traceparent=parent)
-                return await self._route(call, sink, is_forwarded)
+                with self._track():
+                    return await self._route(call, sink, is_forwarded)
+                return CallResult(ResultKind.UNKNOWN, FailureReason.CANCELLED)
         finally:
             self.in_flight -= 1
             self.waiting.running[call.workspace] -= 1
             if not self.waiting.running[call.workspace]:
                 del self.waiting.running[call.workspace]
 
+    @contextlib.contextmanager
+    def _track(self):
+        """Let :meth:`end_all` end the work in this context."""
+        with anyio.CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                yield
+            finally:
+                self._scopes.discard(scope)
+
+    def end_all(self):
+        """End all calls in flight; their callers are told that the outcome is unknown.
+
+        :return: number of calls that were ended.
+        """
+        for scope in self._scopes:
+            scope.cancel()
+        return len(self._scopes)
+
     async def _route(self, call, sink, is_forwarded):
         progress = Progress(is_forwarded=is_forwarded)
         answer = BufferedAnswer(sink, call.streamed)
--- a/tests/processes/test_requests.py
+++ b/tests/processes/test_requests.py
@@ -223,6 +223,57 @@
     assert process.process.wait(10) == 0
 
 
+@pytest.fixture
+def hasty():
+    """A deployment whose entries wait for half a second when they stop."""
+    with start_deployment(stop_timeout=0.5) as deployment:
+        yield deployment
+
+
+def stop_entry_soon(deployment):
+    """Ask an entry to stop while a request runs there; return its process."""
+    time.sleep(0.6)
+    process = deployment.processes["entry-2"]
+    process.signal(signal.SIGTERM)
+    return process.process
+
+
+def test_entry_that_stops_answers_a_request_that_outlasts_its_stop(hasty):
+    """Its caller got a 500 of the web server, without an outcome."""
+    wait = in_background(lambda: hasty.chat("entry-2", "long", max_tokens=600))
+    process = stop_entry_soon(hasty)
+    response = wait()
+    assert response.status_code == 502
+    assert response.json()["outcome"] == "unknown"
+    assert process.wait(10) == 0
+
+
+def test_entry_that_stops_ends_a_stream_that_outlasts_its_stop_with_an_error(hasty):
+    """It broke off without an event that tells so."""
+    received = []
+
+    def read_stream():
+        body = {
+            "model": "assistant",
+            "messages": [{"role": "user", "content": "long"}],
+            "stream": True,
+            "max_tokens": 600,
+        }
+        url = f"{hasty.url('entry-2')}/v1/chat/completions"
+        with hasty.client.stream("POST", url, json=body) as response:
+            received.extend(response.iter_lines())
+
+    def read_until_broken_off():
+        with pytest.raises(httpx.RemoteProtocolError):
+            read_stream()
+
+    wait = in_background(read_until_broken_off)
+    process = stop_entry_soon(hasty)
+    wait()
+    assert '"outcome": "unknown"' in [line for line in received if line][-1]
+    assert process.wait(10) == 0
+
+
 def test_agent_stops_without_cutting_off_a_request(deployment):
     wait = in_background(
         lambda: deployment.chat("entry-1", "long", stream=True, max_tokens=150)
