--- a/tests/entry/test_proxy_wait.py
+++ b/tests/entry/test_proxy_wait.py
@@ -43,7 +43,10 @@
         proxy_module,
         "anyio",
         SimpleNamespace(
-            sleep=clock.sleep, Event=anyio.Event, move_on_after=anyio.move_on_after
+            sleep=clock.sleep,
+            Event=anyio.Event,
+            move_on_after=anyio.move_on_after,
+            CancelScope=anyio.CancelScope,
         ),
     )
     return clock
