Keep notices of limits from renewing each other

The age in a notice doesn't include the time for which it was under way, and hubs repeat what they were told: in one process with four hubs, on a busy machine, a limit named once looked 3.7 s newer after 3.5 s. An answer that names no limit ends one only if its request was offered after the last statement, so a limit could hold long after its target had none. A notice that states the limit that is known already, and less than a second later, is now taken for a repetition.

Log lines of a request that had a permit now tell the limit and its age.

--- a/banyanshore/gateway/request_limits.py
+++ b/banyanshore/gateway/request_limits.py
@@ -91,6 +91,8 @@
             now - notice.offered_seconds_ago,
             now - notice.stated_seconds_ago,
         )
+        if self._limits.is_echo(key, statement):
+            return False
         has_changed = self._limits.record(key, statement)
         if has_changed:
             self._log_change("told of a limit", key, statement)
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -79,8 +79,9 @@
         self._load = 0
         # The offer in flight, or ``None``.
         self._offer_in_flight = None
-        # The permit for a target with a limit, or ``None``.
+        # The permit for a target with a limit, or ``None``, and the log fields on it.
         self._permit = None
+        self._limit_details = {}
         # The answer to the current offer, or ``None``.
         self._answer = None
 
@@ -152,10 +153,12 @@
         """Return whether a request may be sent to a target within its limit."""
         gateway = self._gateway
         self._permit = None
+        self._limit_details = {}
         if not gateway.board.limits.is_limited(row):
             return True
         request_id = self._request.request_id
         self._permit = await gateway.limits.acquire(row, request_id)
+        self._limit_details = gateway.limits.describe(row)
         # The limit may have ended meanwhile.
         return self._permit is not None or not gateway.board.limits.is_limited(row)
 
@@ -485,6 +488,7 @@
                 "load": self._load,
                 "offers": self._attempts.offers,
                 **self._outdated_details(),
+                **self._limit_details,
                 **details,
             },
         )
--- a/banyanshore/routing/request_limits.py
+++ b/banyanshore/routing/request_limits.py
@@ -14,6 +14,8 @@
 
 # Limit of a target that names none.
 UNLIMITED = math.inf
+# Longest time in seconds that a notice is under way, through two hubs.
+MAX_NOTICE_SECONDS = 1.0
 # Seconds for which a limit is kept after it has ended or the row of its target is gone:
 # delayed notices and heartbeats may bring either back for as long.
 RETENTION_SECONDS = 120.0
@@ -69,6 +71,17 @@
             self._holder_by_key.pop(key, None)
         return has_changed
 
+    def is_echo(self, key, statement):
+        """Return whether a notice may repeat the statement that is known already.
+
+        The age in a notice doesn't include the time for which the notice was under way,
+        so that each repetition makes a statement look a little newer.
+        """
+        known = self._statement_by_key.get(key)
+        if known is None or known.per_second != statement.per_second:
+            return False
+        return statement.stated_at - known.stated_at < MAX_NOTICE_SECONDS
+
     def statement(self, key):
         """Return the :class:`LimitStatement` in force, or ``None``."""
         return self._statement_by_key.get(key)
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -318,3 +318,14 @@
 
 async def never_answer(request, responder):
     await anyio.sleep(30)
+
+
+async def test_notices_do_not_make_a_limit_look_newer_than_it_is():
+    """Hubs repeated it with an age that lacked its way to them."""
+    target = LimitedTarget(b"1")
+    async with limited_fleet(["a", "a", "b", "b"], [target]) as fleet:
+        await fleet.send(make_request(), 2)
+        limits = fleet.gateways[2].board.limits
+        (named,) = dict(limits.in_force()).values()
+        await anyio.sleep(3.5)
+        assert dict(limits.in_force()) == {("i-0", 1): named}
