--- a/banyanshore/entry/proxy.py
+++ b/banyanshore/entry/proxy.py
@@ -119,6 +119,7 @@
                 call = replace(call, traceparent=parent)
                 with self._track():
                     return await self._route(call, sink, is_forwarded)
+                # Ended by end_all().
                 return CallResult(ResultKind.UNKNOWN, FailureReason.CANCELLED)
         finally:
             self.in_flight -= 1
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -364,7 +364,7 @@
                 "limit is no number", why=notice.invalid_limit[:MAX_LOGGED_CHARACTERS]
             )
         per_second = notice.per_second
-        # Only a whole answer to this request shows that a limit has ended.
+        # A refusal or a failure without the header doesn't show that a limit has ended.
         if per_second == UNLIMITED and not self._is_success(answer):
             return
         if per_second is not None:
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -37,6 +37,12 @@
 }
 
 
+def with_headers(answer, *lines):
+    """Return an answer with additional header lines."""
+    status, rest = answer.split(b"\r\n", 1)
+    return b"\r\n".join([status, *lines, rest])
+
+
 def make_document(**route):
     document = empty_document()
     document["services"]["s"] = {"kind": "direct"}
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -16,9 +16,9 @@
     Target,
     ask,
     make_request,
+    with_headers,
 )
 from tests.gateway.fleet import GatewayFleet
-from tests.gateway.test_target_notices import with_headers
 from tests.http.raw import scripted_server
 
 pytestmark = pytest.mark.anyio
--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -14,17 +14,12 @@
     Target,
     ask,
     running_gateway,
+    with_headers,
 )
 
 pytestmark = pytest.mark.anyio
 
 
-def with_headers(answer, *lines):
-    """Return an answer with additional header lines."""
-    status, rest = answer.split(b"\r\n", 1)
-    return b"\r\n".join([status, *lines, rest])
-
-
 LEAVING = b"server-leaving: 1"
 CUT = with_headers(COMPLETE, LEAVING).replace(
     b"content-length: 2", b"content-length: 9"
