Let a stopping control instance take only calls that it can answer

The same cause as at gateways, elsewhere: while calls kept coming, a stopping control instance took them until its stop_timeout, and cut those that still ran.

--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from banyanshore.conf.registered import BOUND_FRACTION
 from banyanshore.consensus.log_runner import LogRunner
 from banyanshore.consensus.messages import instance_of
 from banyanshore.consensus.node import ConsensusNode
@@ -21,6 +22,7 @@
 from banyanshore.control.orders import Orders
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.stopping import NOT_STOPPING, StopPlan
 from banyanshore.entry.state_client import StateClient
 from banyanshore.http.listener import Listener
 from banyanshore.membership.feed import (
@@ -108,6 +110,7 @@
         )
         self.metrics = ControlMetrics()
         self._make_api = make_api
+        self._stop_plan = NOT_STOPPING
         self._log_settings = LogSettings(settings)
 
     async def run(self, stop_requested, force_requested):
@@ -156,7 +159,8 @@
             self.links,
             self.metrics,
         )
-        self.listener = Listener(self._make_api(self.orders, self.feed))
+        self._answer = self._make_api(self.orders, self.feed)
+        self.listener = Listener(self._handle)
 
     def reload(self, settings):
         """Use the control instances named in changed settings."""
@@ -228,13 +232,25 @@
             self.state.apply(self.machine.published_state())
             self.metrics.state_version.labels().set(self.machine.version)
 
+    async def _handle(self, exchange):
+        """Answer a request, or refuse it if the instance stops too soon."""
+        seconds = self.settings.consensus.proposal_timeout
+        if self._stop_plan.accepts(time.monotonic(), seconds):
+            await self._answer(exchange)
+        else:
+            await exchange.respond(503)
+
     async def _leave(self, force_requested):
         self.listener.leaving = True
+        now = time.monotonic()
+        ends_at = now + self.settings.stop_timeout
+        answers_due_at = now + BOUND_FRACTION * self.settings.stop_timeout
+        self._stop_plan = StopPlan(ends_at, answers_due_at, ends_at)
         try:
             await self.node.transfer_leadership()
         except BanyanshoreError as error:
             logger.warning("leadership transfer failed", extra={"why": str(error)})
-        with anyio.move_on_after(self.settings.stop_timeout):
+        with anyio.move_on_after(ends_at - time.monotonic()):
             while self.listener.active and not force_requested.is_set():
                 await anyio.sleep(0.02)
 
