Split the permits of a gateway from the limits of its targets

gateway/request_limits.py had two jobs: learning and exchanging limits, and getting and issuing permits. The second is now gateway/permits.py. The tests of the gateway pass.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -10,6 +10,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.stopping import NOT_STOPPING, StopPlan
 from banyanshore.gateway.news import UpdateExchange
+from banyanshore.gateway.permits import PermitExchange
 from banyanshore.gateway.relay import WeightsRelay
 from banyanshore.gateway.request_limits import LimitExchange
 from banyanshore.gateway.run import RequestRun, answer_seconds
@@ -116,13 +117,15 @@
         self.feed.on_confirmed.append(self._on_confirmed)
         parts = SuspectedParts(member, self.metrics)
         self.suspects = Suspects(self.registry, self.metrics, parts)
-        self.limits = LimitExchange(
-            member, self.registry, self.board.limits, self.metrics
-        )
+        self.limits = LimitExchange(self.registry, self.board.limits, self.metrics)
         self.updates = UpdateExchange(
             member, self.registry, self.board, self.suspects, self.limits
         )
         self.limits.updates = self.updates
+        self.permits = PermitExchange(
+            member, self.registry, self.limits, self.updates, self.metrics
+        )
+        self.limits.on_change.append(self.permits.update_issuers)
         self.suspects.send = self.updates.send
         self.suspects.forward_again = self.updates.forward_again
         parts.send = self.updates.send
@@ -332,7 +335,7 @@
         await self.relay.on_manifest(body, responder)
 
     async def _on_permit_request(self, body, responder):
-        await self.limits.on_permit_request(body, responder)
+        await self.permits.on_permit_request(body, responder)
 
     async def _on_have(self, connection, update):
         await self.relay.on_have(connection, update)
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -157,7 +157,7 @@
         if not gateway.board.limits.is_limited(row):
             return True
         request_id = self._request.request_id
-        self._permit = await gateway.limits.acquire(row, request_id)
+        self._permit = await gateway.permits.acquire(row, request_id)
         self._limit_details = gateway.limits.describe(row)
         # The limit may have ended meanwhile.
         return self._permit is not None or not gateway.board.limits.is_limited(row)
@@ -361,7 +361,8 @@
         if notice.invalid_limit is not None:
             self._gateway.metrics.limits.labels("unreadable").inc()
             self._log(
-                "limit is no number", why=notice.invalid_limit[:MAX_LOGGED_CHARACTERS]
+                "invalid request limit",
+                why=notice.invalid_limit[:MAX_LOGGED_CHARACTERS],
             )
         per_second = notice.per_second
         # A refusal or a failure without the header doesn't show that a limit has ended.
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -306,7 +306,7 @@
         owner = fleet.gateways[2].updates.find_owner(row)
         assert owner.data_centre == "a"
         for gateway in fleet.gateways[:2]:
-            gateway.limits.on_permit_request = never_answer
+            gateway.permits.on_permit_request = never_answer
         target.arrivals.clear()
         fleet.statuses.clear()
         start = time.monotonic()
