--- a/banyanshore/gateway/permits.py
+++ b/banyanshore/gateway/permits.py
@@ -131,7 +131,7 @@
         return issuer
 
     def update_issuers(self):
-        """Create issuers for the targets that this gateway owns, and drop the others."""
+        """Create issuers for the targets of this gateway, and drop all others."""
         owned = {
             target_key(row)
             for row in self._registry.targets.rows()
