Share settings of control instances and reading of requests among tests

Three test files had the same settings of a control instance, two the same loop that reads a request.

--- a/tests/consensus/test_status.py
+++ b/tests/consensus/test_status.py
@@ -2,29 +2,18 @@
 
 import time
 
-from banyanshore.conf.loader import parse_settings
 from banyanshore.consensus.messages import Members
 from banyanshore.consensus.node import ConsensusNode
 from banyanshore.consensus.storage import Storage
 from banyanshore.control.process import LogSettings
 from banyanshore.state import StateMachine
+from tests.control.instance import make_settings
 
 ADDRESS = "127.0.0.1:1"
 
 
 def make_node(folder):
-    settings = parse_settings(
-        {
-            "role": "control",
-            "instance": "core-1",
-            "data_centre": "a",
-            "control_bind": ADDRESS,
-            "peers_bind": "127.0.0.1:2",
-            "peer_port": 2,
-            "seeds": [ADDRESS],
-            "data_dir": str(folder),
-        }
-    )
+    settings = make_settings(folder, ADDRESS, "127.0.0.1:2")
     storage = Storage(folder)
     log_settings = LogSettings(settings)
     return ConsensusNode(log_settings, storage, StateMachine(), None, lambda: None)
--- a/tests/control/test_disk.py
+++ b/tests/control/test_disk.py
@@ -6,10 +6,10 @@
 import anyio
 import pytest
 
-from banyanshore.conf.loader import parse_settings
 from banyanshore.consensus import log_runner
 from banyanshore.control.process import Control
 from banyanshore.core.exceptions import UnavailableError
+from tests.control.instance import make_settings, refuse
 from tests.ports import free_ports
 
 pytestmark = pytest.mark.anyio
@@ -28,23 +28,8 @@
     """A full disk stopped the log of an instance permanently, which lost its vote."""
     monkeypatch.setattr(log_runner, "DISK_RETRY_SECONDS", 0.05)
     address, peers = (f"127.0.0.1:{port}" for port in free_ports(2))
-    settings = parse_settings(
-        {
-            "role": "control",
-            "instance": "core-1",
-            "data_centre": "a",
-            "control_bind": address,
-            "peers_bind": peers,
-            "peer_port": int(peers.rpartition(":")[2]),
-            "seeds": [address],
-            "data_dir": str(tmp_path),
-        }
-    )
+    settings = make_settings(tmp_path, address, peers)
     stop = anyio.Event()
-
-    async def refuse(exchange):
-        await exchange.respond(404)
-
     control = Control(settings, lambda orders, feed: refuse)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(control.run, stop, stop)
@@ -84,22 +69,8 @@
 
 
 def start_control(tasks, address, seeds, peer_port, folder):
-    settings = parse_settings(
-        {
-            "role": "control",
-            "instance": address,
-            "data_centre": "a",
-            "control_bind": address,
-            "peers_bind": f"{address.partition(':')[0]}:{peer_port}",
-            "peer_port": peer_port,
-            "seeds": seeds,
-            "data_dir": str(folder),
-        }
-    )
-
-    async def refuse(exchange):
-        await exchange.respond(404)
-
+    peers_bind = f"{address.partition(':')[0]}:{peer_port}"
+    settings = make_settings(folder, address, peers_bind, seeds)
     control = Control(settings, lambda orders, feed: refuse)
     stop = anyio.Event()
     tasks.start_soon(control.run, stop, stop)
--- a/tests/control/test_stopping.py
+++ b/tests/control/test_stopping.py
@@ -5,8 +5,8 @@
 import anyio
 import pytest
 
-from banyanshore.conf.loader import parse_settings
 from banyanshore.control.process import Control
+from tests.control.instance import make_settings
 from tests.gateway.deployment import ask
 from tests.ports import free_ports
 
@@ -16,19 +16,12 @@
 async def test_stopping_control_cuts_off_no_request_that_it_has_taken(tmp_path):
     """Requests were taken until the end, and those that still ran were cut."""
     address, peers = (f"127.0.0.1:{port}" for port in free_ports(2))
-    settings = parse_settings(
-        {
-            "role": "control",
-            "instance": "core-1",
-            "data_centre": "a",
-            "control_bind": address,
-            "peers_bind": peers,
-            "peer_port": int(peers.rpartition(":")[2]),
-            "seeds": [address],
-            "data_dir": str(tmp_path),
-            "stop_timeout": 1.5,
-            "consensus": {"proposal_timeout": 0.6},
-        }
+    settings = make_settings(
+        tmp_path,
+        address,
+        peers,
+        stop_timeout=1.5,
+        consensus={"proposal_timeout": 0.6},
     )
 
     async def answer_slowly(exchange):
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -61,6 +61,17 @@
     return document
 
 
+async def read_request(stream):
+    """Return a request up to the end of its head, empty if none arrives."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        try:
+            data += await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return b""
+    return data
+
+
 class Target:
     """A scripted target that records the requests that it has read.
 
@@ -73,13 +84,9 @@
         self.requests = []
 
     async def act(self, stream):
-        data = b""
-        while b"\r\n\r\n" not in data:
-            try:
-                data += await stream.receive()
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
-                # A connection without a request.
-                return
+        data = await read_request(stream)
+        if not data:
+            return
         self.requests.append(data)
         act = self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]
         if callable(act):
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -16,6 +16,7 @@
     Target,
     ask,
     make_request,
+    read_request,
     with_headers,
 )
 from tests.gateway.fleet import GatewayFleet
@@ -42,12 +43,8 @@
         self.arrivals = []
 
     async def act(self, stream):
-        data = b""
-        while b"\r\n\r\n" not in data:
-            try:
-                data += await stream.receive()
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
-                return
+        if not await read_request(stream):
+            return
         self.arrivals.append(time.monotonic())
         lines = () if self.limit is None else (b"server-limit: " + self.limit,)
         await stream.send(with_headers(self.answer, *lines))
