--- a/review/harness.py
+++ b/review/harness.py
@@ -533,6 +533,10 @@
     :param scenario: coroutine function that is given the :class:`Record` and the
         :class:`Fleet`, and returns whether the rule was broken.
     """
+    # A shell may have had this process ignore it, which its children would inherit.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    # All processes are ended also if this one is.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     record = Record(folder)
     fleet = Fleet(record)
     code = NOT_RUN
