Order a load only on a recent check of the staged chunks

Cause: the loader verified the staged chunks, waited 0.08 s, connected and sent its order, however long that took. Frozen in between for 4 s, it had a chunk loaded that had become corrupt 3.7 s before. The check for a newer version had the same gap, before the connect.

Ruled out: a freeze during the check of a process that is stopped (the call times out). On a suspended machine the timeout stands still, and the age of the check covers that.

Change: a check has the boot time of its first read and holds for 2.5 s (the platform allows 3 s). The order is sent only if the check holds and the transfer is still current, both looked at once the connection is open; otherwise all is verified anew. The first layer's order likewise.

Tests that failed before: test_driver.py, four forms of test_load_is_not_ordered_on_a_check_from_before_a_freeze and test_load_is_not_ordered_if_a_newer_version_comes_while_connecting.

--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -220,7 +220,7 @@
 
 
 class NotSentError(BanyanshoreError):
-    """Signal a request that was withdrawn while the connection was being opened."""
+    """Signal a request that was withdrawn before it was sent."""
 
 
 @asynccontextmanager
@@ -342,18 +342,28 @@
     return stream
 
 
-async def fetch(address, request, max_bytes, timeout, connect_timeout=math.inf):
+async def fetch(
+    address,
+    request,
+    max_bytes,
+    timeout,
+    connect_timeout=math.inf,
+    may_send=lambda: True,
+):
     """Send a request, and return the status, headers and body of its answer.
 
     :param timeout: seconds for the whole request, including the connection.
     :param connect_timeout: seconds for the connection, if fewer.
+    :param may_send: see :func:`open_answer`.
     :raises UnavailableError: no connection; the request was not sent.
+    :raises NotSentError: ``may_send`` returned false; the request was not sent.
     :raises BrokenAnswerError: no complete answer within the timeout.
     """
     try:
         with anyio.fail_after(timeout):
             connect_timeout = min(timeout, connect_timeout)
-            async with open_answer(address, request, connect_timeout) as answer:
+            opening = open_answer(address, request, connect_timeout, may_send=may_send)
+            async with opening as answer:
                 body = await answer.read_body(max_bytes)
                 return answer.status, answer.headers, body
     except TimeoutError:
--- a/banyanshore/loader/decisions.py
+++ b/banyanshore/loader/decisions.py
@@ -20,6 +20,37 @@
 MAX_WAVE_DELAY_SECONDS = 1.6
 
 
+# Seconds for which staged chunks count as verified. An engine may use a chunk that
+# became corrupt up to 3 s before; the order takes a part of that.
+MAX_CHECK_AGE_SECONDS = 2.5
+
+
+@dataclass(frozen=True)
+class StagedCheck:
+    """A check of the chunks staged at the target.
+
+    :param began_at: boot time before the first chunk was read back.
+    :param restaged: number of chunks that had to be staged again.
+    """
+
+    began_at: float
+    restaged: int
+
+    def is_valid(self, now):
+        """Return whether a load order may still rely on the check.
+
+        Load pattern: a machine is frozen or suspended between check and order, and
+        staged chunks become corrupt meanwhile.
+
+        :param now: boot time.
+
+        >>> check = StagedCheck(10.0, 0)
+        >>> check.is_valid(10.0 + MAX_CHECK_AGE_SECONDS), check.is_valid(14.0)
+        (True, False)
+        """
+        return now - self.began_at <= MAX_CHECK_AGE_SECONDS
+
+
 class Action(Enum):
     """Next action of a loader."""
 
--- a/banyanshore/loader/driver.py
+++ b/banyanshore/loader/driver.py
@@ -108,11 +108,11 @@
     async def _load(self, desired_version, transfer):
         """Have the target load all layers of a version."""
         try:
-            restaged = await transfer.stage_all()
+            check = await transfer.stage_all()
             self._target.is_loading = True
             await self._target.send_report()
             await anyio.sleep(NOTICE_SECONDS)
-            await self._order(desired_version, transfer, None, restaged)
+            await self._order(desired_version, transfer, None, check)
         except StagedEngineError as error:
             await self._wait_after_failure(error)
         finally:
@@ -124,8 +124,8 @@
         The gateways need no notice, since they don't use the older version any more.
         """
         try:
-            restaged = await transfer.stage_first_layer(desired_version.layers)
-            await self._order(desired_version, transfer, 1, restaged)
+            check = await transfer.stage_first_layer(desired_version.layers)
+            await self._order(desired_version, transfer, 1, check)
         except StagedEngineError as error:
             await self._wait_after_failure(error)
 
@@ -133,18 +133,25 @@
         logger.warning("load not ordered", extra={"why": str(error)})
         await anyio.sleep(ORDER_RETRY_SECONDS)
 
-    async def _order(self, desired_version, transfer, end_layer, restaged):
+    def _may_order(self, transfer, check):
+        """Return whether what was staged and verified is still what is to be loaded."""
+        # Chunks of a newer version may have been staged meanwhile.
+        is_current = self._loader.transfer is transfer
+        return is_current and check.is_valid(boottime_now())
+
+    async def _order(self, desired_version, transfer, end_layer, check):
         """Order the load of a version, and wait until it has ended.
 
         :param end_layer: layer after the last one to load, ``None`` for all.
-        :param restaged: number of chunks that had to be staged again.
-        :raises StagedEngineError: the order may or may not have arrived.
+        :param check: the :class:`~banyanshore.loader.decisions.StagedCheck`.
+        :raises StagedEngineError: the order was not sent since the check doesn't hold
+            any more, or it may or may not have arrived.
         """
-        if self._loader.transfer is not transfer:
-            # Chunks of a newer version may have been staged meanwhile.
-            return
         outcome = await self._target.engine.load(
-            desired_version.model, desired_version.version, end_layer
+            desired_version.model,
+            desired_version.version,
+            end_layer,
+            lambda: self._may_order(transfer, check),
         )
         self._loader.metrics.loads.labels(outcome).inc()
         logger.info(
@@ -153,7 +160,8 @@
                 "model_version": desired_version.version,
                 "end_layer": end_layer,
                 "outcome": outcome,
-                "mended": restaged,
+                "mended": check.restaged,
+                "check_age": round(boottime_now() - check.began_at, 3),
                 "since_heard": round(boottime_now() - desired_version.known_since, 2),
             },
         )
--- a/banyanshore/loader/transfer.py
+++ b/banyanshore/loader/transfer.py
@@ -3,6 +3,8 @@
 import logging
 import math
 
+from banyanshore.core.clock import boottime_now
+from banyanshore.loader.decisions import StagedCheck
 from banyanshore.weights.relay import RelayedTransfer
 from banyanshore.weights.staged import StagedEngineError
 
@@ -35,16 +37,18 @@
         return await self._stage(self.manifest.chunk_count)
 
     async def stage_first_layer(self, layers):
-        """Stage the chunks that are missing or corrupt at the target; return how many.
+        """Stage the chunks that are missing or corrupt at the target.
 
         Staged chunks are read back and verified, because they may become corrupt.
 
         :param layers: number of layers of the model.
+        :return: the :class:`~banyanshore.loader.decisions.StagedCheck`.
         :raises StagedEngineError: the target returned no usable response.
         """
         return await self._stage(self._first_layer_chunks(layers))
 
     async def _stage(self, chunk_count):
+        began_at = boottime_now()
         restaged = 0
         for index, digest in enumerate(self.manifest.chunk_digests[:chunk_count]):
             staged = await self._engine.read_staged(self.spec.name, index)
@@ -57,7 +61,7 @@
                         step="stage",
                     )
                 await self._engine.stage(self.spec.name, index, data)
-        return restaged
+        return StagedCheck(began_at, restaged)
 
     def _first_layer_chunks(self, layers):
         """Return the number of chunks that the first layer needs, whole or in part."""
--- a/banyanshore/platform/engine.py
+++ b/banyanshore/platform/engine.py
@@ -70,7 +70,7 @@
             raise self._error("read-staged", f"status {status}")
         return body
 
-    async def load(self, model, version, end_layer=None):
+    async def load(self, model, version, end_layer=None, may_send=lambda: True):
         """Order the engine to load the staged weights once its running requests end."""
         order = {"operation": "start", "model": model, "version": version}
         if end_layer is not None:
@@ -79,9 +79,14 @@
         request = make_request(self._address, b"POST", "/api/order", body)
         # Use a new connection: the session may resend a call, but an order must not be
         # sent twice.
-        status, answer = await self._send(
-            "load", fetch(self._address, request, MAX_REPORT_BYTES, CALL_TIMEOUT)
+        call = fetch(
+            self._address,
+            request,
+            MAX_REPORT_BYTES,
+            CALL_TIMEOUT,
+            may_send=may_send,
         )
+        status, answer = await self._send("load", call)
         outcome = _OUTCOME_BY_STATUS.get(status)
         if outcome is None:
             raise self._error("load", f"status {status}: {answer[:200]!r}")
--- a/banyanshore/weights/staged.py
+++ b/banyanshore/weights/staged.py
@@ -69,11 +69,14 @@
         """
 
     @abc.abstractmethod
-    async def load(self, model, version, end_layer=None):
+    async def load(self, model, version, end_layer=None, may_send=lambda: True):
         """Order the engine to load the staged chunks; return the :class:`OrderOutcome`.
 
         :param end_layer: layer after the last one to load, ``None`` for all.
-        :raises StagedEngineError: the order may or may not have arrived.
+        :param may_send: callable that returns whether to send the order, called when
+            nothing has to be waited for any more.
+        :raises StagedEngineError: ``may_send`` returned false, or the order may or may
+            not have arrived.
         """
 
 
--- a/tests/loader/test_driver.py
+++ b/tests/loader/test_driver.py
@@ -1,6 +1,7 @@
 """Load orders to a target when a rollout goes on, or is late."""
 
 import contextlib
+import functools
 import math
 import time
 from types import SimpleNamespace
@@ -10,13 +11,20 @@
 
 from banyanshore.conf.loader import parse_settings
 from banyanshore.core.clock import boottime_now
+from banyanshore.loader import driver as driver_module
 from banyanshore.loader.driver import ARRIVAL_SECONDS, LoadDriver
 from banyanshore.loader.transfer import StagedTransfer
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.telemetry.weights import LoaderMetrics
 from banyanshore.weights.desired_versions import DesiredVersion
 from banyanshore.weights.manifest import make_manifest
-from banyanshore.weights.staged import EngineReport, OrderOutcome, StagedEngine
+from banyanshore.weights.staged import (
+    EngineReport,
+    OrderOutcome,
+    StagedEngine,
+    StagedEngineError,
+)
+from tests.suspension import SuspendedMachine
 
 pytestmark = pytest.mark.anyio
 
@@ -46,7 +54,7 @@
         self.orders = []
         # Outcomes of the next orders, which have no effect.
         self.refusals = []
-        self.on_stage = lambda: None
+        self.on_stage = self.on_connect = lambda: None
 
     async def read_report(self):
         return self.report
@@ -58,7 +66,10 @@
     async def read_staged(self, model, index):
         return self.staged.get(index)
 
-    async def load(self, model, version, end_layer=None):
+    async def load(self, model, version, end_layer=None, may_send=lambda: True):
+        self.on_connect()
+        if not may_send():
+            raise StagedEngineError("not sent")
         self.orders.append((boottime_now(), version, end_layer, dict(self.staged)))
         if self.refusals:
             return self.refusals.pop()
@@ -184,3 +195,58 @@
         await anyio.sleep(0.4)
         assert loader.target.engine.staged
         assert not loader.target.engine.orders
+
+
+def corrupt_while_suspended(engine, machine):
+    """Suspend the loader's machine once, and have a staged chunk become corrupt."""
+    if machine.is_used:
+        return
+    machine.is_used = True
+    machine.suspend(4.0)
+    engine.staged[1] = b"corrupt"
+
+
+@pytest.mark.parametrize("moment", ["notice", "connect"])
+@pytest.mark.parametrize("is_complete", [True, False])
+async def test_load_is_not_ordered_on_a_check_from_before_a_freeze(
+    monkeypatch, moment, is_complete
+):
+    """A loader ordered a chunk to be loaded that had become corrupt 3.7 s before."""
+    machine = SuspendedMachine(monkeypatch)
+    machine.is_used = False
+    async with running_driver(0b111111111, known_seconds_ago=9.0) as loader:
+        engine = loader.target.engine
+        corrupt = functools.partial(corrupt_while_suspended, engine, machine)
+        if moment == "connect":
+            engine.on_connect = corrupt
+        else:
+            check = driver_module.LoadDriver._order
+
+            async def order(self, *arguments):
+                corrupt()
+                await check(self, *arguments)
+
+            monkeypatch.setattr(driver_module.LoadDriver, "_order", order)
+        if is_complete:
+            loader.transfer.completed_at = time.monotonic()
+            loader.transfer.completed.set()
+        else:
+            engine.staged = dict(enumerate(CHUNKS))
+        await wait_for_orders(engine, 1)
+        staged = engine.orders[0][3]
+        needed = len(CHUNKS) if is_complete else 3
+        assert machine.is_used
+        assert [staged[index] for index in range(needed)] == CHUNKS[:needed]
+
+
+async def test_load_is_not_ordered_if_a_newer_version_comes_while_connecting():
+    """The engine loaded chunks of two versions."""
+    async with running_driver(0b111111111, known_seconds_ago=9.0) as loader:
+        newer = make_transfer(loader.target, 0)
+        newer.spec.version = "3"
+        engine = loader.target.engine
+        engine.on_connect = lambda: setattr(loader, "transfer", newer)
+        loader.transfer.completed_at = time.monotonic()
+        loader.transfer.completed.set()
+        await anyio.sleep(0.4)
+        assert not engine.orders
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -2,10 +2,11 @@
 
 import json
 
+import anyio
 import pytest
 
 from banyanshore.platform.engine import PlatformEngine
-from banyanshore.weights.staged import OrderOutcome
+from banyanshore.weights.staged import OrderOutcome, StagedEngineError
 from tests.http.raw import scripted_server
 
 pytestmark = pytest.mark.anyio
@@ -32,3 +33,20 @@
     order = json.loads(request.partition(b"\r\n\r\n")[2])
     expected = {"operation": "start", "model": "m", "version": 2, "mode": "queue"}
     assert order == {**expected, **layers}
+
+
+async def test_load_order_is_not_sent_if_its_preconditions_end_while_connecting():
+    """An order was sent on a check of the chunks that had become too old."""
+    received = []
+
+    async def act(stream):
+        try:
+            received.append(await stream.receive())
+        except anyio.EndOfStream:
+            return
+
+    async with scripted_server(act) as server:
+        engine = PlatformEngine(server.address)
+        with pytest.raises(StagedEngineError, match="withdrawn"):
+            await engine.load("m", 2, may_send=lambda: False)
+    assert not received
