--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -112,6 +112,9 @@
         self._make_api = make_api
         self._stop_plan = NOT_STOPPING
         self._log_settings = LogSettings(settings)
+        self._seeds = tuple(settings.seeds)
+        # Built when the process runs; settings may be reloaded before that.
+        self.feed = None
 
     async def run(self, stop_requested, force_requested):
         """Run until a stop is requested.
@@ -159,12 +162,15 @@
             self.links,
             self.metrics,
         )
+        self.feed.seeds = self._seeds
         self._answer = self._make_api(self.orders, self.feed)
         self.listener = Listener(self._handle)
 
     def reload(self, settings):
         """Use the control instances named in changed settings."""
-        self.feed.seeds = tuple(settings.seeds)
+        self._seeds = tuple(settings.seeds)
+        if self.feed is not None:
+            self.feed.seeds = self._seeds
 
     @property
     def node(self):
--- /dev/null
+++ b/banyanshore/daemon/run.py
@@ -0,0 +1,148 @@
+"""Start a process of any role from a settings file."""
+
+import gc
+import logging
+import signal
+import sys
+
+import anyio
+from absl import flags
+
+from banyanshore.conf import SettingsError, load_settings
+from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.logs import configure_logging
+from banyanshore.daemon.reload import SettingsWatcher
+from banyanshore.daemon.signals import receive_signals
+
+logger = logging.getLogger(__name__)
+
+EXIT_SETTINGS = 2
+EXIT_FAILED = 1
+# Allocations before a collection of the youngest generation; the high threshold means
+# fewer pauses while relaying.
+GC_THRESHOLD = 20_000
+
+
+def main(argv=None):
+    """Run the daemon and exit with its exit code."""
+    sys.exit(run(argv or sys.argv))
+
+
+def run(argv):
+    """Run the daemon and return its exit code."""
+    values = flags.FlagValues()
+    flags.DEFINE_string("settings", None, "YAML settings file.", flag_values=values)
+    try:
+        positional = values(argv)
+    except flags.Error as error:
+        return _fail(f"{error}; usage: banyanshored --settings FILE")
+    if len(positional) > 1 or not values.settings:
+        return _fail("usage: banyanshored --settings FILE")
+    try:
+        settings = load_settings(values.settings)
+    except SettingsError as error:
+        return _fail(error.message)
+    listener = configure_logging(
+        settings.instance,
+        settings.data_centre,
+        settings.log_level,
+        settings.log_file,
+        to_standard_output=settings.role in _STANDARD_OUTPUT_ROLES,
+    )
+    gc.set_threshold(GC_THRESHOLD)
+    exit_code = 0
+    try:
+        anyio.run(_run, settings, values.settings)
+    except* (BanyanshoreError, OSError) as group:
+        for error in _iter_errors(group):
+            logger.critical("stopping: %s", error)
+        exit_code = EXIT_FAILED
+    finally:
+        listener.stop()
+    return exit_code
+
+
+def _fail(text):
+    sys.stderr.write(f"{text}\n")
+    return EXIT_SETTINGS
+
+
+def _iter_errors(group):
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _iter_errors(error)
+        else:
+            yield error
+
+
+def _make_entry(settings):
+    from banyanshore.entry.process import Entry
+
+    return Entry(settings)
+
+
+def _make_agent(settings):
+    from banyanshore.agent.process import Agent
+
+    return Agent(settings)
+
+
+def _make_control(settings):
+    from banyanshore.control.process import Control
+    from banyanshore.platform.control_api import make_control_api
+
+    return Control(settings, make_control_api)
+
+
+def _make_gateway(settings):
+    from banyanshore.gateway.process import Gateway
+    from banyanshore.platform.caller_dialect import PlatformDialect
+    from banyanshore.platform.origin import PlatformOrigin
+
+    return Gateway(settings, PlatformDialect(), PlatformOrigin)
+
+
+def _make_loader(settings):
+    from banyanshore.loader.process import Loader
+    from banyanshore.platform.engine import PlatformEngine
+    from banyanshore.platform.origin import PlatformOrigin
+
+    engine = PlatformEngine(settings.target_address)
+    return Loader(settings, engine, PlatformOrigin)
+
+
+# Each factory imports its own modules, since a role needs only part of the package.
+_FACTORY_BY_ROLE = {
+    "entry": _make_entry,
+    "agent": _make_agent,
+    "control": _make_control,
+    "gateway": _make_gateway,
+    "loader": _make_loader,
+}
+# Roles whose log goes to standard output unless the settings name a file.
+_STANDARD_OUTPUT_ROLES = frozenset({"control", "gateway", "loader"})
+
+
+async def _run(settings, path):
+    process = _FACTORY_BY_ROLE[settings.role](settings)
+    stop_requested = anyio.Event()
+    force_requested = anyio.Event()
+    watcher = SettingsWatcher(path, settings, getattr(process, "reload", None))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_watch_signals, stop_requested, force_requested, watcher)
+        if watcher.can_reload:
+            tasks.start_soon(watcher.run)
+        await process.run(stop_requested, force_requested)
+        tasks.cancel_scope.cancel()
+    logger.info("stopped")
+
+
+async def _watch_signals(stop_requested, force_requested, watcher):
+    with receive_signals() as signals:
+        async for signal_number in signals:
+            if signal_number == signal.SIGHUP:
+                watcher.check()
+                continue
+            if stop_requested.is_set():
+                force_requested.set()
+            stop_requested.set()
