Propose an order without a number only while its caller waits

Cause: an order counted as new when it was read. DELETE /api/drain/ZONE lay in the buffer of the frozen instance, its caller had closed the connection, and it was made against the newest state. A retry after a conflict did the same without a freeze.

Ruled out: the proposal itself, here or at the leader; its base version refuses it once another order was accepted.

Change: a timer tells when the process last ran, so that what is read after a standstill has an earliest arrival. Orders about data centres, which have no numbers, are proposed within a second of that, looked at after each wait; then they are refused with 503 and have no effect. They are dropped when their caller has left. Boot time throughout.

--- a/banyanshore/control/orders.py
+++ b/banyanshore/control/orders.py
@@ -3,14 +3,20 @@
 Each order is made against the latest version, so that it never undoes one that was
 accepted before, and an order that is already in force changes nothing. Orders are
 therefore idempotent: repeating one after a lost answer has the same outcome.
+
+Declarations and versions of weights have numbers, by which one that comes late changes
+nothing. Orders about data centres have none: they are proposed only while their caller
+may still wait for the answer.
 """
 
 import logging
+import math
 import time
 import uuid
 
 import anyio
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError, UnavailableError
 from banyanshore.state.commands import PatchCommand, PatchStatus
 from banyanshore.state.document import (
@@ -25,6 +31,9 @@
 # Seconds for an order to be accepted. Operators without an answer try another instance,
 # which learns the outcome of the patch that was proposed here.
 ORDER_TIMEOUT = 2.5
+# Seconds after its arrival in which an order without a number may be proposed. After
+# that, its caller has asked another instance and may have given a later order.
+UNNUMBERED_ORDER_SECONDS = 1.0
 # Seconds for a read of the latest version.
 READ_TIMEOUT = 1.0
 # Seconds between checks whether a version has arrived here.
@@ -67,10 +76,11 @@
 
         return await self._apply("declaration", {"number": number}, make_patch)
 
-    async def set_in_service(self, data_centre, in_service):
+    async def set_in_service(self, data_centre, in_service, arrived_after):
         """Take a data centre out of service or put it back.
 
-        :raises UnavailableError: no quorum accepted it in time.
+        :param arrived_after: boot time before which the order can't have arrived.
+        :raises UnavailableError: no quorum accepted it in time, or it came too late.
         """
 
         def make_patch(document):
@@ -80,7 +90,8 @@
             return {"data_centres": {data_centre: {"in_service": in_service}}}
 
         details = {"data_centre": data_centre, "in_service": in_service}
-        return await self._apply("data-centre", details, make_patch)
+        expires_at = arrived_after + UNNUMBERED_ORDER_SECONDS
+        return await self._apply("data-centre", details, make_patch, expires_at)
 
     async def set_model_version(self, model, version):
         """Set the version of a model's weights that targets serve.
@@ -122,19 +133,23 @@
             step="read",
         )
 
-    async def _apply(self, order, details, make_patch):
+    async def _apply(self, order, details, make_patch, expires_at=math.inf):
         """Propose patches against the latest version until one is accepted.
 
         :param make_patch: callable that takes the current document and returns the
             patch, or ``None`` if the order is already in force.
+        :param expires_at: boot time after which the order isn't proposed.
         :return: whether the order changed the state.
         :raises DocumentError: the patch was rejected.
         :raises UnavailableError: no quorum accepted a patch in time.
         """
-        started_at = time.monotonic()
-        deadline = started_at + ORDER_TIMEOUT
-        while (remaining := deadline - time.monotonic()) > 0:
+        started_at = boottime_now()
+        deadline = min(started_at + ORDER_TIMEOUT, expires_at)
+        while (remaining := deadline - boottime_now()) > 0:
             await self.wait_for_latest_version(min(remaining, READ_TIMEOUT))
+            if boottime_now() >= deadline:
+                # The process may have stood still while it waited.
+                break
             desired = self._state.desired
             document = desired.document if desired else _EMPTY_DOCUMENT
             patch = make_patch(document)
@@ -148,7 +163,11 @@
                 return True
             if outcome.status != PatchStatus.CONFLICT:
                 raise DocumentError(outcome.detail, step=order)
-        raise UnavailableError("other orders came first", step=order)
+        self._log(order, details, "not proposed in time", started_at)
+        raise UnavailableError(
+            "the order was not proposed in time, and has no effect; send it again",
+            step=order,
+        )
 
     async def _propose(self, patch, remaining):
         command = PatchCommand(
@@ -173,7 +192,7 @@
             extra={
                 "order": order,
                 "version": self._state.version,
-                "milliseconds": round((time.monotonic() - started_at) * 1000),
+                "milliseconds": round((boottime_now() - started_at) * 1000),
                 **details,
             },
         )
--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -22,6 +22,7 @@
 from banyanshore.control.orders import Orders
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.standstill import TICK_INTERVAL, StandstillMonitor
 from banyanshore.core.stopping import NOT_STOPPING, StopPlan
 from banyanshore.entry.state_client import StateClient
 from banyanshore.http.listener import Listener
@@ -135,6 +136,7 @@
             tasks.start_soon(self.link_options.ticker.run)
             tasks.start_soon(self.feed.run)
             tasks.start_soon(self._announce)
+            tasks.start_soon(self._watch_for_standstill)
             tasks.start_soon(self._check_state)
             await tasks.start(self.listener.serve, self.settings.control_bind)
             start_metrics_server(
@@ -164,7 +166,11 @@
         )
         self.feed.seeds = self._seeds
         self._answer = self._make_api(self.orders, self.feed)
-        self.listener = Listener(self._handle)
+        self._standstill = StandstillMonitor(boottime_now())
+        self.listener = Listener(
+            self._handle,
+            earliest_arrival=lambda: self._standstill.earliest_arrival(boottime_now()),
+        )
 
     def reload(self, settings):
         """Use the control instances named in changed settings."""
@@ -219,6 +225,11 @@
                 with contextlib.suppress(BanyanshoreError):
                     await self._wait_until_current()
 
+    async def _watch_for_standstill(self):
+        while True:
+            await anyio.sleep(TICK_INTERVAL)
+            self._standstill.tick(boottime_now())
+
     async def _wait_until_current(self):
         """Return the latest accepted version once it has arrived here.
 
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -12,6 +12,7 @@
 import anyio
 import h11
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError, BindError
 from banyanshore.core.groups import open_task_group
 from banyanshore.http.wire import (
@@ -69,15 +70,17 @@
     :ivar target: path and query as bytes, as received.
     :ivar headers: pairs of bytes, names in lower case.
     :ivar started_at: monotonic time at which the answer was begun, or ``None``.
+    :ivar arrived_after: boot time before which the request can't have arrived.
     """
 
-    def __init__(self, connection, request):
+    def __init__(self, connection, request, arrived_after):
         self.method = bytes(request.method)
         self.target = bytes(request.target)
         self.headers = [(bytes(name), bytes(value)) for name, value in request.headers]
         self.started = False
         self.started_at = None
         self.finished = False
+        self.arrived_after = arrived_after
         self._connection = connection
 
     @property
@@ -140,6 +143,8 @@
         )
         self._peer_closed = False
         self._exchange = None
+        # Earliest arrival of the oldest bytes that no request has been parsed from.
+        self._arrived_after = 0.0
 
     def close_ends_incomplete_answer(self):
         """Return whether an orderly close would complete an answer that broke off.
@@ -157,7 +162,7 @@
             request = await self._read_head()
             if request is None:
                 return
-            exchange = Exchange(self, request)
+            exchange = Exchange(self, request, self._arrived_after)
             self._listener.active += 1
             self._exchange = exchange
             try:
@@ -198,6 +203,7 @@
         if self._h11.trailing_data[0]:
             return True
         data = await receive_bytes(self._stream)
+        self._arrived_after = self._listener.earliest_arrival()
         self._h11.receive_data(data)
         return bool(data)
 
@@ -249,6 +255,9 @@
 
     async def run_while_connected(self, work):
         """Run a coroutine function, and cancel it if the caller disconnects."""
+        if is_closed_by_peer(self._stream):
+            self._peer_closed = True
+            return False
         completed = False
         async with open_task_group() as tasks:
             tasks.start_soon(self._watch_for_disconnect, tasks.cancel_scope)
@@ -269,6 +278,8 @@
                 scope.cancel()
                 return
             pipelined_bytes += len(data)
+            if not self._h11.trailing_data[0]:
+                self._arrived_after = self._listener.earliest_arrival()
             self._h11.receive_data(data)
         while not is_closed_by_peer(self._stream):
             await anyio.sleep(HANGUP_CHECK_INTERVAL)
@@ -324,13 +335,16 @@
 
     :param handle: coroutine function that answers the :class:`Exchange` it is given.
     :param limits: callable that returns the current :class:`ListenerLimits`.
+    :param earliest_arrival: callable that returns the boot time before which bytes that
+        are read now can't have arrived.
     :ivar active: requests that are being handled.
     :ivar leaving: whether answers announce that the connection will be closed.
     """
 
-    def __init__(self, handle, limits=ListenerLimits):
+    def __init__(self, handle, limits=ListenerLimits, earliest_arrival=boottime_now):
         self.handle = handle
         self.limits = limits
+        self.earliest_arrival = earliest_arrival
         self.active = 0
         self.leaving = False
 
--- a/banyanshore/platform/control_api.py
+++ b/banyanshore/platform/control_api.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+from dataclasses import dataclass
 
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.http.wire import PeerClosedError
@@ -20,6 +21,19 @@
 _VERSION_PATH = "/api/version-put"
 
 
+@dataclass(frozen=True)
+class Call:
+    """A call to control.
+
+    :param argument: last part of the path, empty if the path has none.
+    :param arrived_after: boot time before which the call can't have arrived.
+    """
+
+    argument: str
+    body: bytes
+    arrived_after: float
+
+
 class ControlApi:
     """Handle the calls of operators and targets.
 
@@ -38,21 +52,29 @@
         if action is None:
             await self._respond(exchange, 404, {"error": "no such call"})
             return
+        call = Call(argument, body, exchange.arrived_after)
+
+        async def answer():
+            status, document = await self._answer(exchange.path, action, call)
+            await self._respond(exchange, status, document)
+
+        if action not in _UNNUMBERED_ACTIONS:
+            await answer()
+        elif not await exchange.run_while_connected(answer):
+            logger.info("call withdrawn by its caller", extra={"path": exchange.path})
+
+    async def _answer(self, path, action, call):
+        """Return the status and the document of the answer to a call."""
         try:
-            status, document = await action(self, argument, body)
+            return await action(self, call)
         except (DecodeError, DocumentError) as error:
-            logger.info(
-                "call refused", extra={"path": exchange.path, "why": error.message}
-            )
-            status, document = 400, {"error": error.message}
+            logger.info("call refused", extra={"path": path, "why": error.message})
+            return 400, {"error": error.message}
         except PeerClosedError:
             raise
         except BanyanshoreError as error:
-            logger.warning(
-                "call not answered", extra={"path": exchange.path, "why": str(error)}
-            )
-            status, document = 503, {"error": error.message}
-        await self._respond(exchange, status, document)
+            logger.warning("call not answered", extra={"path": path, "why": str(error)})
+            return 503, {"error": error.message}
 
     def _find_action(self, exchange):
         method, path = exchange.method.decode("latin-1"), exchange.path
@@ -68,38 +90,39 @@
         )
         await exchange.respond(status, _JSON, body)
 
-    async def _put_config(self, argument, body):
-        number, tables = decode_declaration(body)
+    async def _put_config(self, call):
+        number, tables = decode_declaration(call.body)
         await self._orders.declare(number, tables)
         return 200, {}
 
-    async def _get_config(self, argument, body):
+    async def _get_config(self, call):
         declaration = encode_declaration(await self._orders.read_document())
         if declaration is None:
             return 503, {"error": "nothing has been declared yet"}
         return 200, declaration
 
-    async def _start_drain(self, zone, body):
-        await self._orders.set_in_service(zone, False)
+    async def _start_drain(self, call):
+        await self._orders.set_in_service(call.argument, False, call.arrived_after)
         return 200, {}
 
-    async def _end_drain(self, zone, body):
-        await self._orders.set_in_service(zone, True)
+    async def _end_drain(self, call):
+        await self._orders.set_in_service(call.argument, True, call.arrived_after)
         return 200, {}
 
-    async def _put_version(self, argument, body):
-        reader = Reader(parse_object(body))
+    async def _put_version(self, call):
+        reader = Reader(parse_object(call.body))
         version = reader.integer("version")
         if version < 1:
             raise DecodeError("version", version, "1 or more")
         await self._orders.set_model_version(reader.string("model"), version)
         return 200, {}
 
-    async def _put_replica(self, target_id, body):
-        await self._feed.record(decode_registration(target_id, body))
+    async def _put_replica(self, call):
+        await self._feed.record(decode_registration(call.argument, call.body))
         return 200, {}
 
-    async def _delete_replica(self, target_id, body):
+    async def _delete_replica(self, call):
+        target_id = call.argument
         row = self._feed.find_target(target_id)
         if row is not None:
             departure = Departure("target", target_id, row.incarnation, True)
@@ -120,6 +143,8 @@
     ("PUT", _REPLICAS_PREFIX): ControlApi._put_replica,
     ("DELETE", _REPLICAS_PREFIX): ControlApi._delete_replica,
 }
+# Orders that a later one may have overtaken without a number that tells so.
+_UNNUMBERED_ACTIONS = frozenset({ControlApi._start_drain, ControlApi._end_drain})
 
 
 def make_control_api(orders, feed):
--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -24,6 +24,7 @@
     method = b"DELETE"
     path = "/api/replicas/t"
     status = None
+    arrived_after = 0.0
 
     async def read_body(self):
         return b""
