Bound what a gateway holds of all answers together

Cause: each answer that isn't a stream of events was held up to 8 MB, and nothing bounded the sum; a length of a terabyte was not looked at.

Change: one budget, a sixteenth of the new setting memory_mb, with an eighth of it for each target. An answer without room is passed on as it arrives, up to 8 MB; a failure without room is broken. A body that announces more than the bound is broken at once.

--- a/banyanshore/conf/registered.py
+++ b/banyanshore/conf/registered.py
@@ -141,6 +141,12 @@
         minimum=0.0,
     )
     version_bound_ms: float = _version_bound_ms()
+    memory_mb: float = setting(
+        "Memory that the process may use, in MB; what it holds of answers is a part of "
+        "it.",
+        256.0,
+        minimum=1.0,
+    )
     retries: RetrySettings = setting("Retries.", RetrySettings)
     cold_start: ColdStartSettings = setting("Cold targets.", ColdStartSettings)
     max_target_pause_seconds: float = setting(
@@ -154,6 +160,11 @@
 
     version_switch_seconds = property(_version_switch_seconds)
 
+    @property
+    def memory_bytes(self):
+        """Return the bytes of memory that the process may use."""
+        return int(self.memory_mb * 1_000_000)
+
     @property
     def version_bound_seconds(self):
         """Return the seconds after which no request may start on older versions."""
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -34,6 +34,7 @@
     UpdateBatch,
 )
 from banyanshore.membership.permits import PermitRequest
+from banyanshore.routing.answer_memory import AnswerMemory
 from banyanshore.routing.board import TargetBoard
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.notices import TargetNotices
@@ -87,6 +88,7 @@
             settings.version_switch_seconds, settings.version_bound_seconds
         )
         self.withdrawals = Withdrawals(rule, self.newer_known_for)
+        self.answer_memory = AnswerMemory(settings.memory_bytes)
         self.screening = Screening(settings.key_lease_seconds)
         self.leaving = False
         self.stop_plan = NOT_STOPPING
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -9,6 +9,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import UnavailableError
 from banyanshore.gateway.event_relay import EventRelay
+from banyanshore.gateway.held_answer import HeldAnswer
 from banyanshore.gateway.suspects import OfferInFlight
 from banyanshore.gateway.target_notices import NoticeRecorder
 from banyanshore.http.upstream import (
@@ -31,8 +32,6 @@
 
 logger = logging.getLogger("banyanshore.requests")
 
-# Largest body of an answer that isn't a stream, in bytes; it is buffered completely.
-MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 # Seconds before the deadline at which a request is given up, so that the caller
 # receives the answer while it still waits.
 DEADLINE_MARGIN = 0.03
@@ -351,12 +350,26 @@
             return await self._relay_events(answer)
         if self._exchange.started:
             return Outcome.BROKEN_OFF
-        body = await answer.read_body(MAX_BUFFERED_BYTES)
-        if answer.status >= 500:
-            self._failure = (answer.status, dialect.answer_headers(answer), body)
-            return Outcome.FAILED
-        await self._respond(answer.status, dialect.answer_headers(answer), body)
-        self._log_end("answered", answer.status, **self._body_details())
+        held = HeldAnswer(answer, self._gateway.answer_memory, self._target)
+        try:
+            await held.hold()
+            headers = dialect.answer_headers(answer)
+            if answer.status >= 500:
+                held.require_complete()
+                self._failure = (answer.status, headers, held.body)
+                return Outcome.FAILED
+            if held.is_complete:
+                await self._respond(answer.status, headers, held.body)
+            else:
+                await held.relay(self._exchange, headers)
+        finally:
+            held.release()
+        self._log_end(
+            "answered",
+            answer.status,
+            held_whole=held.is_complete,
+            **self._body_details(),
+        )
         return None
 
     def _is_event_stream(self, answer):
--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -15,7 +15,7 @@
 import h11
 
 from banyanshore.core.exceptions import BanyanshoreError, UnavailableError
-from banyanshore.core.framing import find_framing
+from banyanshore.core.framing import Framing, find_framing
 from banyanshore.core.groups import open_task_group
 from banyanshore.http.wire import (
     PeerClosedError,
@@ -144,23 +144,36 @@
             return b""
         raise BrokenAnswerError("the answer broke off", step="body", peer=self._peer)
 
-    async def read_body(self, max_bytes):
-        """Return the complete body.
+    async def iter_body(self, max_bytes):
+        """Yield the pieces of the body as they arrive, to its end.
 
-        :raises BrokenAnswerError: it broke off, or is longer than ``max_bytes``.
+        :raises BrokenAnswerError: it broke off, or is longer than ``max_bytes``, by its
+            own account or as received.
         """
-        body = bytearray()
+        if self.framing is Framing.LENGTH:
+            self._check_length(int(self.get_header(b"content-length")), max_bytes)
+        length = 0
         progress_mark = 0
         while data := await self.receive():
-            body += data
-            if len(body) - progress_mark >= PROGRESS_BYTES:
-                progress_mark = len(body)
+            length += len(data)
+            if length - progress_mark >= PROGRESS_BYTES:
+                progress_mark = length
                 self.record_progress()
-            if len(body) > max_bytes:
-                raise BrokenAnswerError(
-                    f"more than {max_bytes} bytes", step="body", peer=self._peer
-                )
-        return bytes(body)
+            self._check_length(length, max_bytes)
+            yield data
+
+    def _check_length(self, length, max_bytes):
+        if length > max_bytes:
+            raise BrokenAnswerError(
+                f"more than {max_bytes} bytes", step="body", peer=self._peer
+            )
+
+    async def read_body(self, max_bytes):
+        """Return the complete body.
+
+        :raises BrokenAnswerError: it broke off, or is longer than ``max_bytes``.
+        """
+        return b"".join([piece async for piece in self.iter_body(max_bytes)])
 
     def get_header(self, name, default=None):
         """Return the first value of a header as text."""
--- a/tests/conf/test_templates.py
+++ b/tests/conf/test_templates.py
@@ -33,6 +33,7 @@
     "bounds.version_ms": "8000",
     "bounds.revokeMs": "5000",
     "bounds.graceS": "8",
+    "limits.memoryMb": "300",
     "heartbeatMs": "1200",
     "faultTolerance.machines": "1",
 }
@@ -85,3 +86,7 @@
     assert render("control").target_expiry_seconds == pytest.approx(6.0)
     monkeypatch.setitem(TEMPLATE_VALUES, "heartbeatMs", "2500.5")
     assert render("control").target_expiry_seconds == pytest.approx(12.5025)
+
+
+def test_gateway_knows_the_memory_of_its_deployment():
+    assert render("gateway").memory_bytes == 300_000_000
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -96,7 +96,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running_gateway(*targets, **route):
+async def running_gateway(*targets, slots=4, **route):
     """Yield a gateway in front of the targets, and its address for callers."""
     gateway = Gateway(parse_settings(SETTINGS), PlatformDialect(), None)
     gateway.state.apply(PublishedState(1, Fence(1, 1), to_json(make_document(**route))))
@@ -105,7 +105,16 @@
         for number, target in enumerate(targets):
             script = await stack.enter_async_context(scripted_server(target.act))
             row = TargetRow(
-                f"i-{number}", "s", script.address, "dc", "v1", 4, "ready", 0.0, 1, 1
+                f"i-{number}",
+                "s",
+                script.address,
+                "dc",
+                "v1",
+                slots,
+                "ready",
+                0.0,
+                1,
+                1,
             )
             gateway.registry.record(time.monotonic(), row)
         gateway.caller_listener = Listener(gateway._handle, gateway._limits)
