Bound the answers of a loader's target by what was asked for

What would be seen: a target whose answer doesn't end took 64 MB of the loader beside it, on machines of 128 to 168 MB.

Cause: reports and chunks had one bound, the largest chunk that any deployment might have.

Change: a report, the answer to an order and to a staged chunk have 256 KB; a chunk that is read back has the declared size.

--- a/banyanshore/loader/transfer.py
+++ b/banyanshore/loader/transfer.py
@@ -51,7 +51,7 @@
         began_at = boottime_now()
         restaged = 0
         for index, digest in enumerate(self.manifest.chunk_digests[:chunk_count]):
-            staged = await self._engine.read_staged(self.spec.name, index)
+            staged = await self._read_staged(index)
             if staged is None or not self.manifest.matches_digest(index, staged):
                 restaged += 1
                 data = self._store.get(digest)
@@ -63,6 +63,10 @@
                 await self._engine.stage(self.spec.name, index, data)
         return StagedCheck(began_at, restaged)
 
+    async def _read_staged(self, index):
+        size = self.manifest.chunk_bytes
+        return await self._engine.read_staged(self.spec.name, index, size)
+
     def _first_layer_chunks(self, layers):
         """Return the number of chunks that the first layer needs, whole or in part."""
         return math.ceil(self.manifest.chunk_count / layers)
@@ -78,7 +82,7 @@
         if self._target.report is None:
             return False
         try:
-            data = await self._engine.read_staged(self.spec.name, index)
+            data = await self._read_staged(index)
         except StagedEngineError as error:
             logger.info("staged chunk not read", extra={"why": str(error)})
             return False
--- a/banyanshore/platform/engine.py
+++ b/banyanshore/platform/engine.py
@@ -17,7 +17,6 @@
 # Timeout in seconds of a call to the local target, which answers within milliseconds.
 CALL_TIMEOUT = 1.0
 MAX_REPORT_BYTES = 256 * 1024
-MAX_CHUNK_BYTES = 64 * 1024 * 1024
 _OUTCOME_BY_STATUS = {
     200: OrderOutcome.IN_EFFECT,
     202: OrderOutcome.STARTED,
@@ -60,10 +59,12 @@
         path = f"/api/stage-put/{quote(model)}?num={index}"
         await self._call("stage", b"PUT", path, data)
 
-    async def read_staged(self, model, index):
+    async def read_staged(self, model, index, size):
         """Return a chunk from the staging area of the engine, or ``None``."""
         path = f"/api/stage-get/{quote(model)}?num={index}"
-        status, body = await self._request("read-staged", b"GET", path)
+        status, body = await self._request(
+            "read-staged", b"GET", path, max_bytes=max(size, MAX_REPORT_BYTES)
+        )
         if status == 404:
             return None
         if status != 200:
@@ -98,10 +99,10 @@
             raise self._error(step, f"status {status}: {answer[:200]!r}")
         return answer
 
-    async def _request(self, step, method, path, body=b""):
+    async def _request(self, step, method, path, body=b"", max_bytes=MAX_REPORT_BYTES):
         request = make_request(self._address, method, path, body)
         return await self._send(
-            step, self._session.fetch(request, MAX_CHUNK_BYTES, CALL_TIMEOUT)
+            step, self._session.fetch(request, max_bytes, CALL_TIMEOUT)
         )
 
     async def _send(self, step, call):
--- a/banyanshore/weights/staged.py
+++ b/banyanshore/weights/staged.py
@@ -62,9 +62,10 @@
         """
 
     @abc.abstractmethod
-    async def read_staged(self, model, index):
+    async def read_staged(self, model, index, size):
         """Return the staged chunk with an index, or ``None``.
 
+        :param size: largest size of a chunk in bytes.
         :raises StagedEngineError: the engine returned no usable response.
         """
 
--- a/tests/loader/test_driver.py
+++ b/tests/loader/test_driver.py
@@ -63,7 +63,7 @@
         self.staged[index] = data
         self.on_stage()
 
-    async def read_staged(self, model, index):
+    async def read_staged(self, model, index, size):
         return self.staged.get(index)
 
     async def load(self, model, version, end_layer=None, may_send=lambda: True):
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -1,6 +1,8 @@
 """Calls to the model replica on the machine of a loader."""
 
+import contextlib
 import json
+import tracemalloc
 
 import anyio
 import pytest
@@ -50,3 +52,45 @@
         with pytest.raises(StagedEngineError, match="withdrawn"):
             await engine.load("m", 2, may_send=lambda: False)
     assert not received
+
+
+CHUNK_BYTES = 24_576
+# Memory by which a call to the target may grow a loader, of the 128 MB of the smallest
+# machines: a report or a chunk, and the buffers.
+MAX_CALL_BYTES = 4_000_000
+ENDLESS_HEADS = {
+    "close": b"HTTP/1.1 200 OK\r\n\r\n",
+    "length": b"HTTP/1.1 200 OK\r\ncontent-length: 1000000000000\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS_HEADS)
+@pytest.mark.parametrize(
+    "call",
+    [
+        lambda engine: engine.read_report(),
+        lambda engine: engine.read_staged("m", 0, CHUNK_BYTES),
+        lambda engine: engine.stage("m", 0, b"x"),
+        lambda engine: engine.load("m", 2),
+    ],
+    ids=["read_report", "read_staged", "stage", "load"],
+)
+async def test_answer_of_the_target_without_end_is_not_held(name, call):
+    """A loader held 64 MB of one answer, on machines of 128 MB."""
+
+    async def act(stream):
+        with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+            await stream.receive()
+            await stream.send(ENDLESS_HEADS[name])
+            while True:
+                await stream.send(bytes(65_536))
+
+    async with scripted_server(act) as server:
+        tracemalloc.start()
+        try:
+            with pytest.raises(StagedEngineError, match="more than"):
+                await call(PlatformEngine(server.address))
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert peak < MAX_CALL_BYTES
