Acknowledge that a target leaves only when others know it too

Cause: a control instance answered a target once its notices to the other instances were queued; a task of its own writes them. Killed in between, it was the only one that knew. A departure is not repeated, so the others kept the target until its heartbeats had expired.

Ruled out by reading: a follower that misses one update (complete on each connection), an instance that has just started, requests that wait.

Change: draining and departures are acknowledged when as many other control instances have recorded them as losses are tolerated, otherwise refused with 503 after 0.6 s at most.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -8,6 +8,8 @@
 import anyio
 
 from banyanshore.core.clock import boottime_now
+from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.groups import open_task_group
 from banyanshore.membership.feed import (
     CONTROL_ROLE,
     GATEWAY_ROLE,
@@ -40,6 +42,9 @@
 # Seconds since a version was named for which its age is repeated, until followers have
 # received it without delay.
 REPEATED_SECONDS = 30.0
+# Seconds in which other control instances have to record that a target leaves; targets
+# wait a second for the answer.
+SPREAD_TIMEOUT = 0.6
 # Consecutive lagging requests after which the complete state is sent.
 MAX_LAGGING_REQUESTS = 2
 
@@ -189,9 +194,9 @@
         known = self._registry.targets.by_key.get(target_id)
         return known.row if known else None
 
-    def has_departed(self, target_id):
-        """Return whether a target is known to have left for good."""
-        return self._registry.targets.has_departed(target_id)
+    def find_departure(self, target_id):
+        """Return the final departure of a target, or ``None``."""
+        return self._registry.targets.find_departure(target_id)
 
     async def record(self, row):
         """Record a row that was sent to this instance directly."""
@@ -206,6 +211,47 @@
             _log_target("target told of itself", row)
             await self._notify_followers(message)
 
+    async def record_leaving(self, row):
+        """Record a target that is about to leave; see :meth:`_is_known_elsewhere`."""
+        await self.record(row)
+        return await self._is_known_elsewhere(RowUpdate((row,)))
+
+    async def forget_for_good(self, departure):
+        """Apply a final departure; see :meth:`_is_known_elsewhere`."""
+        await self.forget(departure)
+        return await self._is_known_elsewhere(RowUpdate((), (departure,)))
+
+    async def _is_known_elsewhere(self, message):
+        """Return whether the update outlasts the losses that the deployment tolerates.
+
+        A target that leaves is told once that it may, and this instance may be lost
+        right after. The notices of :meth:`record` and :meth:`forget` may then not have
+        been written, and the other instances would keep the target until it expires.
+        """
+        addresses = self.control_addresses()
+        needed = min(self._settings.consensus.tolerated_losses, len(addresses))
+        recorded = []
+
+        async def tell(address, scope):
+            try:
+                connection = await self._links.get(address).get_connection(
+                    SPREAD_TIMEOUT
+                )
+                await connection.call(message, SPREAD_TIMEOUT)
+            except BanyanshoreError as error:
+                logger.info("peer not told", extra={"peer": address, "why": str(error)})
+                return
+            recorded.append(address)
+            if len(recorded) >= needed:
+                scope.cancel()
+
+        if needed:
+            with anyio.move_on_after(SPREAD_TIMEOUT):
+                async with open_task_group() as tasks:
+                    for address in addresses:
+                        tasks.start_soon(tell, address, tasks.cancel_scope)
+        return len(recorded) >= needed
+
     async def forget(self, departure):
         """Apply a departure that was sent to this instance directly."""
         known = self.find_target(departure.key)
--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -33,6 +33,7 @@
     MemberRow,
     Registry,
     RolloutAges,
+    RowsRecorded,
     RowUpdate,
     peer_address,
 )
@@ -303,6 +304,10 @@
         timeout = self.settings.consensus.proposal_timeout
         await responder.finish(await self.client.read_version_locally(timeout))
 
+    async def _on_rows_call(self, update, responder):
+        await self.feed.on_peer_update(update)
+        await responder.finish(RowsRecorded())
+
     async def _on_raft(self, connection, body):
         await self.node.receive(body)
 
@@ -317,6 +322,7 @@
             ProposeRequest: _on_propose,
             ReadRequest: _on_read,
             VersionRequest: _on_version_read,
+            RowUpdate: _on_rows_call,
         }
     )
     notice_by_type = MappingProxyType(
--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -53,6 +53,11 @@
     gateways: int = 0
 
 
+@message(123)
+class RowsRecorded:
+    """Answer a :class:`RowUpdate` that was sent as a call: it has been applied."""
+
+
 @message(105)
 class ConfirmRequest:
     """Ask control to confirm that a version of the desired state is current.
--- a/banyanshore/membership/registry.py
+++ b/banyanshore/membership/registry.py
@@ -199,9 +199,10 @@
             self._drop(key)
         return True
 
-    def has_departed(self, key):
-        """Return whether a final departure of a row is remembered."""
-        return key in self._departed_by_key
+    def find_departure(self, key):
+        """Return the final departure of a row that is remembered, or ``None``."""
+        departed = self._departed_by_key.get(key)
+        return Departure(self.name, key, departed[0], True) if departed else None
 
     def final_departures(self):
         """Return the departures that are remembered."""
--- a/banyanshore/platform/control_api.py
+++ b/banyanshore/platform/control_api.py
@@ -6,7 +6,7 @@
 
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.http.wire import PeerClosedError
-from banyanshore.membership.registry import Departure
+from banyanshore.membership.registry import Departure, TargetState
 from banyanshore.platform.declaration import decode_declaration, encode_declaration
 from banyanshore.platform.registration import decode_registration
 from banyanshore.platform.values import DecodeError, Reader, parse_object
@@ -118,22 +118,32 @@
         return 200, {}
 
     async def _put_replica(self, call):
-        await self._feed.record(decode_registration(call.argument, call.body))
-        return 200, {}
+        row = decode_registration(call.argument, call.body)
+        if row.state != TargetState.DRAINING:
+            await self._feed.record(row)
+            return 200, {}
+        return _answer_leaving(await self._feed.record_leaving(row))
 
     async def _delete_replica(self, call):
         target_id = call.argument
         row = self._feed.find_target(target_id)
         if row is not None:
             departure = Departure("target", target_id, row.incarnation, True)
-            await self._feed.forget(departure)
-            return 200, {}
-        if self._feed.has_departed(target_id):
-            return 200, {}
+        else:
+            departure = self._feed.find_departure(target_id)
+        if departure is not None:
+            return _answer_leaving(await self._feed.forget_for_good(departure))
         # Another control instance may know it, and its incarnation to tell others of.
         return 503, {"error": f"no such target is known: {target_id!r}"}
 
 
+def _answer_leaving(is_known_elsewhere):
+    """Return the answer to a target that leaves."""
+    if is_known_elsewhere:
+        return 200, {}
+    return 503, {"error": "too few control instances know that the target leaves"}
+
+
 _ACTION_BY_CALL = {
     ("PUT", _CONFIG_PATH): ControlApi._put_config,
     ("GET", _CONFIG_PATH): ControlApi._get_config,
--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from banyanshore.conf.sections import ConsensusSettings
 from banyanshore.control.feed import FeedServer
 from banyanshore.membership.feed import MemberRow, Registry
 from banyanshore.membership.registry import TargetRow
@@ -16,6 +17,7 @@
 class Settings:
     seeds = ()
     peer_port = 7700
+    consensus = ConsensusSettings()
 
 
 class Removal:
