--- a/banyanshore/consensus/member.py
+++ b/banyanshore/consensus/member.py
@@ -120,10 +120,8 @@
         No leader can have a lease, so a split vote is repeated sooner than the first
         election; the delays are spread so that two candidates don't split it again.
         """
-        spread = RETRY_SPREAD[0] + self._random.random() * (
-            RETRY_SPREAD[1] - RETRY_SPREAD[0]
-        )
-        self._election_at = now + self.options.election_timeout * spread
+        delay = self.options.election_timeout * self._random.uniform(*RETRY_SPREAD)
+        self._election_at = now + delay
 
     def _append(self, kind, data):
         entry = Entry(self.log.last_index + 1, self.term, int(kind), data)
--- a/banyanshore/consensus/repair.py
+++ b/banyanshore/consensus/repair.py
@@ -55,8 +55,8 @@
         if voter in absent and len(voters_by_instance[instance_of(voter)]) > 1
     ]
     if superseded:
-        # Earlier versions added the new disk of an instance before they removed the
-        # former one.
+        # A log of an earlier version, which added a new disk before it removed the old
+        # one.
         return _without(members, superseded[0])
     unwanted = [
         voter for voter in members.voters if instance_of(voter) not in voter_instances
--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -305,7 +305,9 @@
         await responder.finish(await self.client.read_version_locally(timeout))
 
     async def _on_rows_call(self, update, responder):
-        await self.feed.on_peer_update(update)
+        # The caller needs only some of the replies, and cancels the other calls.
+        with anyio.CancelScope(shield=True):
+            await self.feed.on_peer_update(update)
         await responder.finish(RowsRecorded())
 
     async def _on_raft(self, connection, body):
