Keep a target when a late call may be about an earlier start of it

Cause: the call names no start, and was taken for the newest one whatever its age.

Change: it is refused with 503 if it may have arrived before this instance knew the current start; the target's next call goes through.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -194,6 +194,11 @@
         known = self._registry.targets.by_key.get(target_id)
         return known.row if known else None
 
+    def seconds_known(self, target_id):
+        """Return for how long the current incarnation of a target has been known."""
+        known = self._registry.targets.by_key[target_id]
+        return time.monotonic() - known.known_since
+
     def find_departure(self, target_id):
         """Return the final departure of a target, or ``None``."""
         return self._registry.targets.find_departure(target_id)
--- a/banyanshore/membership/registry.py
+++ b/banyanshore/membership/registry.py
@@ -133,11 +133,13 @@
     """A row and the time of its last update.
 
     :param cold_until: time at which its cold start ends.
+    :param known_since: time at which this incarnation was first heard of.
     """
 
     row: object
     last_contact_at: float
     cold_until: float = 0.0
+    known_since: float = 0.0
 
 
 class RowTable:
@@ -172,7 +174,9 @@
         if not self._drop_older_at_address(row):
             return None
         cold_until = now + row.cold_seconds
-        self.by_key[row.key] = KnownRow(row, now, cold_until)
+        is_same_start = known is not None and known.row.incarnation == row.incarnation
+        known_since = known.known_since if is_same_start else now
+        self.by_key[row.key] = KnownRow(row, now, cold_until, known_since)
         if known is None or known.row.content != row.content:
             self.revision += 1
             return True
--- a/banyanshore/platform/control_api.py
+++ b/banyanshore/platform/control_api.py
@@ -4,6 +4,7 @@
 import logging
 from dataclasses import dataclass
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.http.wire import PeerClosedError
 from banyanshore.membership.registry import Departure, TargetState
@@ -128,6 +129,10 @@
         target_id = call.argument
         row = self._feed.find_target(target_id)
         if row is not None:
+            age = boottime_now() - call.arrived_after
+            if age > self._feed.seconds_known(target_id):
+                # The call names no incarnation, and an earlier one may have sent it.
+                return 503, {"error": f"may be of an earlier start: {target_id!r}"}
             departure = Departure("target", target_id, row.incarnation, True)
         else:
             departure = self._feed.find_departure(target_id)
--- a/tests/control/instance.py
+++ b/tests/control/instance.py
@@ -1,6 +1,9 @@
 """Settings of a control instance in this process."""
 
+import anyio
+
 from banyanshore.conf.loader import parse_settings
+from tests.http.raw import connect
 
 
 def make_settings(folder, address, peers_bind, seeds=None, **options):
@@ -24,6 +27,17 @@
     )
 
 
+async def wait_until_listening(address, seconds=15.0):
+    """Wait until an address accepts connections."""
+    with anyio.fail_after(seconds):
+        while True:
+            try:
+                async with await connect(address):
+                    return
+            except OSError:
+                await anyio.sleep(0.02)
+
+
 async def refuse(exchange):
     """Answer a call to an interface that the test doesn't use."""
     await exchange.respond(404)
