Name the former voters until an exchange has ended, and end it at once

What operators could see: the status named a new disk as a voter while the exchange was only half done; another voter that is stopped then ends the log.

Cause, by reading: after the entry that begins an exchange is committed, the former voters' majority is still needed until the entry that ends it, up to a heartbeat later, but the status named the new voters. The test waits for that and kills a voter.

Change: the status names the former voters until the end, and the end is proposed with the next step of the node, not with the next heartbeat.

Test: test_status.py:: test_voters_in_the_status_are_the_former_ones_until_an_exchange_has_ended.

--- a/banyanshore/consensus/node.py
+++ b/banyanshore/consensus/node.py
@@ -132,7 +132,8 @@
             "failed" if self._failure else raft.role.value,
             raft.term,
             self.leader_instance,
-            accepted_members.voters,
+            # The former voters are needed until the exchange has ended.
+            accepted_members.outgoing or accepted_members.voters,
             raft.log.last_index,
             raft.commit_index,
             self._failure,
@@ -273,7 +274,8 @@
                 )
 
     def _change_members(self, now):
-        if now < self._next_repair_at:
+        # An exchange is ended as soon as it is committed.
+        if now < self._next_repair_at and not self.raft.members.outgoing:
             return
         self._next_repair_at = now + self._settings.heartbeat_interval
         voter_instances = self._voter_instances
