Make the cost of a change follow its size, at control and gateways

Cause (one of several): for a change of one route each control instance validated, encoded and decoded the whole document, and each gateway encoded, decoded and indexed it.

Documents share unchanged rows, which are recognised by identity. The digest of a change is a sum over rows, so that it is updated from the rows that the change names; of two instances of different releases the receiver finds another digest and is sent the whole document.

--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -247,7 +247,7 @@
 
     def _on_applied(self):
         if self.machine.version > self.state.version:
-            self.state.apply(self.machine.published_state())
+            self.state.apply_desired(self.machine.desired_state())
             self.metrics.state_version.labels().set(self.machine.version)
 
     async def _handle(self, exchange):
--- a/banyanshore/entry/process.py
+++ b/banyanshore/entry/process.py
@@ -283,9 +283,9 @@
             await link.notify_or_drop(message)
 
     def _on_applied(self):
-        published = self.machine.published_state()
-        if self.state.apply(published):
-            self.metrics.state_version.set(published.version)
+        desired = self.machine.desired_state()
+        if self.state.apply_desired(desired):
+            self.metrics.state_version.set(desired.version)
             # A version restored at the start is sent once the sender runs.
             if self.versions is not None:
                 self.versions.on_new_version(from_log=True)
--- a/banyanshore/gateway/screening.py
+++ b/banyanshore/gateway/screening.py
@@ -58,7 +58,7 @@
 
     def use(self, document):
         """Use the document of the desired state in force."""
-        self.table = RouteTable(document)
+        self.table = RouteTable(document, self.table)
 
     def screen(self, request, unconfirmed_seconds):
         """Return a :class:`Screened` request or a :class:`Rejection`.
--- a/banyanshore/state/document.py
+++ b/banyanshore/state/document.py
@@ -1,6 +1,9 @@
-"""The desired-state document: validation and merge patches (RFC 7396)."""
+"""The desired-state document: validation and merge patches (RFC 7396).
+
+Documents are not modified: a patched document shares all rows that the patch doesn't
+change with the one before, so that unchanged rows are recognised by identity.
+"""
 
-import copy
 import fnmatch
 import json
 import math
@@ -26,11 +29,13 @@
 def merge_patch(target, patch):
     """Return a value with a merge patch applied; neither argument is changed.
 
+    The result shares values with both arguments.
+
     >>> merge_patch({"a": 1, "b": {"c": 2}}, {"a": None, "b": {"d": 3}})
     {'b': {'c': 2, 'd': 3}}
     """
     if not isinstance(patch, dict):
-        return copy.deepcopy(patch)
+        return patch
     result = dict(target) if isinstance(target, dict) else {}
     for key, value in patch.items():
         if value is None:
@@ -51,6 +56,9 @@
     patch = {key: None for key in before if key not in after}
     for key, value in after.items():
         known = before.get(key)
+        if known is value:
+            # Documents hold no None, so the key is not missing.
+            continue
         if isinstance(value, dict) and isinstance(known, dict):
             inner = diff_documents(known, value)
             if inner:
@@ -112,28 +120,43 @@
     return json.dumps(document, separators=(",", ":"), sort_keys=True).encode()
 
 
-def check_document(document):
+def check_document(document, valid=None):
     """Validate a document.
 
+    :param valid: an earlier document that is valid. Rows that it shares with the
+        document are validated only against the rows that differ.
     :raises DocumentError: names the location, the value and what was expected.
     """
     if not isinstance(document, dict):
         raise error_at("(top)", document, "an object")
+    valid = valid or {}
     for table, rows in document.items():
         fields = FIELDS_BY_TABLE.get(table)
         if fields is None:
             raise error_at(table, rows, f"one of {', '.join(FIELDS_BY_TABLE)}")
         if not isinstance(rows, dict):
             raise error_at(table, rows, "an object of rows by name")
-        for name, row in rows.items():
+        for name, row in changed_rows(rows, valid.get(table, {})).items():
             names = NAMES_BY_TABLE.get(table, (name,))
             if name not in names:
                 raise error_at(f"{table}.{name}", row, f"one of {', '.join(names)}")
             location = f"{table}.{name}"
             _check_row(location, row, FIELDS_BY_LOCATION.get(location, fields))
-    _check_references(document)
-    check_routes(document)
-    check_keys(document)
+    _check_references(document, valid)
+    check_routes(document, valid)
+    check_keys(document, valid)
+
+
+def changed_rows(rows, before):
+    """Return the rows by name that are not the same objects as before.
+
+    >>> row = {"kind": "plain"}
+    >>> changed_rows({"a": row, "b": {}}, {"a": row})
+    {'b': {}}
+    """
+    if rows is before:
+        return {}
+    return {name: row for name, row in rows.items() if before.get(name) is not row}
 
 
 def is_non_repeatable(service, method, path):
@@ -165,9 +188,12 @@
             raise error_at(f"{location}.{key}", None, field.expected)
 
 
-def _check_references(document):
+def _check_references(document, valid):
     models = document.get("models", {})
-    for name, service in document.get("services", {}).items():
+    services = document.get("services", {})
+    if not _lacks_names(models, valid.get("models", {})):
+        services = changed_rows(services, valid.get("services", {}))
+    for name, service in services.items():
         model = service.get("model")
         if model is not None and model not in models:
             raise error_at(f"services.{name}.model", model, "a model in the document")
@@ -181,26 +207,48 @@
                 raise error_at(location, rule, "texts for method and path")
 
 
-def check_routes(document):
+def _lacks_names(rows, before):
+    """Return whether a table lacks a row that it had before."""
+    return rows is not before and not before.keys() <= rows.keys()
+
+
+def check_routes(document, valid=None):
     """Validate the prefixes and services of all routes.
 
     Two routes must not have the same host and prefix, and the weights of a route's
     services must add up to more than 0.
 
+    :param valid: an earlier document that is valid, as for :func:`check_document`.
     :raises DocumentError: names the route.
     """
+    valid = valid or {}
     services = document.get("services", {})
+    routes = document.get("routes", {})
+    changed = changed_rows(routes, valid.get("routes", {}))
     name_by_host_and_prefix = {}
-    for name, route in document.get("routes", {}).items():
+    for name, route in changed.items():
         location = f"routes.{name}"
         if not route["prefix"].startswith("/") or not route["prefix"].endswith("/"):
             raise error_at(f"{location}.prefix", route["prefix"], "/ at both ends")
         key = (route["host"], route["prefix"])
         if key in name_by_host_and_prefix:
-            detail = f"a place other than that of route {name_by_host_and_prefix[key]}"
-            raise error_at(location, "".join(key), detail)
+            raise _taken_place(location, key, name_by_host_and_prefix[key])
         name_by_host_and_prefix[key] = name
         _check_shares(location, route["services"], services)
+    is_service_missing = _lacks_names(services, valid.get("services", {}))
+    if len(changed) == len(routes) or not (changed or is_service_missing):
+        return
+    for name, route in routes.items():
+        key = (route["host"], route["prefix"])
+        taken_by = name_by_host_and_prefix.get(key, name)
+        if taken_by != name:
+            raise _taken_place(f"routes.{taken_by}", key, name)
+        if is_service_missing:
+            _check_shares(f"routes.{name}", route["services"], services)
+
+
+def _taken_place(location, key, name):
+    return error_at(location, "".join(key), f"a place other than that of route {name}")
 
 
 def _check_shares(location, shares, services):
@@ -227,13 +275,17 @@
         )
 
 
-def check_keys(document):
+def check_keys(document, valid=None):
     """Validate that no two workspaces have the same key.
 
+    :param valid: an earlier document that is valid, as for :func:`check_document`.
     :raises DocumentError: names both workspaces.
     """
+    workspaces = document.get("workspaces", {})
+    if not changed_rows(workspaces, (valid or {}).get("workspaces", {})):
+        return
     holder_by_key = {}
-    for name, workspace in document.get("workspaces", {}).items():
+    for name, workspace in workspaces.items():
         for key in workspace.get("keys", ()):
             location = f"workspaces.{name}.keys"
             if not isinstance(key, str):
--- a/banyanshore/state/holder.py
+++ b/banyanshore/state/holder.py
@@ -32,15 +32,7 @@
 
     def apply(self, published):
         """Make a version current if it is newer; return whether it was."""
-        if self.desired is not None and published.version <= self.desired.version:
-            return False
-        self.previous = self.desired if self._keep_previous else None
-        self.desired = DesiredState(published)
-        self.changed_at = time.monotonic()
-        logger.info("version %d is in force", published.version)
-        for callback in self.on_change:
-            callback(self.desired)
-        return True
+        return self.apply_desired(DesiredState(published))
 
     def apply_delta(self, delta):
         """Apply a delta to the current version; return whether a version was set.
@@ -50,5 +42,17 @@
         """
         if self.desired is None:
             return False
-        published = self.desired.published_after(delta)
-        return published is not None and self.apply(published)
+        desired = self.desired.after(delta)
+        return desired is not None and self.apply_desired(desired)
+
+    def apply_desired(self, desired):
+        """Make a parsed version current if it is newer; return whether it was."""
+        if self.desired is not None and desired.version <= self.desired.version:
+            return False
+        self.previous = self.desired if self._keep_previous else None
+        self.desired = desired
+        self.changed_at = time.monotonic()
+        logger.info("version %d is in force", desired.version)
+        for callback in self.on_change:
+            callback(desired)
+        return True
--- a/banyanshore/state/machine.py
+++ b/banyanshore/state/machine.py
@@ -31,7 +31,8 @@
     LoadPermitStatus,
     LoadPermitTable,
 )
-from banyanshore.state.views import DesiredState, Fence, PublishedState
+from banyanshore.state.summary import DocumentSummary
+from banyanshore.state.views import DesiredState, Fence
 from banyanshore.transport.codec import decode, encode, message
 
 # Number of patch outcomes kept, so that a resent patch gets its first outcome.
@@ -63,6 +64,7 @@
         self.version = 0
         self.fence = Fence()
         self.document = empty_document()
+        self._summary = DocumentSummary.of(self.document)
         self._default_claim_limits = claim_limits or ClaimLimits()
         self.claims = ClaimTable(self._default_claim_limits)
         self.load_permits = LoadPermitTable()
@@ -87,9 +89,15 @@
             command = command.command
         return _HANDLER_BY_COMMAND[type(command)](self, index, term, command)
 
+    def desired_state(self):
+        """Return the current version as a :class:`DesiredState`."""
+        return DesiredState.from_document(
+            self.version, self.fence, self.document, self._summary
+        )
+
     def published_state(self):
         """Return the current version as a :class:`PublishedState`."""
-        return PublishedState(self.version, self.fence, to_json(self.document))
+        return self.desired_state().published
 
     def snapshot(self):
         """Return the complete state, encoded."""
@@ -111,14 +119,16 @@
         version, fence, document, now, patches, claims, load_permits = decode(data)
         self.version = version
         self.fence = fence
-        self._set_document(json.loads(document))
+        document = json.loads(document)
+        self._set_document(document, DocumentSummary.of(document))
         self._now = now
         self._patch_by_request_id = OrderedDict(patches)
         self.claims.load_rows(claims)
         self.load_permits.load_rows(load_permits)
 
-    def _set_document(self, document):
+    def _set_document(self, document, summary):
         self.document = document
+        self._summary = summary
         row = document.get("limits", {}).get("claims", {})
         fields = {CLAIM_LIMIT_BY_KEY[key]: value for key, value in row.items()}
         self.claims.limits = replace(self._default_claim_limits, **fields)
@@ -146,16 +156,18 @@
             )
             return PatchOutcome(PatchStatus.CONFLICT, self.version, detail)
         try:
-            document = merge_patch(self.document, parse_patch(command.patch))
+            patch = parse_patch(command.patch)
+            document = merge_patch(self.document, patch)
             for table, rows in empty_document().items():
                 document.setdefault(table, rows)
-            check_document(document)
+            check_document(document, self.document)
         except DocumentError as error:
             return PatchOutcome(PatchStatus.INVALID, self.version, error.message)
-        if len(to_json(document)) > MAX_DOCUMENT_BYTES:
+        summary = self._summary.updated(self.document, document, patch)
+        if summary.size > MAX_DOCUMENT_BYTES:
             detail = f"the document would exceed {MAX_DOCUMENT_BYTES} bytes"
             return PatchOutcome(PatchStatus.INVALID, self.version, detail)
-        self._set_document(document)
+        self._set_document(document, summary)
         self.version += 1
         self.fence = Fence(term, index)
         self.load_permits.retain_versions(
@@ -177,7 +189,7 @@
         if request.status == LoadPermitStatus.ASKED:
             order = self.load_permits.open_order(request.instance)
             return LoadPermitReply(False, open_order=order)
-        desired = DesiredState(self.published_state())
+        desired = self.desired_state()
         spec = desired.model_of_service(request.service)
         if spec is None or (spec.name, spec.version) != (
             request.model,
--- a/banyanshore/state/routes.py
+++ b/banyanshore/state/routes.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from banyanshore.state.document import changed_rows
+
 
 class RouteKind(StrEnum):
     """Kind of a route, which decides whether its requests may be repeated."""
@@ -102,16 +104,15 @@
     """Index of the routes, limits and workspace keys in one version.
 
     :param document: the document of the desired state.
+    :param previous: the table of an earlier version; rows that the two documents share
+        are not indexed again.
     """
 
-    def __init__(self, document):
+    def __init__(self, document, previous=None):
         self.limits = CallerLimits(**document.get("limits", {}).get("callers", {}))
         self.services = document.get("services", {})
-        self._routes_by_host = {}
-        for row in document.get("routes", {}).values():
-            route = Route.from_row(row)
-            prefixes = self._routes_by_host.setdefault(route.host, {})
-            prefixes[route.prefix] = route
+        self._rows = document.get("routes", {})
+        self._routes_by_host = self._index_routes(previous)
         # Requests still need a key if all keys of all workspaces were removed.
         self.requires_key = bool(document.get("workspaces"))
         self._workspace_by_key = {}
@@ -121,6 +122,26 @@
             for key in row.get("keys", ()):
                 self._workspace_by_key[key] = workspace
 
+    def _index_routes(self, previous):
+        """Return the routes by prefix, by host."""
+        rows_before = previous._rows if previous else {}
+        changed = changed_rows(self._rows, rows_before)
+        # A changed row may have had another host or prefix.
+        outdated = [
+            row
+            for name, row in rows_before.items()
+            if name in changed or name not in self._rows
+        ]
+        routes_by_host = dict(previous._routes_by_host) if previous else {}
+        touched = {row["host"] for row in (*outdated, *changed.values())}
+        for host in touched:
+            routes_by_host[host] = dict(routes_by_host.get(host, {}))
+        for row in outdated:
+            del routes_by_host[row["host"]][row["prefix"]]
+        for row in changed.values():
+            routes_by_host[row["host"]][row["prefix"]] = Route.from_row(row)
+        return routes_by_host
+
     def find_route(self, host, path):
         """Return the route with the longest prefix that matches, or ``None``.
 
--- /dev/null
+++ b/banyanshore/state/summary.py
@@ -0,0 +1,84 @@
+"""The size and digest of a document, updated from the rows that a patch names."""
+
+import json
+import zlib
+from dataclasses import dataclass
+
+_DIGEST_MODULUS = 2**32
+
+
+@dataclass(frozen=True)
+class DocumentSummary:
+    """Size and digest of a document, as sums over its rows.
+
+    :param size: bytes of the document as JSON, counting a comma after each row.
+    :param digest: number that differs, with near certainty, between documents.
+    """
+
+    size: int = 0
+    digest: int = 0
+
+    @classmethod
+    def of(cls, document):
+        """Return the summary of a complete document.
+
+        >>> DocumentSummary.of({"a": {"x": 1}}).size == len('{"a":{"x":1,},}')
+        True
+        """
+        summary = cls(len("{}"))
+        for table, rows in document.items():
+            summary = summary._plus(_summarize_table(table, rows))
+        return summary
+
+    def updated(self, before, after, patch):
+        """Return the summary of a patched document.
+
+        :param before: the document that this is the summary of.
+        :param after: that document with the patch applied.
+        :param patch: the merge patch.
+        """
+        summary = self
+        for table, changes in patch.items():
+            rows, new_rows = before.get(table), after.get(table)
+            if all(isinstance(value, dict) for value in (changes, rows, new_rows)):
+                for name in changes:
+                    if name in rows:
+                        row = _summarize_row(table, name, rows[name])
+                        summary = summary._plus(row, -1)
+                    if name in new_rows:
+                        row = _summarize_row(table, name, new_rows[name])
+                        summary = summary._plus(row)
+                continue
+            if table in before:
+                summary = summary._plus(_summarize_table(table, rows), -1)
+            if table in after:
+                summary = summary._plus(_summarize_table(table, new_rows))
+        return summary
+
+    def _plus(self, other, sign=1):
+        return DocumentSummary(
+            self.size + sign * other.size,
+            (self.digest + sign * other.digest) % _DIGEST_MODULUS,
+        )
+
+
+def _summarize_table(table, rows):
+    if not isinstance(rows, dict):
+        return _summarize_text(table, f"{json.dumps(table)}:{_encode(rows)},")
+    summary = _summarize_text(table, f"{json.dumps(table)}:{{}},")
+    for name, row in rows.items():
+        summary = summary._plus(_summarize_row(table, name, row))
+    return summary
+
+
+def _summarize_row(table, name, row):
+    return _summarize_text(table, f"{json.dumps(name)}:{_encode(row)},")
+
+
+def _summarize_text(table, text):
+    data = text.encode()
+    return DocumentSummary(len(data), zlib.crc32(data, zlib.crc32(table.encode())))
+
+
+def _encode(value):
+    return json.dumps(value, separators=(",", ":"), sort_keys=True)
--- a/banyanshore/state/views.py
+++ b/banyanshore/state/views.py
@@ -1,7 +1,6 @@
 """Read-only views of the desired state, and their encoding in messages."""
 
 import json
-import zlib
 from dataclasses import dataclass
 from functools import cached_property
 
@@ -11,6 +10,7 @@
     merge_patch,
     to_json,
 )
+from banyanshore.state.summary import DocumentSummary
 from banyanshore.transport.codec import message
 
 
@@ -43,7 +43,8 @@
 
     :param base_version: version that the patch applies to.
     :param patch: merge patch as JSON.
-    :param document_digest: CRC-32 of the resulting document as JSON.
+    :param document_digest: digest of the resulting document, see
+        :class:`~banyanshore.state.summary.DocumentSummary`.
     """
 
     base_version: int
@@ -78,52 +79,86 @@
         )
 
 
-@dataclass(frozen=True)
 class DesiredState:
-    """An accepted version, parsed.
+    """An accepted version: its document, and the message that carries it.
+
+    Each of the two is derived from the other when it is first needed.
 
     :param published: the version as it was received.
     """
 
-    published: PublishedState
+    def __init__(self, published):
+        self.version = published.version
+        # Fencing number of orders that are based on this version.
+        self.fence = published.fence
+        self.published = published
 
-    @property
-    def version(self):
-        """Return the version number."""
-        return self.published.version
+    @classmethod
+    def from_document(cls, version, fence, document, summary=None):
+        """Return a version whose document is known.
 
-    @property
-    def fence(self):
-        """Return the fencing number of orders that are based on this version."""
-        return self.published.fence
+        :param summary: the :class:`~banyanshore.state.summary.DocumentSummary`, if it
+            is known.
+        """
+        desired = cls.__new__(cls)
+        desired.version = version
+        desired.fence = fence
+        desired.document = document
+        if summary is not None:
+            desired.summary = summary
+        return desired
+
+    @cached_property
+    def published(self):
+        """Return the :class:`PublishedState` of this version."""
+        return PublishedState(self.version, self.fence, to_json(self.document))
 
     @cached_property
     def document(self):
         """Return the parsed document, which must not be modified."""
         return json.loads(self.published.document)
 
+    @cached_property
+    def summary(self):
+        """Return the :class:`~banyanshore.state.summary.DocumentSummary`."""
+        return DocumentSummary.of(self.document)
+
+    def only(self, tables):
+        """Return this version with some of the tables."""
+        document = self.document
+        return self.from_document(
+            self.version,
+            self.fence,
+            {name: document[name] for name in tables if name in document},
+        )
+
     def delta_from(self, base):
         """Return the :class:`StateDelta` from an earlier version to this one."""
-        published = self.published
+        patch = diff_documents(base.document, self.document)
+        if "summary" not in self.__dict__:
+            self.summary = base.summary.updated(base.document, self.document, patch)
         return StateDelta(
             base.version,
-            published.version,
-            published.fence,
-            to_json(diff_documents(base.document, self.document)),
-            zlib.crc32(published.document),
+            self.version,
+            self.fence,
+            to_json(patch),
+            self.summary.digest,
         )
 
-    def published_after(self, delta):
-        """Return the :class:`PublishedState` after a delta, or ``None``.
+    def after(self, delta):
+        """Return the version that a delta leads to.
 
-        Return ``None`` if the delta is based on another version or another document.
+        :return: ``None`` if the delta starts from another version, or from another
+            document of this one.
         """
         if delta.base_version != self.version:
             return None
-        document = to_json(merge_patch(self.document, json.loads(delta.patch)))
-        if zlib.crc32(document) != delta.document_digest:
+        patch = json.loads(delta.patch)
+        document = merge_patch(self.document, patch)
+        summary = self.summary.updated(self.document, document, patch)
+        if summary.digest != delta.document_digest:
             return None
-        return PublishedState(delta.version, delta.fence, document)
+        return self.from_document(delta.version, delta.fence, document, summary)
 
     def service(self, name):
         """Return the row of a service, or ``None``."""
