Decode only the routes of a declaration that have changed

Rows of unchanged routes are taken from the declaration before, recognised by their encoded bytes (1, 1.0 and true differ in them), and replaced by the equal rows in force, so that validation and comparison skip them by identity. The text is stored in base 64 with a prefix; texts in base 85 are still read.

--- a/banyanshore/control/orders.py
+++ b/banyanshore/control/orders.py
@@ -59,12 +59,13 @@
         """Replace the declared tables, unless this or a later declaration is accepted.
 
         :param number: number of the declaration, assigned by the operator.
-        :param tables: the new rows of :data:`DECLARED_TABLES`.
+        :param tables: the new rows of :data:`DECLARED_TABLES`. Rows that equal those in
+            force are replaced by them, so that later comparisons are by identity.
         :return: whether this call changed the state.
         :raises DocumentError: the declaration is invalid or was rejected.
         :raises UnavailableError: no quorum accepted it in time.
         """
-        check_document(tables)
+        check_document(tables, self._document())
 
         def make_patch(document):
             if declared_number(document) >= number:
@@ -72,7 +73,9 @@
             current = {name: document.get(name, {}) for name in DECLARED_TABLES}
             wanted = {name: tables.get(name, {}) for name in DECLARED_TABLES}
             wanted["limits"] = {**current["limits"], **wanted["limits"]}
-            return diff_documents(current, wanted)
+            patch = diff_documents(current, wanted)
+            _share_rows(tables, document, patch)
+            return patch
 
         return await self._apply("declaration", {"number": number}, make_patch)
 
@@ -150,9 +153,7 @@
             if boottime_now() >= deadline:
                 # The process may have stood still while it waited.
                 break
-            desired = self._state.desired
-            document = desired.document if desired else _EMPTY_DOCUMENT
-            patch = make_patch(document)
+            patch = make_patch(self._document())
             if patch is None:
                 self._log(order, details, "already in force", started_at)
                 return False
@@ -169,6 +170,10 @@
             step=order,
         )
 
+    def _document(self):
+        desired = self._state.desired
+        return desired.document if desired else _EMPTY_DOCUMENT
+
     async def _propose(self, patch, remaining):
         command = PatchCommand(
             uuid.uuid4().hex, self._state.version, to_json(patch), time.time()
@@ -198,6 +203,18 @@
         )
 
 
+def _share_rows(tables, document, patch):
+    """Replace the rows of tables that a patch doesn't change by those of a document."""
+    for table, rows in tables.items():
+        changes = patch.get(table, {})
+        shared = {
+            name: row
+            for name, row in document.get(table, {}).items()
+            if name in rows and name not in changes
+        }
+        rows.update(shared)
+
+
 _EMPTY_DOCUMENT = {"data_centres": {}, "rollouts": {}}
 
 
--- a/banyanshore/platform/control_api.py
+++ b/banyanshore/platform/control_api.py
@@ -8,7 +8,7 @@
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.http.wire import PeerClosedError
 from banyanshore.membership.registry import Departure, TargetState
-from banyanshore.platform.declaration import decode_declaration, encode_declaration
+from banyanshore.platform.declaration import DeclarationDecoder, encode_declaration
 from banyanshore.platform.registration import decode_registration
 from banyanshore.platform.values import DecodeError, Reader, parse_object
 from banyanshore.state.document import DocumentError
@@ -45,6 +45,7 @@
     def __init__(self, orders, feed):
         self._orders = orders
         self._feed = feed
+        self._declarations = DeclarationDecoder()
 
     async def handle(self, exchange):
         """Handle one call."""
@@ -92,7 +93,7 @@
         await exchange.respond(status, _JSON, body)
 
     async def _put_config(self, call):
-        number, tables = decode_declaration(call.body)
+        number, tables = self._declarations.decode(call.body)
         await self._orders.declare(number, tables)
         return 200, {}
 
--- a/banyanshore/platform/declaration.py
+++ b/banyanshore/platform/declaration.py
@@ -7,7 +7,12 @@
 import zlib
 
 from banyanshore.platform.values import DecodeError, Reader, parse_object
+from banyanshore.transport.codec import CodecError, encode
 
+# Marks a stored text in base 64; earlier releases stored it in base 85, which is slow
+# and has no colon.
+_BASE64_PREFIX = "base64:"
+_COMPRESSION_LEVEL = 3
 _KIND_BY_ROUTE_TYPE = {
     "streaming": "streaming",
     "idempotent": "idempotent",
@@ -15,23 +20,80 @@
 }
 
 
+class DeclarationDecoder:
+    """Decode declarations, most of whose routes are those of the one before.
+
+    Load pattern: declarations of thousands of routes follow at short intervals, and
+    each changes a few. The event loop has to get to heartbeats meanwhile.
+    """
+
+    def __init__(self):
+        self._rows = {}
+        self._key_by_source = {}
+
+    def decode(self, body):
+        """Return the version number of a declaration and its tables.
+
+        Rows of routes that are the same as in the declaration before are the rows that
+        its tables hold now.
+
+        :param body: the declaration as JSON bytes.
+        :raises DecodeError: the declaration is invalid.
+        """
+        reader = Reader(parse_object(body))
+        number = reader.integer("version")
+        services = reader.objects("backends")
+        rows, key_by_source = self._decode_routes(reader)
+        tables = {
+            "services": _by_name(services, _decode_service),
+            "routes": rows,
+            "workspaces": _by_name(reader.objects("tenants", []), _decode_workspace),
+            "limits": _decode_limits(reader.object("limits")),
+            "declarations": {"operator": {"number": number, "source": _pack(body)}},
+        }
+        self._rows, self._key_by_source = rows, key_by_source
+        return number, tables
+
+    def _decode_routes(self, reader):
+        """Return the rows by key, and the keys by the encoded routes."""
+        rows, key_by_source = {}, {}
+        for position, document in enumerate(reader.list("routes")):
+            source = _encode_route(document)
+            key = self._key_by_source.get(source)
+            if key is None:
+                row = _decode_route(Reader(document, f"routes.{position}"))
+                # Routes are identified by host and prefix; their names are ignored.
+                key = f"{row['host']}{row['prefix']}"
+            else:
+                row = self._rows[key]
+            if key in rows:
+                path = f"routes.{position}"
+                raise DecodeError(path, key, "a host and prefix used once")
+            rows[key] = row
+            if source is not None:
+                key_by_source[source] = key
+        return rows, key_by_source
+
+
 def decode_declaration(body):
     """Return the version number of a declaration and its tables.
 
     :param body: the declaration as JSON bytes.
     :raises DecodeError: the declaration is invalid.
     """
-    reader = Reader(parse_object(body))
-    number = reader.integer("version")
-    services = reader.objects("backends")
-    tables = {
-        "services": _by_name(services, _decode_service),
-        "routes": _decode_routes(reader.objects("routes")),
-        "workspaces": _by_name(reader.objects("tenants", []), _decode_workspace),
-        "limits": _decode_limits(reader.object("limits")),
-        "declarations": {"operator": {"number": number, "source": _pack(body)}},
-    }
-    return number, tables
+    return DeclarationDecoder().decode(body)
+
+
+def _encode_route(document):
+    """Return bytes that tell all JSON values apart, or ``None``.
+
+    In Python ``1``, ``1.0`` and ``True`` are equal.
+    """
+    try:
+        return encode(document)
+    except (CodecError, ValueError):
+        # Numbers and texts that no route may hold.
+        return None
 
 
 def encode_declaration(document):
@@ -41,10 +103,13 @@
 
 
 def _pack(body):
-    return base64.b85encode(zlib.compress(body, 6)).decode("ascii")
+    packed = base64.b64encode(zlib.compress(body, _COMPRESSION_LEVEL))
+    return _BASE64_PREFIX + packed.decode("ascii")
 
 
 def _unpack(source):
+    if source.startswith(_BASE64_PREFIX):
+        return zlib.decompress(base64.b64decode(source[len(_BASE64_PREFIX) :]))
     return zlib.decompress(base64.b85decode(source))
 
 
@@ -58,18 +123,6 @@
     return rows
 
 
-def _decode_routes(readers):
-    rows = {}
-    for reader in readers:
-        row = _decode_route(reader)
-        # Routes are identified by host and prefix; their names are ignored.
-        route_key = f"{row['host']}{row['prefix']}"
-        if route_key in rows:
-            raise DecodeError(reader.path, route_key, "a host and prefix used once")
-        rows[route_key] = row
-    return rows
-
-
 def _decode_route(reader):
     kind = reader.string("routeType")
     if kind not in _KIND_BY_ROUTE_TYPE:
--- a/banyanshore/platform/values.py
+++ b/banyanshore/platform/values.py
@@ -90,12 +90,15 @@
 
     def objects(self, name, default=_REQUIRED):
         """Return a list of readers, one for each object of a list."""
-        rows = self._read(name, default, "a list", lambda v: isinstance(v, list))
         return [
             Reader(row, f"{self._path_of(name)}.{position}")
-            for position, row in enumerate(rows)
+            for position, row in enumerate(self.list(name, default))
         ]
 
+    def list(self, name, default=_REQUIRED):
+        """Return a list of any values."""
+        return self._read(name, default, "a list", lambda v: isinstance(v, list))
+
     def object(self, name):
         """Return a reader of an object, or ``None`` if the field is missing."""
         value = self.document.get(name)
--- a/benchmarks/declarations.py
+++ b/benchmarks/declarations.py
@@ -43,9 +43,10 @@
         self.data = b""
 
     async def notify(self, body):
-        pass
+        """Discard rows and ages."""
 
     async def notify_encoded(self, data):
+        """Keep a notice."""
         self.data = data
 
 
@@ -57,9 +58,11 @@
         self._state = state
 
     async def read_version(self, timeout):
+        """Return the number of the latest version."""
         return self.machine.version
 
     async def propose(self, command, timeout):
+        """Apply a command and return its outcome."""
         outcome = self.machine.apply(self.machine.version + 1, 1, command)
         self._state.apply_desired(self.machine.desired_state())
         return outcome
--- a/tests/platform/test_declaration.py
+++ b/tests/platform/test_declaration.py
@@ -1,11 +1,17 @@
 """Tests of decoding declarations and registrations."""
 
+import base64
 import copy
 import json
+import zlib
 
 import pytest
 
-from banyanshore.platform.declaration import decode_declaration, encode_declaration
+from banyanshore.platform.declaration import (
+    DeclarationDecoder,
+    decode_declaration,
+    encode_declaration,
+)
 from banyanshore.platform.registration import decode_registration
 from banyanshore.platform.values import DecodeError
 from banyanshore.state.document import DocumentError, check_document
@@ -154,3 +160,35 @@
 def test_body_that_is_not_a_json_object_is_rejected(body):
     with pytest.raises(DecodeError):
         decode_registration("i-1", body)
+
+
+def test_unchanged_routes_are_not_decoded_again():
+    """Decoding all of 3,000 routes for a change of one took 78 ms of the event loop."""
+    decoder = DeclarationDecoder()
+    _, before = decoder.decode(encoded())
+    _, after = decoder.decode(
+        encoded(lambda d: d["routes"][1].update(timeoutMs=7, version=8))
+    )
+    unchanged, changed = "hulo84.example/a/b/", "hulo84.example/c/"
+    assert after["routes"][unchanged] is before["routes"][unchanged]
+    assert after["routes"][changed]["timeout_seconds"] == 0.007
+    assert before["routes"][changed]["timeout_seconds"] == 6.0
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("priority", True), ("public", 0), ("timeoutMs", 2**70), ("hostname", "\ud800")],
+)
+def test_invalid_value_is_refused_after_an_equal_valid_one(field, value):
+    decoder = DeclarationDecoder()
+    decoder.decode(encoded())
+    for _ in range(2):
+        with pytest.raises(DecodeError):
+            decoder.decode(encoded(lambda d: d["routes"][0].update({field: value})))
+    decoder.decode(encoded())
+
+
+def test_text_stored_by_an_earlier_release_is_read_back():
+    source = base64.b85encode(zlib.compress(encoded())).decode()
+    document = {"declarations": {"operator": {"number": 7, "source": source}}}
+    assert encode_declaration(document) == encoded()
