Drop rows that are missing at one control instance after another

Cause: each complete list of rows began the time of all missing rows anew, so that a follower that moves every few seconds kept targets and gateways that were gone.

--- a/banyanshore/membership/registry.py
+++ b/banyanshore/membership/registry.py
@@ -216,8 +216,15 @@
         ]
 
     def mark_missing_except(self, now, keys):
-        """Mark all rows as missing, except those with the given keys."""
-        self._missing_since_by_key = dict.fromkeys(self.by_key.keys() - set(keys), now)
+        """Mark all rows as missing, except those with the given keys.
+
+        Rows that were missing before stay so since then: a follower may move from one
+        instance to the next before their time is over.
+        """
+        self._missing_since_by_key = {
+            key: self._missing_since_by_key.get(key, now)
+            for key in self.by_key.keys() - set(keys)
+        }
 
     def drop_missing(self, now):
         """Drop rows that have been missing too long and return their departures."""
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -4,7 +4,13 @@
 from dataclasses import replace
 
 from banyanshore.membership.feed import Registry
-from banyanshore.membership.registry import Departure, MemberRow, RowTable, TargetRow
+from banyanshore.membership.registry import (
+    MISSING_ROW_SECONDS,
+    Departure,
+    MemberRow,
+    RowTable,
+    TargetRow,
+)
 
 ROW = TargetRow("i-1", "s", "10.0.0.1:80", "dc", "v1", 4, "ready", 0.0, 1000, 5)
 
@@ -98,3 +104,15 @@
     assert registry.record(1.0, replace(row, sequence=2)) is False
     assert registry.members_of("gateway") == [replace(row, sequence=2)]
     assert registry.members_of("loader") == []
+
+
+def test_row_missing_at_one_instance_after_another_is_dropped():
+    """Each move of a follower began its time anew, and a lost target was kept."""
+    table = RowTable("member", 0.0)
+    table.record(0.0, MemberRow("x", "gateway", "dc", "r", "10.0.0.1:7700", 1, 1))
+    now = 0.0
+    while table.by_key:
+        table.mark_missing_except(now, [])
+        now += 1.0
+        table.drop_missing(now)
+        assert now < 2 * MISSING_ROW_SECONDS
