Spread the followers of a data centre over its control instances

All followers of a data centre chose its first control instance by name, and moved on together when it was slow, so that the next one was slow, too.

Each follower has an order of its own, by a hash of both names, nearer instances first. It avoids an instance that failed for a time that grows with further failures, and returns afterwards; times differ between followers. One answer without a confirmed state is no reason to leave: during an election all instances give it.

--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -15,6 +15,7 @@
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.membership.control_choice import ControlChoice
 from banyanshore.membership.lease import ConfirmationStatus, StateLease
 from banyanshore.membership.messages import StateChange, StateUpdate
 from banyanshore.membership.registry import Departure, MemberRow, RowTable, TargetRow
@@ -173,7 +174,7 @@
         self._link_options = link_options
         self._links = None
         self._control_instance = ""
-        self._failed_attempts = 0
+        self._choice = ControlChoice(member)
         self._sequence = 0
 
     @property
@@ -191,30 +192,35 @@
                 instance = self._choose_control()
                 if instance != self._control_instance:
                     self._follow(instance)
-                try:
-                    status = await self._confirm(instance)
-                except BanyanshoreError as error:
-                    logger.warning("control not reached", extra={"why": str(error)})
-                    status = ConfirmationStatus.UNKNOWN
-                if status is ConfirmationStatus.UNKNOWN:
-                    self._failed_attempts += 1
-                    await anyio.sleep(RETRY_SECONDS)
-                else:
+                if await self._is_confirmed_by(instance):
                     self.drop_missing()
                     await anyio.sleep(CONFIRM_INTERVAL)
+                else:
+                    await anyio.sleep(RETRY_SECONDS)
+
+    async def _is_confirmed_by(self, instance):
+        """Ask an instance to confirm the state; return whether a quorum has answered.
+
+        The state that is held may be older than the one confirmed.
+        """
+        try:
+            status = await self._confirm(instance)
+        except BanyanshoreError as error:
+            logger.warning("control not reached", extra={"why": str(error)})
+            self._choice.record_failure(time.monotonic(), instance)
+            return False
+        if status is ConfirmationStatus.UNKNOWN:
+            self._choice.record_unconfirmed(time.monotonic(), instance)
+            return False
+        self._choice.record_confirmed(instance)
+        return True
 
     def candidates(self):
-        """Return the control instances, those of this data centre first."""
-        own, others = [], []
-        for row in self._registry.members_of(CONTROL_ROLE):
-            is_own = row.data_centre == self._settings.data_centre
-            (own if is_own else others).append(row.instance)
-        known = sorted(own) + sorted(others)
-        return known + [seed for seed in self.seeds if seed not in known]
+        """Return the control instances, the preferred one first."""
+        return self._choice.rank(self._registry.members_of(CONTROL_ROLE), self.seeds)
 
     def _choose_control(self):
-        names = self.candidates()
-        return names[self._failed_attempts % len(names)]
+        return self._choice.choose(time.monotonic(), self.candidates())
 
     def _follow(self, instance):
         if self._control_instance:
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -178,7 +178,7 @@
         control = self.fleet.control_by_address.get(peer_address(chosen, PEER_PORT))
         if control is None or self.is_cut or control.is_cut:
             self.disconnect()
-            self.client._failed_attempts += 1
+            self.client._choice.record_failure(self.fleet.now, chosen)
             self.next_at = self.fleet.now + RETRY_SECONDS
             return
         if control is not self.control or self.connection is None:
