Compress large changes that are sent to followers

Cause: 1,400 new routes are 382 KB, and each control instance sent them to some 25 followers: half a second of its link, and of the time that the system takes for each kilobyte, in which confirmations were late. A leader that sends them looks silent.

Followers say in their requests that they decompress, so that those of earlier releases are sent plain notices.

tests/control/test_feed.py::test_many_new_routes_are_sent_compressed.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -72,10 +72,12 @@
     :param document: document that it was last sent, if it is sent some tables only.
     :param lagging_requests: consecutive confirm requests that named an older version
         than the one sent.
+    :param decompresses: whether it accepts compressed notices.
     """
 
     member: object
     version: int = 0
+    decompresses: bool = False
     document: bytes = b""
     lagging_requests: int = 0
 
@@ -152,7 +154,9 @@
         self._fleet_size.record(time.monotonic(), request.gateways)
         follower = self._follower_by_connection.get(connection)
         if follower is None:
-            follower = Follower(request.member, request.state_version)
+            follower = Follower(
+                request.member, request.state_version, request.decompresses
+            )
             self._follower_by_connection[connection] = follower
             logger.info(
                 "follower connected", extra={"follower": request.member.instance}
@@ -349,7 +353,8 @@
         follower.version = desired.version
         await self._send_ages(connection)
         for notice in notices:
-            await connection.notify_encoded(notice)
+            data = notice.for_follower(follower.decompresses)
+            await connection.notify_encoded(data)
 
     async def _send_tables(self, connection, follower, tables):
         """Send some tables of the latest version, if any of them has changed."""
--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -15,9 +15,10 @@
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.membership.compression import decompress_notice
 from banyanshore.membership.control_choice import ControlChoice
 from banyanshore.membership.lease import ConfirmationStatus, StateLease
-from banyanshore.membership.messages import StateChange, StateUpdate
+from banyanshore.membership.messages import CompressedNotice, StateChange, StateUpdate
 from banyanshore.membership.registry import Departure, MemberRow, RowTable, TargetRow
 from banyanshore.transport import LinkPool, TableHandler
 from banyanshore.transport.codec import message
@@ -65,11 +66,13 @@
 
     :param member: row of the follower.
     :param gateways: number of gateways that the follower knows, 0 if it counts none.
+    :param decompresses: whether the follower accepts a :class:`CompressedNotice`.
     """
 
     member: MemberRow
     state_version: int
     gateways: int = 0
+    decompresses: bool = False
 
 
 @message(106)
@@ -240,7 +243,7 @@
         member = replace(self._member, sequence=self._sequence)
         sent_at = boottime_now()
         gateways = self.count_gateways()
-        request = ConfirmRequest(member, self._state.version, gateways)
+        request = ConfirmRequest(member, self._state.version, gateways, True)
         reply = await connection.call(request, CONFIRM_TIMEOUT)
         is_first = self.lease.confirmed_at == float("-inf")
         status = self.lease.record_answer(
@@ -275,6 +278,10 @@
     async def _on_change(self, connection, change):
         self._state.apply_delta(change.delta)
 
+    async def _on_compressed(self, connection, notice):
+        body = decompress_notice(notice)
+        await self.notice_by_type[type(body)](self, connection, body)
+
     async def _on_rows(self, connection, update):
         now = time.monotonic()
         for departure in update.departures:
@@ -302,6 +309,7 @@
         {
             StateUpdate: _on_update,
             StateChange: _on_change,
+            CompressedNotice: _on_compressed,
             RolloutAges: _on_ages,
             RowUpdate: _on_rows,
         }
--- a/banyanshore/membership/messages.py
+++ b/banyanshore/membership/messages.py
@@ -174,6 +174,16 @@
     delta: object
 
 
+@message(124)
+class CompressedNotice:
+    """Carry a :class:`StateUpdate` or :class:`StateChange`, for narrow links.
+
+    :param data: the encoded message, compressed by zlib.
+    """
+
+    data: bytes
+
+
 @message(65)
 class RosterRow:
     """A live agent."""
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -1,21 +1,31 @@
 """The updates that control sends to its followers."""
 
 import json
+import zlib
 from dataclasses import replace
 
 import anyio
 import pytest
 
 from banyanshore.control import feed as feed_module
-from banyanshore.control.feed import FeedServer
-from banyanshore.membership.feed import ConfirmRequest, MemberRow, Registry, RowUpdate
-from banyanshore.membership.messages import StateChange, StateUpdate
+from banyanshore.control import version_history
+from banyanshore.control.feed import GATEWAY_TABLES, FeedServer
+from banyanshore.membership.compression import decompress_notice
+from banyanshore.membership.feed import (
+    ConfirmRequest,
+    FeedClient,
+    MemberRow,
+    Registry,
+    RowUpdate,
+)
+from banyanshore.membership.messages import CompressedNotice, StateChange, StateUpdate
 from banyanshore.membership.registry import Departure, TargetRow
 from banyanshore.state import Fence, PublishedState, StateHolder
 from banyanshore.state.document import empty_document, to_json
 from banyanshore.state.views import DesiredState
 from banyanshore.telemetry.control import ControlMetrics
 from banyanshore.transport import decode, encode_notice
+from banyanshore.transport.codec import CodecError, encode
 
 pytestmark = pytest.mark.anyio
 
@@ -152,8 +162,9 @@
 
 
 async def test_follower_that_lacks_more_than_the_document_is_sent_the_document(
-    server, state
+    server, state, monkeypatch
 ):
+    monkeypatch.setattr(version_history, "MIN_COMPARED_BYTES", 0)
     publish(state, 1, 1)
     for version in range(2, 6):
         publish(state, version, 100 * (version % 2))
@@ -162,6 +173,41 @@
     assert update.published.version == 5
 
 
+@pytest.mark.parametrize("version", [0, 1])
+async def test_many_new_routes_are_sent_compressed(server, state, version):
+    """400 KB to each of 40 gateways kept the links busy for half a second."""
+    publish(state, 1, 1)
+    publish(state, 2, 1400)
+    sent_bytes = {}
+    for decompresses in (False, True):
+        connection = MeasuredFollower()
+        request = ConfirmRequest(member("gateway"), version, 0, decompresses)
+        rows_bytes = len(encode_notice(server._complete_update()))
+        await server.on_confirm_request(connection, request)
+        sent_bytes[decompresses] = connection.sent_bytes - rows_bytes
+        follower = FeedClient(
+            Settings, member("gateway"), StateHolder(), Registry(), None
+        )
+        if version:
+            publish(follower._state, 1, 1)
+            # As control sends it, without the text of the declaration.
+            follower._state.desired = follower._state.desired.only(GATEWAY_TABLES)
+        for body in connection.sent_of(StateChange, StateUpdate, CompressedNotice):
+            assert isinstance(body, CompressedNotice) == decompresses
+            await follower.notice_by_type[type(body)](follower, connection, body)
+        assert follower._state.version == 2
+        assert len(follower._state.desired.document["routes"]) == 1400
+    assert sent_bytes[True] < sent_bytes[False] / 4
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"x", zlib.compress(b"x")[:-1], zlib.compress(encode(RowUpdate()))]
+)
+def test_damaged_compressed_notice_is_refused(data):
+    with pytest.raises(CodecError):
+        decompress_notice(CompressedNotice(data))
+
+
 async def test_change_of_one_route_is_sent_without_the_text_of_the_declaration(
     server, state
 ):
