Confirm the state for all followers of an instance together

Cause: each of 75 followers asked once a second, and for each the leader started a round of messages to all voters, on the same core that encodes and sends changes. At 400 gateways and 600 loaders it would be a thousand rounds a second. A leader that was busy for 0.8 s failed the confirmations of all instances, and their followers moved.

Each instance reads the latest version four times a second, whoever asks, and answers with the version and the seconds since the read; followers count their lease from then. A read without an answer doesn't hold up the next ones.

--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -1,6 +1,5 @@
 """The control process: a voter of the replicated state that serves no callers."""
 
-import contextlib
 import logging
 import time
 from dataclasses import dataclass, replace
@@ -20,6 +19,7 @@
 )
 from banyanshore.control.feed import FeedServer
 from banyanshore.control.orders import Orders
+from banyanshore.control.state_checks import StateChecks
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.core.standstill import TICK_INTERVAL, StandstillMonitor
@@ -46,10 +46,6 @@
 
 # Seconds between announcements of this instance to other control instances.
 ANNOUNCE_INTERVAL = 1.0
-# Seconds after which this instance checks by itself that its state is current.
-CHECK_INTERVAL = 0.25
-# Seconds for a confirmation; a follower tries another instance after a second.
-CONFIRM_READ_TIMEOUT = 0.8
 
 
 @dataclass(frozen=True)
@@ -138,7 +134,7 @@
             tasks.start_soon(self.feed.run)
             tasks.start_soon(self._announce)
             tasks.start_soon(self._watch_for_standstill)
-            tasks.start_soon(self._check_state)
+            tasks.start_soon(self._checks.run)
             await tasks.start(self.listener.serve, self.settings.control_bind)
             start_metrics_server(
                 tasks, self.settings.metrics_bind, self.metrics.registry
@@ -166,6 +162,9 @@
             self.metrics,
         )
         self.feed.seeds = self._seeds
+        self._checks = StateChecks(
+            self.orders.wait_for_latest_version, self.feed.record_current
+        )
         self._answer = self._make_api(self.orders, self.feed)
         self._standstill = StandstillMonitor(boottime_now())
         self.listener = Listener(
@@ -218,29 +217,11 @@
             await self.feed.send_ages_to_control()
             await anyio.sleep(ANNOUNCE_INTERVAL)
 
-    async def _check_state(self):
-        """Keep the state confirmed, even without followers that ask for it."""
-        while True:
-            await anyio.sleep(CHECK_INTERVAL)
-            if boottime_now() - self.feed.current_at >= CHECK_INTERVAL:
-                with contextlib.suppress(BanyanshoreError):
-                    await self._wait_until_current()
-
     async def _watch_for_standstill(self):
         while True:
             await anyio.sleep(TICK_INTERVAL)
             self._standstill.tick(boottime_now())
 
-    async def _wait_until_current(self):
-        """Return the latest accepted version once it has arrived here.
-
-        :raises UnavailableError: it could not be determined or did not arrive in time.
-        """
-        asked_at = boottime_now()
-        version = await self.orders.wait_for_latest_version(CONFIRM_READ_TIMEOUT)
-        self.feed.record_current(asked_at)
-        return version
-
     async def _send_raft(self, instance, message):
         address = peer_address(instance, self.settings.peer_port)
         await self.links.get(address, instance).notify_or_drop(message)
@@ -286,11 +267,11 @@
 
     async def _confirm(self):
         try:
-            version = await self._wait_until_current()
+            version, age = await self._checks.wait_for_check()
         except BanyanshoreError as error:
             logger.warning("state not confirmed", extra={"why": str(error)})
             return Confirmation(self.state.version, False)
-        return Confirmation(version, True)
+        return Confirmation(version, True, age)
 
     async def _on_propose(self, body, responder):
         timeout = self.settings.consensus.proposal_timeout
--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -79,13 +79,15 @@
 class Confirmation:
     """Answer a :class:`ConfirmRequest`.
 
-    :param version: latest accepted version when the request arrived.
+    :param version: latest accepted version some seconds before the request arrived.
     :param is_current: whether a quorum confirmed that; otherwise ``version`` is only
         the latest that this control instance holds.
+    :param age: those seconds.
     """
 
     version: int
     is_current: bool
+    age: float = 0.0
 
 
 @message(113)
@@ -247,7 +249,7 @@
         reply = await connection.call(request, CONFIRM_TIMEOUT)
         is_first = self.lease.confirmed_at == float("-inf")
         status = self.lease.record_answer(
-            sent_at, self._state.version, reply.version, reply.is_current
+            sent_at - reply.age, self._state.version, reply.version, reply.is_current
         )
         if status is ConfirmationStatus.UNKNOWN:
             logger.warning(
