Log late timers, and changes that don't apply to what is held

A busy event loop, a frozen process and a silent peer looked the same in the logs of the incident: each says now whether its own timer was late, and by how much. A gateway logs a change that it could not apply.

--- a/banyanshore/state/holder.py
+++ b/banyanshore/state/holder.py
@@ -43,7 +43,14 @@
         if self.desired is None:
             return False
         desired = self.desired.after(delta)
-        return desired is not None and self.apply_desired(desired)
+        if desired is not None:
+            return self.apply_desired(desired)
+        if delta.version > self.version:
+            logger.info(
+                "change does not apply",
+                extra={"version": delta.version, "base_version": delta.base_version},
+            )
+        return False
 
     def apply_desired(self, desired):
         """Make a parsed version current if it is newer; return whether it was."""
--- a/banyanshore/transport/connection.py
+++ b/banyanshore/transport/connection.py
@@ -36,6 +36,8 @@
 READ_SIZE_BYTES = 256 * 1024
 # Senders block while more than this many bytes are queued for writing.
 MAX_PENDING_BYTES = 4 * 1024 * 1024
+# Seconds by which a timer may be late before that is logged.
+MAX_TIMER_DELAY = 0.25
 # Seconds without data after which an incomplete frame counts as interrupted.
 INTERRUPTED_SECONDS = 1.0
 
@@ -66,7 +68,12 @@
     async def run(self):
         """Tick all connections until cancelled."""
         while True:
+            slept_at = boottime_now()
             await anyio.sleep(self._interval)
+            late_by = boottime_now() - slept_at - self._interval
+            if late_by > MAX_TIMER_DELAY:
+                # The event loop was busy, or the process or its machine stood still.
+                logger.warning("timer late", extra={"late_ms": round(late_by * 1000)})
             for connection in list(self.connections):
                 connection.tick()
 
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -8,7 +8,12 @@
 from banyanshore.routing.messages import Data, Finished
 from banyanshore.transport import Handler, decode, encode
 from banyanshore.transport.codec import CodecError, Decoder
-from banyanshore.transport.connection import INTERRUPTED_SECONDS, Connection
+from banyanshore.transport.connection import (
+    INTERRUPTED_SECONDS,
+    MAX_TIMER_DELAY,
+    Connection,
+    HeartbeatTicker,
+)
 from banyanshore.transport.frames import Call, Heartbeat, Reply
 from banyanshore.transport.replies import (
     WINDOW_REPLIES,
@@ -344,3 +349,17 @@
             while pair.near.is_receiving_frame:
                 await anyio.sleep(0.001)
         tasks.cancel_scope.cancel()
+
+
+async def test_late_timer_is_logged(caplog):
+    """A busy event loop and a silent peer looked the same in the logs."""
+    ticker = HeartbeatTicker(0.01)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ticker.run)
+        await anyio.sleep(0.03)
+        assert not caplog.records
+        time.sleep(MAX_TIMER_DELAY + 0.1)
+        await anyio.sleep(0.03)
+        tasks.cancel_scope.cancel()
+    (record,) = caplog.records
+    assert record.late_ms > 1000 * MAX_TIMER_DELAY
