Send versions and rows to followers that read, whoever doesn't

Cause (found by reading; shown by a test): a version, or a row, went to one follower after the other, and waited where 4 MB were queued for one that doesn't read; all later followers waited for it, until its connection counted as silent. 4 MB times the followers of an instance are more than its memory.

With 256 KB queued a follower is left out: it is sent the versions that it lacks, and all rows if it missed some, after one of its next requests. A request that crosses queued updates isn't counted as one that lags. Control logs for each version to how many followers it was sent, with its bytes and the time that this took.

tests/control/test_feed.py::test_follower_that_does_not_read_does_not_hold_up_the_others hangs on the code before.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -50,6 +50,8 @@
 SPREAD_TIMEOUT = 0.6
 # Consecutive lagging requests after which the complete state is sent.
 MAX_LAGGING_REQUESTS = 2
+# Bytes queued for a follower above which it is sent nothing more until it reads.
+MAX_QUEUED_BYTES = 256 * 1024
 
 
 # Tables of the desired state that gateways are sent. Only control needs the text of the
@@ -73,11 +75,13 @@
     :param lagging_requests: consecutive confirm requests that named an older version
         than the one sent.
     :param decompresses: whether it accepts compressed notices.
+    :param lacks_rows: whether it has to be sent all rows, since it was not sent some.
     """
 
     member: object
     version: int = 0
     decompresses: bool = False
+    lacks_rows: bool = True
     document: bytes = b""
     lagging_requests: int = 0
 
@@ -159,10 +163,20 @@
             )
             self._follower_by_connection[connection] = follower
             logger.info(
-                "follower connected", extra={"follower": request.member.instance}
+                "follower connected",
+                extra={
+                    "follower": request.member.instance,
+                    "held": request.state_version,
+                    "version": self._state.version,
+                },
             )
+        if follower.lacks_rows and not _is_reading_slowly(connection):
+            follower.lacks_rows = False
             await connection.notify(self._complete_update())
-        if request.state_version < follower.version:
+        if connection.pending_bytes:
+            # Updates that it lacks may still be queued.
+            follower.lagging_requests = 0
+        elif request.state_version < follower.version:
             # The last update is still in transit, or was a change that didn't apply.
             follower.lagging_requests += 1
             if follower.lagging_requests >= MAX_LAGGING_REQUESTS:
@@ -318,8 +332,11 @@
 
     async def _notify_followers(self, message):
         data = encode_notice(message)
-        for connection in list(self._follower_by_connection):
-            await connection.notify_encoded(data)
+        for connection, follower in list(self._follower_by_connection.items()):
+            if _is_reading_slowly(connection):
+                follower.lacks_rows = True
+            else:
+                await connection.notify_encoded(data)
 
     async def _notify_control(self, message):
         for address in self.control_addresses():
@@ -338,35 +355,63 @@
             await self._state_changed.wait()
             self._state_changed = anyio.Event()
             await self.send_ages_to_control()
-            for connection, follower in list(self._follower_by_connection.items()):
-                await self._send_version(connection, follower)
+            await self._send_to_all()
+
+    async def _send_to_all(self):
+        """Send the latest version to all followers."""
+        version = self._state.version
+        started_at = time.monotonic()
+        sent_bytes = [
+            await self._send_version(connection, follower)
+            for connection, follower in list(self._follower_by_connection.items())
+        ]
+        now = time.monotonic()
+        logger.info(
+            "version sent",
+            extra={
+                "version": version,
+                "followers": len(sent_bytes),
+                "sent_to": sum(count > 0 for count in sent_bytes),
+                "bytes": sum(sent_bytes),
+                "milliseconds": round((now - started_at) * 1000),
+                "applied_ms_ago": round((now - self._state.changed_at) * 1000),
+            },
+        )
 
     async def _send_version(self, connection, follower):
+        """Send a follower what it lacks of the latest version; return the bytes."""
         desired = self._state.desired
         if desired is None or follower.version >= desired.version:
-            return
+            return 0
+        if _is_reading_slowly(connection):
+            # It is sent what it lacks after one of its next requests.
+            return 0
         tables = TABLES_BY_ROLE.get(follower.member.role)
         if tables is not None:
-            await self._send_tables(connection, follower, tables)
-            return
+            return await self._send_tables(connection, follower, tables)
         notices = self._history.notices_after(follower.version)
         follower.version = desired.version
         await self._send_ages(connection)
-        for notice in notices:
-            data = notice.for_follower(follower.decompresses)
+        encoded = [notice.for_follower(follower.decompresses) for notice in notices]
+        for data in encoded:
             await connection.notify_encoded(data)
+        return sum(map(len, encoded))
 
     async def _send_tables(self, connection, follower, tables):
-        """Send some tables of the latest version, if any of them has changed."""
+        """Send some tables of the latest version, if any of them has changed.
+
+        :return: the bytes of the tables, 0 if nothing was sent.
+        """
         desired = self._state.desired
         document = to_json({name: desired.document[name] for name in tables})
         if document == follower.document:
-            return
+            return 0
         follower.document = document
         follower.version = desired.version
         published = PublishedState(desired.version, desired.fence, document)
         await self._send_ages(connection)
         await connection.notify(StateUpdate(published))
+        return len(document)
 
     async def _upkeep(self):
         while True:
@@ -398,6 +443,15 @@
             await link.notify_or_drop(self._complete_update())
 
 
+def _is_reading_slowly(connection):
+    """Return whether a follower has to read what is queued before it is sent more.
+
+    Load pattern: a follower is frozen, or its link is narrow. All others would wait
+    for it, and what is queued for several would use up the memory of the instance.
+    """
+    return connection.pending_bytes > MAX_QUEUED_BYTES
+
+
 def _log_target(message, row):
     """Log a change of a target; instances are logged as followers."""
     if isinstance(row, TargetRow):
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -39,6 +39,7 @@
     """A connection that records the messages sent over it."""
 
     peer = "follower"
+    pending_bytes = 0
 
     def __init__(self):
         self.sent = []
@@ -228,6 +229,49 @@
         assert connection.sent_bytes < 200
 
 
+class BlockedFollower(Follower):
+    """A connection whose peer doesn't read; sending more to it never returns."""
+
+    pending_bytes = 5 * 1024 * 1024
+    is_blocked = True
+
+    async def notify(self, body):
+        if self.is_blocked:
+            await anyio.sleep_forever()
+        await super().notify(body)
+
+    async def notify_encoded(self, data):
+        await self.notify(decode(data).body)
+
+
+async def test_follower_that_does_not_read_does_not_hold_up_the_others(server, state):
+    """One with 4 MB queued kept versions and rows from all others until it closed."""
+    publish(state, 1, 3)
+    blocked = BlockedFollower()
+    blocked.is_blocked, blocked.pending_bytes = False, 0
+    await follow(server, "gateway", 1, connection=blocked)
+    other = await follow(server, "gateway", 1)
+    blocked.is_blocked, blocked.pending_bytes = True, 5 * 1024 * 1024
+    row = TargetRow("t", "s", "10.0.0.2:80", "dc", "v", 4, "ready", 0.0, 1, 1)
+    with anyio.fail_after(2):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server._send_versions)
+            publish(state, 2, 4)
+            await server.record(row)
+            while not other.sent_of(StateChange):
+                await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+    assert other.sent_of(RowUpdate)[-1].rows == (row,)
+    # Once it reads again, it is sent all that it lacks.
+    blocked.is_blocked, blocked.pending_bytes = False, 0
+    blocked.sent.clear()
+    await follow(server, "gateway", 1, 2, blocked)
+    (update,) = blocked.sent_of(RowUpdate)
+    assert update.is_complete
+    assert row in update.rows
+    assert [body.delta.version for body in blocked.sent_of(StateChange)] == [2]
+
+
 async def test_follower_that_did_not_apply_a_change_is_sent_the_complete_state(
     server, state
 ):
@@ -323,3 +367,15 @@
     await other.on_peer_update(server._complete_update())
     assert other.find_target("t") is None
     assert [d.key for d in gateway.sent_of(RowUpdate)[-1].departures] == ["t"]
+
+
+async def test_log_records_what_a_version_costs(server, state, caplog):
+    publish(state, 1, 3)
+    await follow(server, "gateway", 1)
+    await follow(server, "loader", 1)
+    publish(state, 2, 4)
+    caplog.set_level("INFO")
+    await server._send_to_all()
+    (record,) = [r for r in caplog.records if r.message == "version sent"]
+    assert (record.version, record.followers, record.sent_to) == (2, 2, 2)
+    assert record.bytes > 0
--- a/tests/control/test_rollout_age_schedules.py
+++ b/tests/control/test_rollout_age_schedules.py
@@ -55,6 +55,7 @@
 
     is_open = True
     peer = "peer"
+    pending_bytes = 0
 
     def __init__(self, world, receive):
         self.world = world
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -74,6 +74,8 @@
 class Connection:
     """A follower's connection to a control instance."""
 
+    pending_bytes = 0
+
     def __init__(self, fleet, control, follower):
         self.fleet = fleet
         self.control = control
