Refuse honestly at a gateway that knows that it lacks a change

Cause: a gateway that control had told of a newer version than it holds went on as if nothing were known; only the time since the last confirmation counted, and only for a route that is missing altogether.

A missing route or key is answered by 503, not run, as soon as a newer version is known; all requests are, once the change is overdue. The time follows the deployment's bound (change_bound_ms; it was 2.5 s where 2 s are allowed).

tests/gateway/test_screening.py: the new tests fail on the code before (no such argument; 404 and the older route there).

--- a/banyanshore/conf/registered.py
+++ b/banyanshore/conf/registered.py
@@ -140,6 +140,12 @@
         5000.0,
         minimum=0.0,
     )
+    change_bound_ms: float = setting(
+        "Milliseconds after its acknowledgement within which a change has to be in "
+        "force. A gateway that knows that it lacks one for longer refuses requests.",
+        4000.0,
+        minimum=1.0,
+    )
     version_bound_ms: float = _version_bound_ms()
     memory_mb: float = setting(
         "Memory that the process may use, in MB; what it holds of answers is a part of "
@@ -180,6 +186,11 @@
         """Return the longest time in seconds that a planned stop waits for requests."""
         return BOUND_FRACTION * self.grace_seconds
 
+    @property
+    def change_seconds(self):
+        """Return the seconds after which a change counts as in force elsewhere."""
+        return BOUND_FRACTION * self.change_bound_ms / 1000
+
     @property
     def key_lease_seconds(self):
         """Return the seconds without a confirmed state after which keys are refused."""
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -89,7 +89,7 @@
         )
         self.withdrawals = Withdrawals(rule, self.newer_known_for)
         self.answer_memory = AnswerMemory(settings.memory_bytes)
-        self.screening = Screening(settings.key_lease_seconds)
+        self.screening = Screening(settings.key_lease_seconds, settings.change_seconds)
         self.leaving = False
         self.stop_plan = NOT_STOPPING
         # The requests that are being processed.
@@ -304,7 +304,9 @@
 
     def _screen(self, request, arrived_at):
         """Return the :class:`Screened` request, or the :class:`Rejection` of it."""
-        screened = self.screening.screen(request, self.feed.confirmed_seconds_ago)
+        screened = self.screening.screen(
+            request, self.feed.confirmed_seconds_ago, self.feed.is_behind
+        )
         if isinstance(screened, Rejection):
             return screened
         seconds = answer_seconds(screened)
@@ -322,6 +324,7 @@
                 "why": rejection.why,
                 "state_version": self.state.version,
                 "confirmed_ago": round(self.feed.confirmed_seconds_ago, 2),
+                "latest_version": self.feed.lease.latest_version,
                 "retry_after": retry_after,
             },
         )
--- a/banyanshore/gateway/screening.py
+++ b/banyanshore/gateway/screening.py
@@ -7,9 +7,6 @@
 from banyanshore.routing.retry_after import Reason
 from banyanshore.state.routes import Route, RouteTable, Workspace
 
-# Seconds since the state was confirmed after which a missing route or key may only be
-# missing because the state is outdated.
-STALE_SECONDS = 2.5
 _NO_WORKSPACE = Workspace("")
 
 
@@ -50,32 +47,43 @@
 
     :param key_lease_seconds: time without a confirmed state after which requests with
         keys are refused, 0 for never.
+    :param change_seconds: time after which a change has to be in force.
     """
 
-    def __init__(self, key_lease_seconds):
+    def __init__(self, key_lease_seconds, change_seconds=2.5):
         self._key_lease_seconds = key_lease_seconds
+        self._change_seconds = change_seconds
         self.table = None
 
     def use(self, document):
         """Use the document of the desired state in force."""
         self.table = RouteTable(document, self.table)
 
-    def screen(self, request, unconfirmed_seconds):
+    def screen(self, request, unconfirmed_seconds, is_behind=False):
         """Return a :class:`Screened` request or a :class:`Rejection`.
 
+        Load pattern: versions follow at short intervals, and reach this gateway late or
+        not at all. Another gateway knows the route that is missing here, or that a
+        newer one takes precedence over the one found.
+
         :param unconfirmed_seconds: time since the state was last confirmed as current.
+        :param is_behind: whether a newer version is known to have been accepted.
         """
         if self.table is None:
             return Rejection(503, "no state yet", Reason.NO_STATE)
+        is_stale = unconfirmed_seconds > self._change_seconds
+        if is_stale and is_behind:
+            return Rejection(503, "state is outdated", Reason.CUT_OFF)
+        may_be_newer = is_stale or is_behind
         route = self.table.find_route(request.host, request.path)
         if route is None:
-            return self._reject_missing(404, "no route", unconfirmed_seconds)
+            return _reject_missing(404, "no route", may_be_newer)
         workspace = self.table.find_workspace(request.key) if request.key else None
         if self.table.requires_key and not route.public:
             if not self.are_keys_valid(unconfirmed_seconds):
                 return Rejection(503, "keys not confirmed", Reason.CUT_OFF)
             if workspace is None:
-                return self._reject_missing(401, "unknown key", unconfirmed_seconds)
+                return _reject_missing(401, "unknown key", may_be_newer)
         service = route.choose_service(_fraction(request.request_id))
         return Screened(request, route, workspace or _NO_WORKSPACE, service)
 
@@ -93,11 +101,12 @@
         is_open = screened.route.public or not self.table.requires_key
         return is_open or self.are_keys_valid(unconfirmed_seconds)
 
-    def _reject_missing(self, status, why, unconfirmed_seconds):
-        """Return a rejection that allows retries if the state may be outdated."""
-        if unconfirmed_seconds > STALE_SECONDS:
-            return Rejection(503, f"{why}, state is stale", Reason.CUT_OFF)
-        return Rejection(status, why)
+
+def _reject_missing(status, why, may_be_newer):
+    """Return a rejection, which allows retries if a newer state may hold the row."""
+    if may_be_newer:
+        return Rejection(503, f"{why}, state is stale", Reason.CUT_OFF)
+    return Rejection(status, why)
 
 
 def _fraction(request_id):
--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -187,6 +187,11 @@
         """Return the seconds since the state was last confirmed as current."""
         return self.lease.seconds_ago(boottime_now())
 
+    @property
+    def is_behind(self):
+        """Return whether control has named a newer version than the one held."""
+        return self._state.version < self.lease.latest_version
+
     async def run(self):
         """Follow control until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/banyanshore/membership/lease.py
+++ b/banyanshore/membership/lease.py
@@ -29,9 +29,11 @@
 
     :ivar confirmed_at: time at which the latest successful confirm request was sent,
         ``-inf`` before the first.
+    :ivar latest_version: latest version that a quorum is known to have accepted.
     """
 
     confirmed_at: float = float("-inf")
+    latest_version: int = 0
 
     def record_answer(self, sent_at, held_version, latest_version, is_current):
         """Record an answer; return the :class:`ConfirmationStatus`.
@@ -44,6 +46,7 @@
         """
         if not is_current:
             return ConfirmationStatus.UNKNOWN
+        self.latest_version = max(self.latest_version, latest_version)
         if held_version < latest_version:
             return ConfirmationStatus.BEHIND
         self.confirmed_at = max(self.confirmed_at, sent_at)
--- a/tests/conf/test_templates.py
+++ b/tests/conf/test_templates.py
@@ -32,6 +32,7 @@
     "bounds.coldMargin": "5",
     "bounds.version_ms": "8000",
     "bounds.revokeMs": "5000",
+    "bounds.configApplyMs": "2000",
     "bounds.graceS": "8",
     "limits.memoryMb": "300",
     "heartbeatMs": "1200",
@@ -77,6 +78,11 @@
     assert render("gateway").key_lease_seconds == pytest.approx(4.5)
 
 
+def test_gateway_knows_when_a_change_is_overdue():
+    assert render("gateway").change_seconds == pytest.approx(1.8)
+    assert render("gateway", configApplyMs="2500").change_seconds == pytest.approx(2.25)
+
+
 def test_planned_stop_ends_before_the_process_is_killed():
     assert render("gateway", graceS="4").stop_timeout < 4.0
     assert render("gateway", graceS="8").stop_timeout == pytest.approx(7.2)
--- a/tests/gateway/test_screening.py
+++ b/tests/gateway/test_screening.py
@@ -61,6 +61,28 @@
     assert found.reason is (Reason.CUT_OFF if status == 503 else None)
 
 
+@pytest.mark.parametrize("wrong", [{"path": "/none/1"}, {"key": "bad"}])
+def test_missing_row_is_not_denied_by_a_gateway_that_knows_it_is_behind(
+    screening, wrong
+):
+    """A route that had been added got 404 while the change was on its way."""
+    found = screening.screen(request(**wrong), 0.1, is_behind=True)
+    assert (found.status, found.reason) == (503, Reason.CUT_OFF)
+
+
+@pytest.mark.parametrize(
+    ("ago", "is_behind", "is_served"),
+    [(2.0, True, True), (2.6, True, False), (2.6, False, True)],
+)
+def test_change_that_is_overdue_is_not_ignored(screening, ago, is_behind, is_served):
+    """The route found may be an older one, with other regions and services."""
+    for path, key in (("/public/1", ""), ("/keyed/1", "good")):
+        found = screening.screen(request(path, key), ago, is_behind)
+        assert isinstance(found, Screened) == is_served
+        if not is_served:
+            assert (found.status, found.reason) == (503, Reason.CUT_OFF)
+
+
 def test_public_route_needs_no_key_and_no_confirmed_state(screening):
     found = screening.screen(request("/public/1", ""), 60.0)
     assert found.workspace.name == ""
