Bound the number of changes that control keeps for followers

Control no longer keeps the version before the latest, which nothing reads.

tests/control/test_feed.py::test_changes_that_are_kept_are_bounded.

--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -93,7 +93,7 @@
 
     def __init__(self, settings, make_api):
         self.settings = settings
-        self.state = StateHolder(keep_previous=True)
+        self.state = StateHolder()
         self.registry = Registry(
             settings.target_expiry_seconds, settings.member_expiry_seconds
         )
--- a/banyanshore/control/version_history.py
+++ b/banyanshore/control/version_history.py
@@ -8,7 +8,9 @@
 from banyanshore.membership.messages import StateChange, StateUpdate
 from banyanshore.transport import encode_notice
 
-# Bytes of encoded changes that are kept at most, for followers that lack several.
+# Number and bytes of encoded changes that are kept at most. A follower that lacks more
+# has been away for long.
+MAX_CHANGES = 256
 MAX_HISTORY_BYTES = 4 * 1024 * 1024
 # Bytes of changes up to which the complete document isn't considered instead.
 MIN_COMPARED_BYTES = 16 * 1024
@@ -71,7 +73,9 @@
         change = Change(latest.version, notice)
         self._changes.append(change)
         self._change_bytes += change.size
-        while self._change_bytes > MAX_HISTORY_BYTES:
+        while (
+            len(self._changes) > MAX_CHANGES or self._change_bytes > MAX_HISTORY_BYTES
+        ):
             self._change_bytes -= self._changes.popleft().size
 
     def notices_after(self, version):
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -209,6 +209,18 @@
         decompress_notice(CompressedNotice(data))
 
 
+async def test_changes_that_are_kept_are_bounded(server, state, monkeypatch):
+    """Looking through all of a long day for each follower would hold the event loop."""
+    monkeypatch.setattr(version_history, "MAX_CHANGES", 3)
+    for version in range(1, 8):
+        publish(state, version, version)
+    assert (await follow(server, "gateway", 4)).sent_of(StateChange)
+    assert (await follow(server, "gateway", 3)).sent_of(StateUpdate)
+    monkeypatch.setattr(version_history, "MAX_HISTORY_BYTES", 1)
+    publish(state, 8, 8)
+    assert (await follow(server, "gateway", 7)).sent_of(StateUpdate)
+
+
 async def test_change_of_one_route_is_sent_without_the_text_of_the_declaration(
     server, state
 ):
