--- a/banyanshore/gateway/screening.py
+++ b/banyanshore/gateway/screening.py
@@ -50,7 +50,7 @@
     :param change_seconds: time after which a change has to be in force.
     """
 
-    def __init__(self, key_lease_seconds, change_seconds=2.5):
+    def __init__(self, key_lease_seconds, change_seconds):
         self._key_lease_seconds = key_lease_seconds
         self._change_seconds = change_seconds
         self.table = None
--- a/benchmarks/declarations.py
+++ b/benchmarks/declarations.py
@@ -81,7 +81,7 @@
         self.feed = FeedServer(settings, member, self.state, Registry(), None, metrics)
         self.api = ControlApi(Orders(self.state, log, metrics), self.feed)
         self.gateway = StateHolder()
-        self.screening = Screening(0.0)
+        self.screening = Screening(0.0, 2.25)
         self.gateway.on_change.append(
             lambda desired: self.screening.use(desired.document)
         )
--- a/tests/control/test_lease_schedules.py
+++ b/tests/control/test_lease_schedules.py
@@ -21,6 +21,7 @@
 # Seconds after which no revoked key may be accepted, as promised to operators.
 REVOKE_SECONDS = 5.0
 KEY_LEASE_SECONDS = 4.5
+CHANGE_SECONDS = 2.25
 CONFIRM_INTERVAL = 1.0
 # Longest delay, in seconds, of messages between control and gateways.
 LONGEST_DELAY = 3.0
@@ -72,7 +73,7 @@
         self.lost_seconds = 0.0
         self.version = 0
         self.lease = StateLease()
-        self.screening = Screening(KEY_LEASE_SECONDS)
+        self.screening = Screening(KEY_LEASE_SECONDS, CHANGE_SECONDS)
         self.screening.use(DOCUMENT)
         self.inbox = []
         self.next_request_at = 0.0
--- a/tests/gateway/test_screening.py
+++ b/tests/gateway/test_screening.py
@@ -28,7 +28,7 @@
 
 @pytest.fixture
 def screening():
-    screening = Screening(4.5)
+    screening = Screening(4.5, 2.5)
     screening.use(DOCUMENT)
     return screening
 
@@ -89,5 +89,5 @@
 
 
 def test_rejection_without_a_state_allows_retries():
-    found = Screening(4.5).screen(request(), 0.0)
+    found = Screening(4.5, 2.5).screen(request(), 0.0)
     assert (found.status, found.reason) == (503, Reason.NO_STATE)
--- a/tests/state/test_change_costs.py
+++ b/tests/state/test_change_costs.py
@@ -56,7 +56,7 @@
     after = machine.published_state()
     delta = DesiredState(after).delta_from(DesiredState(before))
     holder = StateHolder()
-    screening = Screening(0.0)
+    screening = Screening(0.0, 2.25)
     holder.on_change.append(lambda desired: screening.use(desired.document))
     holder.apply(PublishedState(before.version, before.fence, before.document))
     holder.apply_delta(delta)
