--- a/banyanshore/gateway/screening.py
+++ b/banyanshore/gateway/screening.py
@@ -74,16 +74,16 @@
         is_stale = unconfirmed_seconds > self._change_seconds
         if is_stale and is_behind:
             return Rejection(503, "state is outdated", Reason.CUT_OFF)
-        may_be_newer = is_stale or is_behind
+        may_lack_rows = is_stale or is_behind
         route = self.table.find_route(request.host, request.path)
         if route is None:
-            return _reject_missing(404, "no route", may_be_newer)
+            return _reject_missing(404, "no route", may_lack_rows)
         workspace = self.table.find_workspace(request.key) if request.key else None
         if self.table.requires_key and not route.public:
             if not self.are_keys_valid(unconfirmed_seconds):
                 return Rejection(503, "keys not confirmed", Reason.CUT_OFF)
             if workspace is None:
-                return _reject_missing(401, "unknown key", may_be_newer)
+                return _reject_missing(401, "unknown key", may_lack_rows)
         service = route.choose_service(_fraction(request.request_id))
         return Screened(request, route, workspace or _NO_WORKSPACE, service)
 
@@ -102,9 +102,9 @@
         return is_open or self.are_keys_valid(unconfirmed_seconds)
 
 
-def _reject_missing(status, why, may_be_newer):
+def _reject_missing(status, why, may_lack_rows):
     """Return a rejection, which allows retries if a newer state may hold the row."""
-    if may_be_newer:
+    if may_lack_rows:
         return Rejection(503, f"{why}, state is stale", Reason.CUT_OFF)
     return Rejection(status, why)
 
