Log the signals of a stop and the requests that it leaves unfinished

What callers saw: no whole answer around SIGTERM. The log named neither the signals nor the requests: "requests cut off" had a number, an answer whose bytes the kernel still held counted as answered, and requests that were never read left no trace.

Now: "signal received"; "request cut off" by request id and phase (the first 200); "answer not delivered" with the bytes that the caller's system has not acknowledged; and counts of all, also of connections with unread bytes. No other behaviour changes.

tests/gateway/test_stopping.py::test_request_that_a_stop_cuts_off_is_named_in_the_log failed before.

--- a/banyanshore/daemon/run.py
+++ b/banyanshore/daemon/run.py
@@ -140,6 +140,13 @@
 async def _watch_signals(stop_requested, force_requested, watcher):
     with receive_signals() as signals:
         async for signal_number in signals:
+            logger.info(
+                "signal received",
+                extra={
+                    "signal": signal_number.name,
+                    "is_stopping": stop_requested.is_set(),
+                },
+            )
             if signal_number == signal.SIGHUP:
                 watcher.check()
                 continue
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -17,6 +17,7 @@
 from banyanshore.gateway.screening import Rejection, Screening
 from banyanshore.gateway.suspected_parts import SuspectedParts
 from banyanshore.gateway.suspects import Suspects
+from banyanshore.gateway.unfinished import log_unfinished
 from banyanshore.gateway.withdrawals import Withdrawals
 from banyanshore.http.listener import Listener, ListenerLimits
 from banyanshore.http.wire import PeerClosedError
@@ -284,6 +285,7 @@
     async def _handle(self, exchange):
         arrived_at = time.monotonic()
         request = self.dialect.parse(exchange)
+        exchange.request_id = request.request_id
         screened = self._screen(request, arrived_at)
         if isinstance(screened, Rejection):
             await self._reject(exchange, request, screened)
@@ -405,7 +407,4 @@
                 break
             await anyio.sleep(min(0.05, self.stop_plan.ends_at - now))
             now = time.monotonic()
-        if self.caller_listener.active:
-            logger.error(
-                "requests cut off", extra={"in_flight": self.caller_listener.active}
-            )
+        log_unfinished(self.caller_listener)
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -15,9 +15,15 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError, BindError
 from banyanshore.core.groups import open_task_group
+from banyanshore.http.unfinished import (
+    Phase,
+    Unfinished,
+    count_unacknowledged_bytes,
+)
 from banyanshore.http.wire import (
     PeerClosedError,
     get_header,
+    has_unread_bytes,
     is_closed_by_peer,
     receive_bytes,
     reset_on_close,
@@ -71,6 +77,7 @@
     :ivar headers: pairs of bytes, names in lower case.
     :ivar started_at: monotonic time at which the answer was begun, or ``None``.
     :ivar arrived_after: boot time before which the request can't have arrived.
+    :ivar request_id: id of the request for logs, set by its handler.
     """
 
     def __init__(self, connection, request, arrived_after):
@@ -81,6 +88,7 @@
         self.started_at = None
         self.finished = False
         self.arrived_after = arrived_after
+        self.request_id = ""
         self._connection = connection
 
     @property
@@ -138,6 +146,7 @@
         self._listener = listener
         self._stream = stream
         self.limits = listener.limits()
+        self._phase = Phase.IDLE
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
         )
@@ -146,6 +155,15 @@
         # Earliest arrival of the oldest bytes that no request has been parsed from.
         self._arrived_after = 0.0
 
+    def unfinished(self):
+        """Return what a close of the connection now would leave unfinished."""
+        return Unfinished(
+            self._phase,
+            self._exchange.request_id if self._exchange else "",
+            count_unacknowledged_bytes(self._stream),
+            has_unread_bytes(self._stream),
+        )
+
     def close_ends_incomplete_answer(self):
         """Return whether an orderly close would complete an answer that broke off.
 
@@ -165,6 +183,7 @@
             exchange = Exchange(self, request, self._arrived_after)
             self._listener.active += 1
             self._exchange = exchange
+            self._phase = Phase.PROCESSING
             try:
                 _check_framing(exchange)
                 await self._listener.handle(exchange)
@@ -193,9 +212,11 @@
     async def _read_head(self):
         """Return the next request, or ``None`` if the connection has ended."""
         self.limits = self._listener.limits()
+        self._phase = Phase.IDLE
         with anyio.move_on_after(self.limits.idle_timeout):
             if not await self._wait_for_bytes():
                 return None
+            self._phase = Phase.READING_HEAD
             return await self._read_request()
         return None
 
@@ -290,6 +311,7 @@
         """Send the status and headers."""
         if self._listener.leaving and get_header(headers, b"connection") is None:
             headers.append((b"connection", b"close"))
+        self._phase = Phase.ANSWERING
         await self.send_event(h11.Response(status_code=status, headers=headers))
 
     async def send_event(self, event):
@@ -297,6 +319,8 @@
         data = self._h11.send(event)
         if data:
             await send_bytes(self._stream, data)
+        if isinstance(event, h11.EndOfMessage):
+            self._phase = Phase.DELIVERING
 
     async def _next_cycle(self):
         """Prepare for the next request; return whether there can be one."""
@@ -347,6 +371,11 @@
         self.earliest_arrival = earliest_arrival
         self.active = 0
         self.leaving = False
+        self._connections = set()
+
+    def find_unfinished(self):
+        """Return the :class:`Unfinished` of each open connection."""
+        return [connection.unfinished() for connection in self._connections]
 
     async def serve(self, address, *, task_status=anyio.TASK_STATUS_IGNORED):
         """Serve until cancelled.
@@ -368,6 +397,7 @@
         try:
             set_timeouts(stream)
             connection = _Connection(self, stream)
+            self._connections.add(connection)
             try:
                 await connection.serve()
             except RequestError as error:
@@ -377,6 +407,7 @@
         except Exception:
             logger.exception("connection ended by an internal error")
         finally:
+            self._connections.discard(connection)
             if connection is not None and connection.close_ends_incomplete_answer():
                 reset_on_close(stream)
             with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -137,3 +137,16 @@
                     except (anyio.EndOfStream, anyio.BrokenResourceError):
                         break
             assert not rest.endswith(b"0\r\n\r\n")
+
+
+async def test_request_that_a_stop_cuts_off_is_named_in_the_log(caplog):
+    """Only the number of the requests that were cut off was logged."""
+    request = make_request("POST", body=b"12345")
+    async with running_gateway(WorkingTarget(0.01)) as (gateway, address):
+        gateway.settings = replace(gateway.settings, grace_seconds=0.4)
+        async with await connect(address) as stream:
+            await stream.send(request[:-1])
+            await anyio.sleep(0.05)
+            await gateway._leave(anyio.Event())
+    rows = [record for record in caplog.records if record.msg == "request cut off"]
+    assert [(row.request_id, row.phase) for row in rows] == [("id-1", "processing")]
