--- a/tests/stopping/callers.py
+++ b/tests/stopping/callers.py
@@ -109,11 +109,8 @@
         raw = socket.socket()
         if self._receive_buffer:
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer)
-        raw.setblocking(False)
-        loop_connect = anyio.to_thread.run_sync
-        raw.setblocking(True)
         try:
-            await loop_connect(raw.connect, self._address)
+            await anyio.to_thread.run_sync(raw.connect, self._address)
         except OSError:
             raw.close()
             raise
@@ -181,6 +178,21 @@
                 while await self.ask(stream):
                     await anyio.sleep(pause)
 
+    async def ask_without_waiting(self, pause):
+        """Ask once, and send further requests before the answer is complete."""
+        async with await self.connect() as stream, anyio.create_task_group() as tasks:
+            sent, data = self.make_request()
+            await stream.send(data)
+            tasks.start_soon(self._send_more, stream, pause)
+            await self.receive_answer(stream, sent)
+            tasks.cancel_scope.cancel()
+
+    async def _send_more(self, stream, pause):
+        with contextlib.suppress(anyio.BrokenResourceError):
+            while True:
+                await anyio.sleep(pause)
+                await stream.send(self.make_request()[1])
+
     async def ask_once(self):
         """Ask once over a new connection."""
         try:
