Keep a stop going when SIGTERM or SIGINT is sent again

Cause: any second SIGTERM or SIGINT ended gateway, control, entry and agent at once. A supervisor that repeats SIGTERM, or a process group that gets SIGINT beside it, cut off all that was in flight. The platform has one way to cut a stop short, SIGKILL after the grace.

Now a table of states decides: a stop that SIGTERM has asked for goes on whatever follows. SIGHUP is heeded at any time.

--- a/banyanshore/daemon/run.py
+++ b/banyanshore/daemon/run.py
@@ -2,8 +2,8 @@
 
 import gc
 import logging
-import signal
 import sys
+import time
 
 import anyio
 from absl import flags
@@ -13,6 +13,7 @@
 from banyanshore.core.logs import configure_logging
 from banyanshore.daemon.reload import SettingsWatcher
 from banyanshore.daemon.signals import receive_signals
+from banyanshore.daemon.stop_signals import Action, StopSignals
 
 logger = logging.getLogger(__name__)
 
@@ -138,18 +139,18 @@
 
 
 async def _watch_signals(stop_requested, force_requested, watcher):
+    stop_signals = StopSignals()
+    operations = {
+        Action.STOP: stop_requested.set,
+        Action.CUT_SHORT: force_requested.set,
+        Action.RELOAD: watcher.check,
+    }
     with receive_signals() as signals:
-        async for signal_number in signals:
+        async for number in signals:
+            action = stop_signals.decide(number, time.monotonic())
             logger.info(
                 "signal received",
-                extra={
-                    "signal": signal_number.name,
-                    "is_stopping": stop_requested.is_set(),
-                },
+                extra={"signal": number.name, "action": action.value},
             )
-            if signal_number == signal.SIGHUP:
-                watcher.check()
-                continue
-            if stop_requested.is_set():
-                force_requested.set()
-            stop_requested.set()
+            if action in operations:
+                operations[action]()
