Wait until a caller has its answer before closing its connection

Cause: the connection was closed as soon as the kernel had the answer. If the caller had sent anything that was not read, such as a further request, the kernel resets the connection and drops what it still holds (RFC 9112, 9.6).

Now the listener sends the end of the stream, then reads and discards until the caller closes. A caller that makes progress, as told by the bytes that its system has not acknowledged, is waited for; one that makes none, or has all and does not close, for 2 s. It holds for gateway, control, readiness and metrics, with and without a stop.

--- a/banyanshore/gateway/unfinished.py
+++ b/banyanshore/gateway/unfinished.py
@@ -22,7 +22,7 @@
     undelivered = [
         row
         for row in rows
-        if row.phase is Phase.DELIVERING and row.unacknowledged_bytes
+        if row.phase not in _CUT_OFF_PHASES and row.unacknowledged_bytes
     ]
     unread = [row for row in rows if row.has_unread_bytes]
     for row in cut_off[:MAX_LOGGED]:
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 import time
 from dataclasses import dataclass
 
@@ -15,6 +16,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError, BindError
 from banyanshore.core.groups import open_task_group
+from banyanshore.http.closing import LINGER_SECONDS, linger
 from banyanshore.http.unfinished import (
     Phase,
     Unfinished,
@@ -152,6 +154,8 @@
         )
         self._peer_closed = False
         self._exchange = None
+        # Monotonic time at which the last answer ended or was broken off.
+        self._answered_at = -math.inf
         # Earliest arrival of the oldest bytes that no request has been parsed from.
         self._arrived_after = 0.0
 
@@ -192,9 +196,19 @@
                 return
             finally:
                 self._listener.active -= 1
+                if exchange.started:
+                    self._answered_at = time.monotonic()
             if not exchange.finished or not await self._next_cycle():
                 return
 
+    async def deliver(self):
+        """Wait until the caller has received the last answer, for a bounded time."""
+        seconds = time.monotonic() - self._answered_at
+        if seconds >= LINGER_SECONDS or self._peer_closed:
+            return
+        if not self.close_ends_incomplete_answer():
+            await linger(self._stream, time.monotonic)
+
     async def refuse(self, error, started=False):
         """Answer an invalid request, unless an answer has started.
 
@@ -208,6 +222,7 @@
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
         await self.send_head(error.status, headers)
         await self.send_event(h11.EndOfMessage())
+        self._answered_at = time.monotonic()
 
     async def _read_head(self):
         """Return the next request, or ``None`` if the connection has ended."""
@@ -226,6 +241,7 @@
         data = await receive_bytes(self._stream)
         self._arrived_after = self._listener.earliest_arrival()
         self._h11.receive_data(data)
+        self._peer_closed = not data
         return bool(data)
 
     async def _read_request(self):
@@ -402,6 +418,7 @@
                 await connection.serve()
             except RequestError as error:
                 await connection.refuse(error)
+            await connection.deliver()
         except (PeerClosedError, OSError, h11.LocalProtocolError) as error:
             logger.debug("connection ended: %s", error)
         except Exception:
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -3,8 +3,10 @@
 import anyio
 import pytest
 
+from banyanshore.http.closing import LINGER_SECONDS
 from banyanshore.http.listener import Listener
 from tests.http.raw import connect, read_until, running_listener
+from tests.stopping.callers import Callers
 
 pytestmark = pytest.mark.anyio
 
@@ -39,3 +41,29 @@
                 except (anyio.BrokenResourceError, anyio.ClosedResourceError):
                     break
                 await anyio.sleep(0.05)
+
+
+async def test_caller_that_sends_further_requests_gets_the_complete_answer():
+    """The close with an unread request reset the connection, and its answer."""
+    body = b"a" * 3_000_000
+    listener = Listener(lambda exchange: exchange.respond(200, body=body))
+    async with running_listener(listener) as address:
+        callers = Callers(address, receive_buffer=8192, bytes_per_second=4_000_000)
+        listener.leaving = True
+        await callers.ask_without_waiting(pause=0.05)
+    assert callers.rows[0].received_bytes > len(body)
+
+
+async def test_slow_caller_holds_a_connection_only_while_it_makes_progress():
+    body = b"a" * 3_000_000
+    listener = Listener(lambda exchange: exchange.respond(200, body=body))
+    listener.leaving = True
+    async with running_listener(listener) as address:
+        stream = await Callers(address, receive_buffer=8192).connect()
+        async with stream:
+            await stream.send(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            with anyio.fail_after(LINGER_SECONDS + 4.0):
+                while not listener.find_unfinished():
+                    await anyio.sleep(0.01)
+                while listener.find_unfinished():
+                    await anyio.sleep(0.05)
