Answer what has arrived before a process stops listening

Cause: when no request was active, gateway and control cancelled everything. Connections that waited to be accepted were reset, one whose acceptance was under way was dropped, and so was a request that had just been read on a kept connection: neither answered nor refused.

Now a listener closes in order: it accepts what waits (with sockets of its own, so that a cancelled wait drops none), gives connections without a request 0.1 s more, handles what comes, delivers the answers, and has ended when the last connection has; the stop's own bound ends the wait, and log_unfinished names what is left. A pipelined request that has arrived is answered before the connection ends. A stop that an operator cuts short answers 504 or 503 first.

The listener also survives a lack of descriptors: accept()'s error ended the task group, and with it the process (test_listener_goes_on_after_the_system_had_no_descriptors).

Control still answers 503 while requests are active, as its test asks.

--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -252,6 +252,7 @@
         with anyio.move_on_after(ends_at - time.monotonic()):
             while self.listener.active and not force_requested.is_set():
                 await anyio.sleep(0.02)
+        await self.listener.close(ends_at - time.monotonic(), force_requested)
 
     async def handle_call(self, connection, body, responder):
         """Answer a follower, identified by its connection, or dispatch another call."""
--- a/banyanshore/core/groups.py
+++ b/banyanshore/core/groups.py
@@ -28,3 +28,15 @@
     while isinstance(group, BaseExceptionGroup) and len(group.exceptions) == 1:
         group = group.exceptions[0]
     return group
+
+
+async def wait_for_first(*events):
+    """Return once one of the events is set."""
+    async with anyio.create_task_group() as tasks:
+
+        async def wait(event):
+            await event.wait()
+            tasks.cancel_scope.cancel()
+
+        for event in events:
+            tasks.start_soon(wait, event)
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -64,6 +64,8 @@
 # Seconds for which a leaving gateway still accepts connections, until callers are no
 # longer sent to it: two readiness checks a second apart, and the network latency.
 LEAVE_SECONDS = 2.6
+# Seconds for which a stop that was cut short still delivers answers.
+CUT_SHORT_SECONDS = 1.0
 # Rejection of a request that this gateway can't answer before it stops.
 LEAVING = Rejection(503, "leaving", Reason.LEAVING)
 # Seconds between clean-ups of state that is no longer needed.
@@ -403,8 +405,17 @@
         for run in self.runs:
             run.shorten_deadline(self.stop_plan.answers_due_at)
         while not force_requested.is_set() and now < self.stop_plan.ends_at:
-            if now >= self.stop_plan.refuses_at and not self.caller_listener.active:
+            if now >= self.stop_plan.refuses_at and not self.runs:
                 break
             await anyio.sleep(min(0.05, self.stop_plan.ends_at - now))
             now = time.monotonic()
+        if force_requested.is_set():
+            self._answer_now(now)
+        await self.caller_listener.close(self.stop_plan.ends_at - now)
         log_unfinished(self.caller_listener)
+
+    def _answer_now(self, now):
+        """Answer the requests in flight as if their time had run out."""
+        self.stop_plan = StopPlan(now, now, now + CUT_SHORT_SECONDS)
+        for run in self.runs:
+            run.shorten_deadline(now)
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -14,8 +14,9 @@
 import h11
 
 from banyanshore.core.clock import boottime_now
-from banyanshore.core.exceptions import BanyanshoreError, BindError
-from banyanshore.core.groups import open_task_group
+from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.groups import open_task_group, wait_for_first
+from banyanshore.http.accepting import Acceptor
 from banyanshore.http.closing import LINGER_SECONDS, linger
 from banyanshore.http.unfinished import (
     Phase,
@@ -32,7 +33,6 @@
     send_bytes,
     set_timeouts,
 )
-from banyanshore.transport.links import split_address
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +40,8 @@
 MAX_PIPELINED_BYTES = 64 * 1024
 # Seconds between checks whether a caller that has sent more has disconnected.
 HANGUP_CHECK_INTERVAL = 0.2
+# Seconds for which a listener that closes waits for requests that are on their way.
+LAST_REQUEST_SECONDS = 0.1
 # Bytes of a body that must arrive within the header timeout; no healthy caller is
 # slower on any link.
 BODY_PROGRESS_BYTES = 4096
@@ -154,6 +156,8 @@
         )
         self._peer_closed = False
         self._exchange = None
+        # Cancel scope of the wait for a request.
+        self._idle_scope = anyio.CancelScope()
         # Monotonic time at which the last answer ended or was broken off.
         self._answered_at = -math.inf
         # Earliest arrival of the oldest bytes that no request has been parsed from.
@@ -201,6 +205,11 @@
             if not exchange.finished or not await self._next_cycle():
                 return
 
+    def end_idle_wait(self):
+        """Wait only a short time for the next request."""
+        deadline = anyio.current_time() + LAST_REQUEST_SECONDS
+        self._idle_scope.deadline = min(self._idle_scope.deadline, deadline)
+
     async def deliver(self):
         """Wait until the caller has received the last answer, for a bounded time."""
         seconds = time.monotonic() - self._answered_at
@@ -228,17 +237,23 @@
         """Return the next request, or ``None`` if the connection has ended."""
         self.limits = self._listener.limits()
         self._phase = Phase.IDLE
-        with anyio.move_on_after(self.limits.idle_timeout):
-            if not await self._wait_for_bytes():
-                return None
-            self._phase = Phase.READING_HEAD
-            return await self._read_request()
-        return None
+        if not await self._wait_for_bytes():
+            return None
+        self._phase = Phase.READING_HEAD
+        return await self._read_request()
 
     async def _wait_for_bytes(self):
+        """Return whether bytes of a request have arrived."""
         if self._h11.trailing_data[0]:
             return True
-        data = await receive_bytes(self._stream)
+        self._idle_scope = anyio.move_on_after(self.limits.idle_timeout)
+        if self._listener.is_closing:
+            self.end_idle_wait()
+        data = b""
+        with self._idle_scope:
+            data = await receive_bytes(self._stream)
+        if self._idle_scope.cancelled_caught:
+            return False
         self._arrived_after = self._listener.earliest_arrival()
         self._h11.receive_data(data)
         self._peer_closed = not data
@@ -325,11 +340,15 @@
 
     async def send_head(self, status, headers):
         """Send the status and headers."""
-        if self._listener.leaving and get_header(headers, b"connection") is None:
+        if self._announces_close() and get_header(headers, b"connection") is None:
             headers.append((b"connection", b"close"))
         self._phase = Phase.ANSWERING
         await self.send_event(h11.Response(status_code=status, headers=headers))
 
+    def _announces_close(self):
+        # A further request that has arrived is answered too.
+        return self._listener.leaving and not self._h11.trailing_data[0]
+
     async def send_event(self, event):
         """Send a part of the answer."""
         data = self._h11.send(event)
@@ -379,6 +398,7 @@
         are read now can't have arrived.
     :ivar active: requests that are being handled.
     :ivar leaving: whether answers announce that the connection will be closed.
+    :ivar is_closing: whether :meth:`close` was called.
     """
 
     def __init__(self, handle, limits=ListenerLimits, earliest_arrival=boottime_now):
@@ -387,26 +407,58 @@
         self.earliest_arrival = earliest_arrival
         self.active = 0
         self.leaving = False
+        self.is_closing = False
         self._connections = set()
+        self._acceptor = None
+        # Set once nothing is accepted any more and all connections have ended.
+        self._ended = anyio.Event()
 
     def find_unfinished(self):
         """Return the :class:`Unfinished` of each open connection."""
         return [connection.unfinished() for connection in self._connections]
 
     async def serve(self, address, *, task_status=anyio.TASK_STATUS_IGNORED):
-        """Serve until cancelled.
+        """Serve until cancelled, or until all connections have ended after a close.
 
         :raises BindError: the address can't be listened on.
         """
-        host, port = split_address(address)
-        try:
-            listener = await anyio.create_tcp_listener(
-                local_host=host, local_port=port, backlog=1024, reuse_port=False
-            )
-        except OSError as error:
-            raise BindError(address, error) from error
+        self._acceptor = Acceptor(address)
         task_status.started()
-        await listener.serve(self._serve_connection)
+        async with anyio.create_task_group() as connections:
+
+            def start(raw):
+                connections.start_soon(self._serve_accepted, raw)
+
+            await self._acceptor.run(start)
+        self._ended.set()
+
+    async def close(self, seconds, cut_short=None):
+        """Accept no more connections, and wait until the open ones have ended.
+
+        Requests that have arrived are handled, and their answers delivered.
+        Connections without a request are closed.
+
+        :param seconds: longest time to wait; :meth:`find_unfinished` returns what is
+            left then.
+        :param cut_short: event that ends the wait, or ``None``.
+        """
+        self.leaving = True
+        self.is_closing = True
+        self._acceptor.stop()
+        for connection in list(self._connections):
+            connection.end_idle_wait()
+        with anyio.move_on_after(seconds):
+            await wait_for_first(self._ended, cut_short or anyio.Event())
+
+    async def _serve_accepted(self, raw):
+        try:
+            stream = await anyio.abc.SocketStream.from_socket(raw)
+        except (OSError, ValueError) as error:
+            # The caller has closed the connection already.
+            logger.debug("connection ended: %s", error)
+            raw.close()
+            return
+        await self._serve_connection(stream)
 
     async def _serve_connection(self, stream):
         connection = None
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -150,3 +150,24 @@
             await gateway._leave(anyio.Event())
     rows = [record for record in caplog.records if record.msg == "request cut off"]
     assert [(row.request_id, row.phase) for row in rows] == [("id-1", "processing")]
+
+
+async def test_stop_that_is_cut_short_still_answers_what_is_in_flight():
+    """The connections of requests in flight ended without an answer."""
+    target = WorkingTarget(5.0)
+    async with (
+        running_gateway(target, timeout_seconds=6.0, **ONCE) as (gateway, address),
+        anyio.create_task_group() as tasks,
+    ):
+        cut_short = anyio.Event()
+
+        async def cut_short_soon():
+            await anyio.sleep(0.2)
+            tasks.start_soon(gateway._leave, cut_short)
+            cut_short.set()
+
+        tasks.start_soon(cut_short_soon)
+        with anyio.fail_after(1.5):
+            status, _ = await ask(address)
+        assert status == 504
+        assert target.requests
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -1,10 +1,14 @@
 """Tests that an answer reaches the caller when the server closes the connection."""
 
+import errno
+import socket
+
 import anyio
 import pytest
 
 from banyanshore.http.closing import LINGER_SECONDS
 from banyanshore.http.listener import Listener
+from banyanshore.http.unfinished import Phase
 from tests.http.raw import connect, read_until, running_listener
 from tests.stopping.callers import Callers
 
@@ -67,3 +71,66 @@
                     await anyio.sleep(0.01)
                 while listener.find_unfinished():
                     await anyio.sleep(0.05)
+
+
+async def test_request_that_crosses_the_close_of_its_idle_connection_is_answered():
+    """An idle connection was closed with the request that was arriving on it."""
+    listener = Listener(lambda exchange: exchange.respond(200))
+    async with running_listener(listener) as address, await connect(address) as stream:
+        await stream.send(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        await read_until(stream, b"\r\n\r\n")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.close, 3.0)
+            await anyio.sleep(0)
+            await stream.send(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            answer = await read_until(stream, b"\r\n\r\n")
+            await stream.aclose()
+        assert b"connection: close" in answer.lower()
+        assert listener.find_unfinished() == []
+
+
+async def test_connections_that_wait_to_be_accepted_at_a_close_are_answered():
+    """They were reset, since the socket that listened was closed."""
+    listener = Listener(lambda exchange: exchange.respond(200))
+    async with running_listener(listener) as address:
+        host, _, port = address.partition(":")
+        waiting = [socket.create_connection((host, int(port))) for _ in range(10)]
+        for raw in waiting:
+            raw.sendall(REQUEST)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.close, 3.0)
+            for raw in waiting:
+                with raw:
+                    data = await anyio.to_thread.run_sync(raw.recv, 4096)
+                assert data.startswith(b"HTTP/1.1 200")
+
+
+async def test_close_does_not_wait_longer_than_it_may():
+    async def hang(exchange):
+        await anyio.sleep(30)
+
+    listener = Listener(hang)
+    async with running_listener(listener) as address, await connect(address) as stream:
+        await stream.send(REQUEST)
+        while not listener.active:
+            await anyio.sleep(0.01)
+        with anyio.fail_after(1.0):
+            await listener.close(0.1)
+        assert [row.phase for row in listener.find_unfinished()] == [Phase.PROCESSING]
+
+
+async def test_listener_goes_on_after_the_system_had_no_descriptors(monkeypatch):
+    """The error ended the process."""
+    accept = socket.socket.accept
+    errors = [OSError(errno.EMFILE, "too many open files")] * 2
+
+    def fail_first(self):
+        if errors:
+            raise errors.pop()
+        return accept(self)
+
+    monkeypatch.setattr(socket.socket, "accept", fail_first)
+    listener = Listener(lambda exchange: exchange.respond(200))
+    async with running_listener(listener) as address, await connect(address) as stream:
+        await stream.send(REQUEST)
+        assert (await read_until(stream, b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
--- a/tests/stopping/callers.py
+++ b/tests/stopping/callers.py
@@ -142,30 +142,36 @@
             return False
         return await self.receive_answer(stream, sent)
 
-    async def receive_answer(self, stream, sent):
-        """Receive an answer; return whether the connection can be used again."""
-        data = bytearray()
-        head_end = -1
-        length = 0
+    async def receive_answer(self, stream, sent, data=None):
+        """Receive an answer; return whether the connection can be used again.
+
+        :param data: bytearray with what was received beyond the answer before; what
+            is received beyond this answer is left in it.
+        """
+        data = bytearray() if data is None else data
+        head_end = length = 0
         try:
-            while head_end < 0 or len(data) < head_end + length:
+            while not head_end or len(data) < head_end + length:
+                if not head_end and b"\r\n\r\n" in data:
+                    head_end = data.index(b"\r\n\r\n") + 4
+                    found = _LENGTH.search(data[:head_end].lower())
+                    length = int(found[1]) if found else 0
+                    continue
                 piece = await stream.receive(16_384)
                 data += piece
                 if self._bytes_per_second:
                     await anyio.sleep(len(piece) / self._bytes_per_second)
-                if head_end < 0 and b"\r\n\r\n" in data:
-                    head_end = data.index(b"\r\n\r\n") + 4
-                    found = _LENGTH.search(data[:head_end].lower())
-                    length = int(found[1]) if found else 0
         except (anyio.EndOfStream, anyio.BrokenResourceError) as error:
             sent.error = repr(error.__cause__ or error)
             sent.received_bytes = len(data)
             sent.ended_at = time.monotonic()
             return False
-        sent.received_bytes = len(data)
+        head = bytes(data[:head_end])
+        del data[: head_end + length]
+        sent.received_bytes = head_end + length
         sent.ended_at = time.monotonic()
-        sent.status = int(bytes(data[:20]).split(b" ", 2)[1])
-        return b"connection: close" not in bytes(data[:head_end]).lower()
+        sent.status = int(head.split(b" ", 2)[1])
+        return b"connection: close" not in head.lower()
 
     async def ask_until_gone(self, pause=0.0):
         """Ask again and again, over new connections where one has ended."""
@@ -179,19 +185,27 @@
                     await anyio.sleep(pause)
 
     async def ask_without_waiting(self, pause):
-        """Ask once, and send further requests before the answer is complete."""
+        """Send requests on a connection without waiting for their answers."""
         async with await self.connect() as stream, anyio.create_task_group() as tasks:
-            sent, data = self.make_request()
-            await stream.send(data)
-            tasks.start_soon(self._send_more, stream, pause)
-            await self.receive_answer(stream, sent)
+            rows = []
+            tasks.start_soon(self._send_more, stream, rows, pause)
+            data = bytearray()
+            number = 0
+            while True:
+                while number == len(rows):
+                    await anyio.sleep(0.01)
+                if not await self.receive_answer(stream, rows[number], data):
+                    break
+                number += 1
             tasks.cancel_scope.cancel()
 
-    async def _send_more(self, stream, pause):
+    async def _send_more(self, stream, rows, pause):
         with contextlib.suppress(anyio.BrokenResourceError):
             while True:
+                sent, data = self.make_request()
+                rows.append(sent)
+                await stream.send(data)
                 await anyio.sleep(pause)
-                await stream.send(self.make_request()[1])
 
     async def ask_once(self):
         """Ask once over a new connection."""
--- a/tests/stopping/test_gateway.py
+++ b/tests/stopping/test_gateway.py
@@ -1,10 +1,11 @@
 """A gateway that is a real process ends without losing what it has taken."""
 
-from signal import SIGHUP, SIGINT, SIGTERM
+from signal import SIGCONT, SIGHUP, SIGINT, SIGSTOP, SIGTERM
 
 import anyio
 import pytest
 
+from banyanshore.gateway.process import LEAVE_SECONDS
 from banyanshore.state.routes import RouteKind
 from tests.stopping.callers import Callers, WorkingTarget, running_target
 from tests.stopping.process import running_gateway_process
@@ -96,3 +97,22 @@
     assert len(target.read_ids) >= 4
     assert [row for row in callers.rows if row.status == 200]
     assert callers.lost(target) == []
+
+
+async def test_requests_that_arrive_as_a_stop_ends_are_refused(tmp_path):
+    """Those that had arrived when the process ended were neither read nor refused.
+
+    The process stands still at that time, as it does on a busy machine.
+    """
+    async with running_gateway_process(
+        tmp_path, [], {"grace_seconds": GRACE_SECONDS}, **ONCE
+    ) as gateway:
+        callers = Callers(gateway.address)
+        gateway.signal(SIGTERM)
+        await gateway.signal_in_turn((LEAVE_SECONDS - 0.05, SIGSTOP))
+        async with anyio.create_task_group() as tasks:
+            for _ in range(20):
+                tasks.start_soon(callers.ask_once)
+            await gateway.signal_in_turn((0.3, SIGCONT))
+            assert await gateway.wait() == 0
+    assert [row.status for row in callers.rows] == [503] * 20
