--- a/tests/stopping/test_gateway.py
+++ b/tests/stopping/test_gateway.py
@@ -116,3 +116,17 @@
             await gateway.signal_in_turn((0.3, SIGCONT))
             assert await gateway.wait() == 0
     assert [row.status for row in callers.rows] == [503] * 20
+
+
+async def test_requests_that_would_outlast_the_grace_are_refused(tmp_path):
+    """They were taken until shortly before the end, and cut off at it."""
+    target = WorkingTarget(seconds=5.0)
+
+    async def ask_twice(callers):
+        await callers.ask_once()
+        await callers.ask_until_gone(pause=0.1)
+
+    callers, _ = await play(tmp_path, target, [(0, SIGTERM)], 8, ask_twice)
+    assert [row for row in callers.rows if row.status == 200]
+    assert [row for row in callers.rows if row.status == 503]
+    assert callers.lost(target) == []
