Keep a process running when a reload of its settings fails

What callers saw: a gateway ended with its requests in flight, exit code 1. Cause: `SettingsWatcher.check` ran in the main task group, from SIGHUP and from a timer, and let through every error but SettingsError. `load_settings` raises others: for a deeply nested file (RecursionError), an integer of 5000 digits or a date that doesn't exist (ValueError); a role's `reload` may raise any.

Measured by SIGHUP, real processes, once each: control, gateway and loader ended within 0.1 s (nested: 1.7 s) for a nested file, a long number, a wrong date, and the file of an entry. They went on for a file that isn't text, has an unknown role, or has 1 MB, which kept the loop busy for 0.8 s. With a pipe without a writer as the file, a gateway neither logged nor stopped. Entry and agent don't reload.

Now whatever fails is logged with its reason, errors that weren't expected with their traceback, and the settings in use stay. A reload that raised is tried again at the next signal or change. Files above 64 KiB and files that aren't regular aren't read. A signal is heeded also if the file has not changed; a file that vanished before the first check was not logged.

--- a/banyanshore/daemon/reload.py
+++ b/banyanshore/daemon/reload.py
@@ -1,21 +1,32 @@
 """Reload the settings file while the process runs."""
 
 import logging
+import stat
 from pathlib import Path
 
 import anyio
 
-from banyanshore.conf import SettingsError, load_settings
+from banyanshore.conf import load_settings
+from banyanshore.core.exceptions import BanyanshoreError
 
 logger = logging.getLogger(__name__)
 
 # Seconds between checks of the settings file, which may change without a signal.
 CHECK_INTERVAL = 1.0
+# Size in bytes above which a file isn't read: nothing else runs while it is parsed.
+MAX_FILE_BYTES = 65_536
+
+
+class NotTakenError(BanyanshoreError):
+    """Signal a settings file that can't apply to the running process."""
 
 
 class SettingsWatcher:
     """Watch the settings file and pass changed settings to the process.
 
+    Requests are in flight, so whatever fails is logged with its reason, and the
+    settings in use stay.
+
     :param path: path of the settings file.
     :param settings: the settings in use.
     :param reload: callable that applies changed settings, or ``None`` if the process
@@ -26,7 +37,8 @@
         self._path = path
         self._settings = settings
         self._reload = reload
-        self._content = None
+        # The last content, or the last reason why it couldn't be read.
+        self._seen = None
 
     @property
     def can_reload(self):
@@ -37,32 +49,59 @@
         """Check the file periodically until cancelled."""
         while True:
             await anyio.sleep(CHECK_INTERVAL)
-            self.check()
+            if self._has_changed():
+                self.check()
 
     def check(self):
-        """Apply the settings in the file if they have changed."""
+        """Apply the settings in the file if they differ from those in use."""
         if self._reload is None:
             logger.warning("this role applies changed settings only after a restart")
             return
-        content = self._read()
-        if content == self._content:
-            return
-        self._content = content
+        self._has_changed()
         try:
-            settings = load_settings(self._path)
-        except SettingsError as error:
+            self._apply(self._load())
+        except (BanyanshoreError, OSError) as error:
             # A partially written file is read again once its content changes.
-            logger.error("settings not taken", extra={"why": error.message})
-            return
+            reason = getattr(error, "message", str(error))
+            logger.error("settings not taken", extra={"why": reason})
+        except Exception as error:
+            logger.exception("settings not taken", extra={"why": repr(error)})
+
+    def _has_changed(self):
+        """Note the content of the file; return whether it differs from the last one."""
+        try:
+            seen = read_content(self._path)
+        except (NotTakenError, OSError) as error:
+            seen = str(error)
+        has_changed = seen != self._seen
+        self._seen = seen
+        return has_changed
+
+    def _load(self):
+        read_content(self._path)
+        return load_settings(self._path)
+
+    def _apply(self, settings):
         if settings == self._settings:
             return
         logger.info("settings reloaded", extra={"path": self._path})
-        self._settings = settings
         self._reload(settings)
+        self._settings = settings
 
-    def _read(self):
-        """Return the content of the file, or ``None`` if it can't be read."""
-        try:
-            return Path(self._path).read_bytes()
-        except OSError:
-            return None
+
+def read_content(path):
+    """Return the content of a settings file.
+
+    :raises NotTakenError: it isn't a file, or it is too large.
+    :raises OSError: it can't be read.
+    """
+    path = Path(path)
+    status = path.stat()
+    # The read of a pipe would wait for its writer.
+    if not stat.S_ISREG(status.st_mode):
+        raise NotTakenError(f"{path} isn't a regular file")
+    if status.st_size > MAX_FILE_BYTES:
+        raise NotTakenError(
+            f"{path} has {status.st_size} bytes, expected up to {MAX_FILE_BYTES}"
+        )
+    return path.read_bytes()
--- a/tests/daemon/test_signals.py
+++ b/tests/daemon/test_signals.py
@@ -10,45 +10,8 @@
 from banyanshore.conf import load_settings
 from banyanshore.control.process import Control
 from tests.control.instance import make_settings
+from tests.daemon.documents import ROLES, make_document
 from tests.deployment import Process, wait_for
-from tests.ports import free_ports
-
-
-def make_document(role, folder):
-    """Return the settings of a process of a role that finds no others."""
-    callers, peers, unused = (f"127.0.0.1:{port}" for port in free_ports(3))
-    common = {"role": role, "instance": "i", "data_centre": "a", "peers_bind": peers}
-    registered = {
-        "region": "a",
-        "peer_port": int(peers.rpartition(":")[2]),
-        "seeds": [unused],
-    }
-    voter = {"instance": "i", "data_centre": "a", "address": peers, "voter": True}
-    own = {
-        "control": {
-            **registered,
-            "control_bind": callers,
-            "data_dir": str(folder / "data"),
-        },
-        "gateway": {
-            **registered,
-            "callers_bind": callers,
-            "ready_bind": f"127.0.0.1:{free_ports(1)[0]}",
-            "regions": {"a": "a"},
-        },
-        "loader": {**registered, "service": "s", "target_address": unused},
-        "entry": {
-            "callers_bind": callers,
-            "entries": [voter],
-            "data_dir": str(folder / "data"),
-        },
-        "agent": {
-            "service": "s",
-            "entries": [{**voter, "instance": "entry-1", "address": unused}],
-            "engine": {"url": f"http://{callers}", "kind": "plain"},
-        },
-    }
-    return {**common, **own[role]}
 
 
 def start(role, folder, *numbers):
@@ -60,9 +23,6 @@
     return Process(role, command, folder)
 
 
-ROLES = ["control", "gateway", "loader", "entry", "agent"]
-
-
 @pytest.mark.parametrize("role", ROLES)
 def test_process_told_of_changed_settings_while_it_starts_does_not_end(role, tmp_path):
     """A process that got SIGHUP within 0.6 s of its start ended."""
