Take no settings file of another process, and name what needs a restart

One of another instance was taken, with its seeds. Changed addresses were logged as "settings reloaded" and had no effect.

Now a file whose role or instance differs is not taken as a whole, and the line says which. Of other changes only seeds apply while a process runs; the log names the others as in need of a restart.

--- a/banyanshore/daemon/reload.py
+++ b/banyanshore/daemon/reload.py
@@ -1,5 +1,6 @@
 """Reload the settings file while the process runs."""
 
+import dataclasses
 import logging
 import stat
 from pathlib import Path
@@ -15,6 +16,10 @@
 CHECK_INTERVAL = 1.0
 # Size in bytes above which a file isn't read: nothing else runs while it is parsed.
 MAX_FILE_BYTES = 65_536
+# Settings that a process applies while it runs.
+RELOADED_SETTINGS = frozenset({"seeds"})
+# Settings that tell for which process a file is meant.
+IDENTITY_SETTINGS = ("role", "instance")
 
 
 class NotTakenError(BanyanshoreError):
@@ -79,14 +84,21 @@
 
     def _load(self):
         read_content(self._path)
-        return load_settings(self._path)
+        settings = load_settings(self._path)
+        check_identity(self._settings, settings)
+        return settings
 
     def _apply(self, settings):
-        if settings == self._settings:
-            return
-        logger.info("settings reloaded", extra={"path": self._path})
-        self._reload(settings)
+        changed = changed_names(self._settings, settings)
+        reloaded = sorted(changed & RELOADED_SETTINGS)
+        if reloaded:
+            self._reload(settings)
+            extra = {"path": self._path, "changed": reloaded}
+            logger.info("settings reloaded", extra=extra)
         self._settings = settings
+        others = sorted(changed - RELOADED_SETTINGS)
+        if others:
+            logger.warning("settings need a restart", extra={"changed": others})
 
 
 def read_content(path):
@@ -105,3 +117,20 @@
             f"{path} has {status.st_size} bytes, expected up to {MAX_FILE_BYTES}"
         )
     return path.read_bytes()
+
+
+def check_identity(current, settings):
+    """Check that settings are meant for the process that uses the current ones.
+
+    :raises NotTakenError: they are for another process.
+    """
+    for name in IDENTITY_SETTINGS:
+        expected, found = getattr(current, name), getattr(settings, name)
+        if expected != found:
+            raise NotTakenError(f"{name} is {found!r}, expected {expected!r}")
+
+
+def changed_names(current, settings):
+    """Return the names of the settings that differ, of the same role."""
+    names = {field.name for field in dataclasses.fields(settings)}
+    return {n for n in names if getattr(current, n) != getattr(settings, n)}
--- a/tests/daemon/test_reload_processes.py
+++ b/tests/daemon/test_reload_processes.py
@@ -138,3 +138,29 @@
         assert await gateway.wait() == 0
     assert [row.status for row in callers.rows] == [200] * 4
     assert len(gateway.log_rows("settings not taken")) >= 1
+
+
+def test_file_of_another_process_is_not_taken(tmp_path):
+    """A gateway took the file of another role and ended, as it names no seeds."""
+    with running("gateway", tmp_path) as run:
+        entry = make_document("entry", tmp_path)
+        others = [entry, {**run.document, "instance": "j", "seeds": ["127.0.0.9:1"]}]
+        for count, document in enumerate(others, start=1):
+            run.path.write_text(yaml.safe_dump(document))
+            run.process.signal(signal.SIGHUP)
+            run.wait_for_rows(count, "settings not taken")
+        assert run.rows("settings reloaded") == []
+        assert run.process.stop() == 0
+
+
+def test_changes_that_need_a_restart_are_named(tmp_path):
+    """They were logged as reloaded, and had no effect."""
+    with running("gateway", tmp_path) as run:
+        run.write(callers_bind="127.0.0.1:1", seeds=["127.0.0.9:1"])
+        run.process.signal(signal.SIGHUP)
+        run.wait_for_rows(1, "settings reloaded")
+        run.wait_for_rows(1, "settings need a restart")
+        (row,) = run.rows("settings need a restart")
+        assert row["changed"] == ["callers_bind"]
+        assert run.rows("settings reloaded")[0]["changed"] == ["seeds"]
+        assert run.process.stop() == 0
