Announce the close of a connection whose request was refused before its body

Now only what has arrived after the end of a request counts, and a listener that closes announces it in every answer.

--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -346,8 +346,14 @@
         await self.send_event(h11.Response(status_code=status, headers=headers))
 
     def _announces_close(self):
-        # A further request that has arrived is answered too.
-        return self._listener.leaving and not self._h11.trailing_data[0]
+        """Return whether an answer says that it is the last one of its connection."""
+        if self._listener.is_closing:
+            return True
+        # A further request that has arrived is answered too. Before the end of a
+        # request, what has arrived may be its own body.
+        is_request_read = self._h11.their_state is h11.DONE
+        has_further_request = is_request_read and self._h11.trailing_data[0]
+        return self._listener.leaving and not has_further_request
 
     async def send_event(self, event):
         """Send a part of the answer."""
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -1,5 +1,6 @@
 """Tests that an answer reaches the caller when the server closes the connection."""
 
+import contextlib
 import errno
 import socket
 
@@ -14,6 +15,8 @@
 
 pytestmark = pytest.mark.anyio
 
+# Errors of a connection that has ended.
+ENDED = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream)
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
 
 
@@ -58,6 +61,43 @@
     assert callers.rows[0].received_bytes > len(body)
 
 
+async def test_refusal_before_the_body_was_read_announces_the_close():
+    """The rest of the body counted as a further request, and the caller sent on."""
+    listener = Listener(lambda exchange: exchange.respond(503))
+    listener.leaving = True
+    head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\n"
+    async with running_listener(listener) as address, await connect(address) as stream:
+        await stream.send(head + b"12345")
+        answer = await read_until(stream, b"\r\n\r\n")
+        assert b"connection: close" in answer.lower()
+
+
+async def test_caller_that_never_stops_sending_does_not_hold_up_a_close():
+    """Each of its requests was answered as long as another one had arrived."""
+    listener = Listener(lambda exchange: exchange.respond(200))
+    request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+    async with running_listener(listener) as address, await connect(address) as stream:
+
+        async def send_on():
+            with contextlib.suppress(*ENDED):
+                while True:
+                    await stream.send(request * 50)
+
+        async def read_on():
+            with contextlib.suppress(*ENDED):
+                while True:
+                    await stream.receive()
+            await stream.aclose()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send_on)
+            tasks.start_soon(read_on)
+            await anyio.sleep(0.2)
+            with anyio.fail_after(LINGER_SECONDS + 1.0):
+                await listener.close(10.0)
+            tasks.cancel_scope.cancel()
+
+
 async def test_slow_caller_holds_a_connection_only_while_it_makes_progress():
     body = b"a" * 3_000_000
     listener = Listener(lambda exchange: exchange.respond(200, body=body))
