Wait for a slow caller however long ago its answer was sent

Found by the review: a connection whose last answer was sent two seconds or more before it is closed was closed at once. A slow caller may not have received the answer, and a further request turned the close into a reset.

Now bytes that the caller's system has not acknowledged count as well.

--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -212,10 +212,10 @@
 
     async def deliver(self):
         """Wait until the caller has received the last answer, for a bounded time."""
-        seconds = time.monotonic() - self._answered_at
-        if seconds >= LINGER_SECONDS or self._peer_closed:
+        if self._peer_closed or self.close_ends_incomplete_answer():
             return
-        if not self.close_ends_incomplete_answer():
+        is_recent = time.monotonic() - self._answered_at < LINGER_SECONDS
+        if is_recent or count_unacknowledged_bytes(self._stream):
             await linger(self._stream, time.monotonic)
 
     async def refuse(self, error, started=False):
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -174,3 +174,24 @@
     async with running_listener(listener) as address, await connect(address) as stream:
         await stream.send(REQUEST)
         assert (await read_until(stream, b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+
+
+async def test_answer_sent_long_before_a_close_reaches_a_slow_caller():
+    """Answers older than two seconds counted as delivered."""
+    body = b"a" * 1_500_000
+    listener = Listener(lambda exchange: exchange.respond(200, body=body))
+    async with running_listener(listener) as address:
+        callers = Callers(address, receive_buffer=8192, bytes_per_second=300_000)
+        async with (
+            await callers.connect() as stream,
+            anyio.create_task_group() as tasks,
+        ):
+            sent, request = callers.make_request()
+            await stream.send(request)
+            tasks.start_soon(callers.receive_answer, stream, sent)
+            await anyio.sleep(LINGER_SECONDS + 0.3)
+            tasks.start_soon(listener.close, 8.0)
+            await anyio.sleep(0.3)
+            await stream.send(request)
+    assert sent.status == 200
+    assert listener.find_unfinished() == []
