Let an operator cut a stop short at any time of it

Found by the review: a second interrupt had no effect once a gateway's listener had begun to close; a stop cut short near its end could last a second longer than its bound; and SIGINT each 0.4 s never cut a stop short, since each signal that was ignored began the 0.5 s anew.

Two tests that failed before, in tests/gateway/test_stopping.py and tests/daemon/test_stop_signals.py.

--- a/banyanshore/daemon/stop_signals.py
+++ b/banyanshore/daemon/stop_signals.py
@@ -69,9 +69,9 @@
         if number == signal.SIGHUP:
             return Action.RELOAD
         if number == signal.SIGINT:
-            since, self._interrupted_at = now - self._interrupted_at, now
-            if since < INTERRUPT_REPEAT_SECONDS:
+            if now - self._interrupted_at < INTERRUPT_REPEAT_SECONDS:
                 return Action.NONE
+            self._interrupted_at = now
         none = (Action.NONE, self._state)
         action, self._state = _STEPS.get((self._state, number), none)
         return action
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -409,13 +409,18 @@
                 break
             await anyio.sleep(min(0.05, self.stop_plan.ends_at - now))
             now = time.monotonic()
+        if not force_requested.is_set():
+            seconds = self.stop_plan.ends_at - now
+            await self.caller_listener.close(seconds, force_requested)
         if force_requested.is_set():
-            self._answer_now(now)
-        await self.caller_listener.close(self.stop_plan.ends_at - now)
+            await self._cut_short()
         log_unfinished(self.caller_listener)
 
-    def _answer_now(self, now):
+    async def _cut_short(self):
         """Answer the requests in flight as if their time had run out."""
-        self.stop_plan = StopPlan(now, now, now + CUT_SHORT_SECONDS)
+        now = time.monotonic()
+        ends_at = min(self.stop_plan.ends_at, now + CUT_SHORT_SECONDS)
+        self.stop_plan = StopPlan(now, now, ends_at)
         for run in self.runs:
             run.shorten_deadline(now)
+        await self.caller_listener.close(ends_at - now)
--- a/tests/daemon/test_stop_signals.py
+++ b/tests/daemon/test_stop_signals.py
@@ -36,6 +36,11 @@
     assert actions == [Action.STOP, Action.NONE, Action.NONE]
 
 
+def test_operator_who_interrupts_again_and_again_cuts_the_stop_short():
+    """Each signal that was ignored began the time anew."""
+    assert Action.CUT_SHORT in decide_all(*[SIGINT] * 4, pause=0.3)
+
+
 def test_settings_are_read_again_at_any_time_of_a_stop():
     actions = decide_all(SIGHUP, SIGTERM, SIGHUP, SIGTERM, SIGHUP)
     assert actions[::2] == [Action.RELOAD] * 3
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from banyanshore.gateway.process import CUT_SHORT_SECONDS
 from banyanshore.state.routes import RouteKind
 from tests.gateway.deployment import (
     SIGNED,
@@ -152,6 +153,31 @@
     assert [(row.request_id, row.phase) for row in rows] == [("id-1", "processing")]
 
 
+async def test_stop_is_cut_short_while_slow_callers_are_waited_for():
+    """A second interrupt had no effect once the listener had begun to close."""
+    target = WorkingTarget(0.01)
+    async with (
+        running_gateway(target) as (gateway, address),
+        await connect(address) as stream,
+        anyio.create_task_group() as tasks,
+    ):
+        gateway.settings = replace(gateway.settings, grace_seconds=20.0)
+        await stream.send(b"POST /p HTTP/1.1\r\nhost: a")
+        cut_short, ended = anyio.Event(), anyio.Event()
+
+        async def leave():
+            await gateway._leave(cut_short)
+            ended.set()
+
+        tasks.start_soon(leave)
+        while not gateway.caller_listener.is_closing:
+            await anyio.sleep(0.05)
+        cut_short.set()
+        with anyio.fail_after(CUT_SHORT_SECONDS + 0.5):
+            await ended.wait()
+        tasks.cancel_scope.cancel()
+
+
 async def test_stop_that_is_cut_short_still_answers_what_is_in_flight():
     """The connections of requests in flight ended without an answer."""
     target = WorkingTarget(5.0)
