--- a/banyanshore/core/groups.py
+++ b/banyanshore/core/groups.py
@@ -1,4 +1,4 @@
-"""Task groups that raise a single error directly instead of an exception group."""
+"""Task groups: a single error raised directly, and the first of several events."""
 
 from contextlib import asynccontextmanager
 
--- a/banyanshore/http/accepting.py
+++ b/banyanshore/http/accepting.py
@@ -24,20 +24,11 @@
 class Acceptor:
     """Accept connections on an address.
 
-    :param address: ``HOST:PORT``.
-    :raises BindError: the address can't be listened on.
+    :param listener: the anyio listener, whose own acceptance isn't used.
     """
 
-    def __init__(self, address):
-        host, port = split_address(address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        try:
-            self._socket = socket.create_server(
-                (host, port), family=family, backlog=BACKLOG
-            )
-        except OSError as error:
-            raise BindError(address, error) from error
-        self._socket.setblocking(False)
+    def __init__(self, listener):
+        self._listener = listener
         self._waiting = anyio.CancelScope()
 
     async def run(self, start):
@@ -45,29 +36,54 @@
 
         :param start: function that is called with each accepted socket.
         """
-        with self._socket:
+        attribute = anyio.abc.SocketAttribute.raw_socket
+        sockets = [item.extra(attribute) for item in self._listener.listeners]
+        async with self._listener:
             with self._waiting:
-                while True:
-                    await anyio.wait_readable(self._socket)
-                    if not self._accept_all(start):
-                        await anyio.sleep(RETRY_SECONDS)
-            self._accept_all(start)
+                async with anyio.create_task_group() as tasks:
+                    for item in sockets:
+                        tasks.start_soon(self._accept_forever, item, start)
+            for item in sockets:
+                _accept_all(item, start)
 
     def stop(self):
         """Accept no connections but those that already wait."""
         self._waiting.cancel()
 
-    def _accept_all(self, start):
-        """Accept the connections that wait; return whether the system allowed it."""
+    async def _accept_forever(self, listening, start):
         while True:
-            try:
-                raw, _ = self._socket.accept()
-            except BlockingIOError:
-                return True
-            except ConnectionAbortedError:
-                continue
-            except OSError as error:
-                logger.warning("connection not accepted", extra={"why": str(error)})
-                return False
-            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            start(raw)
+            await anyio.wait_readable(listening)
+            if not _accept_all(listening, start):
+                await anyio.sleep(RETRY_SECONDS)
+
+
+async def open_acceptor(address):
+    """Listen on an address, and return the :class:`Acceptor`.
+
+    :param address: ``HOST:PORT``.
+    :raises BindError: the address can't be listened on.
+    """
+    host, port = split_address(address)
+    try:
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port, backlog=BACKLOG, reuse_port=False
+        )
+    except OSError as error:
+        raise BindError(address, error) from error
+    return Acceptor(listener)
+
+
+def _accept_all(listening, start):
+    """Accept the connections that wait; return whether the system allowed it."""
+    while True:
+        try:
+            raw, _ = listening.accept()
+        except BlockingIOError:
+            return True
+        except ConnectionAbortedError:
+            continue
+        except OSError as error:
+            logger.warning("connection not accepted", extra={"why": str(error)})
+            return False
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        start(raw)
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -16,7 +16,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.core.groups import open_task_group, wait_for_first
-from banyanshore.http.accepting import Acceptor
+from banyanshore.http.accepting import open_acceptor
 from banyanshore.http.closing import LINGER_SECONDS, linger
 from banyanshore.http.unfinished import (
     Phase,
@@ -428,7 +428,7 @@
 
         :raises BindError: the address can't be listened on.
         """
-        self._acceptor = Acceptor(address)
+        self._acceptor = await open_acceptor(address)
         task_status.started()
         async with anyio.create_task_group() as connections:
 
@@ -439,7 +439,9 @@
         self._ended.set()
 
     async def close(self, seconds, cut_short=None):
-        """Accept no more connections, and wait until the open ones have ended.
+        """Stop accepting connections, and wait until all have ended.
+
+        Those that wait to be accepted are accepted first.
 
         Requests that have arrived are handled, and their answers delivered.
         Connections without a request are closed.
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -11,6 +11,7 @@
 from banyanshore.http.listener import Listener
 from banyanshore.http.unfinished import Phase
 from tests.http.raw import connect, read_until, running_listener
+from tests.ports import free_ports
 from tests.stopping.callers import Callers
 
 pytestmark = pytest.mark.anyio
@@ -159,6 +160,20 @@
         assert [row.phase for row in listener.find_unfinished()] == [Phase.PROCESSING]
 
 
+async def test_listener_on_a_host_name_serves_all_of_its_addresses():
+    """Only the first address of the name was listened on."""
+    (port,) = free_ports(1)
+    listener = Listener(lambda exchange: exchange.respond(200))
+    infos = socket.getaddrinfo("localhost", port, type=socket.SOCK_STREAM)
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(listener.serve, f"localhost:{port}")
+        for host in {info[4][0] for info in infos}:
+            async with await anyio.connect_tcp(host, port) as stream:
+                await stream.send(REQUEST)
+                await read_until(stream, b"\r\n\r\n")
+        tasks.cancel_scope.cancel()
+
+
 async def test_listener_goes_on_after_the_system_had_no_descriptors(monkeypatch):
     """The error ended the process."""
     accept = socket.socket.accept
