Count the unread bytes of connections that a stop leaves, also of closed ones

Found by the review: the check for unread bytes raised ValueError on a connection that had ended meanwhile, and would have ended the stop; and ended streams and bodies of requests in process counted as never read.

test_unfinished_connections_are_told_though_one_was_reset_meanwhile.

--- a/banyanshore/gateway/unfinished.py
+++ b/banyanshore/gateway/unfinished.py
@@ -24,7 +24,9 @@
         for row in rows
         if row.phase not in _CUT_OFF_PHASES and row.unacknowledged_bytes
     ]
-    unread = [row for row in rows if row.has_unread_bytes]
+    unread = [
+        row for row in rows if row.phase not in _CUT_OFF_PHASES and row.unread_bytes
+    ]
     for row in cut_off[:MAX_LOGGED]:
         logger.error("request cut off", extra=_describe(row))
     for row in undelivered[:MAX_LOGGED]:
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -22,11 +22,11 @@
     Phase,
     Unfinished,
     count_unacknowledged_bytes,
+    count_unread_bytes,
 )
 from banyanshore.http.wire import (
     PeerClosedError,
     get_header,
-    has_unread_bytes,
     is_closed_by_peer,
     receive_bytes,
     reset_on_close,
@@ -169,7 +169,7 @@
             self._phase,
             self._exchange.request_id if self._exchange else "",
             count_unacknowledged_bytes(self._stream),
-            has_unread_bytes(self._stream),
+            count_unread_bytes(self._stream),
         )
 
     def close_ends_incomplete_answer(self):
--- a/banyanshore/http/unfinished.py
+++ b/banyanshore/http/unfinished.py
@@ -36,13 +36,14 @@
     :param request_id: id of the last request of the connection, empty if none is known.
     :param unacknowledged_bytes: bytes that were sent and that the caller's system has
         not acknowledged, ``None`` if the system doesn't tell.
-    :param has_unread_bytes: whether bytes of the caller were not read.
+    :param unread_bytes: bytes that arrived and were not read, ``None`` if the system
+        doesn't tell.
     """
 
     phase: Phase
     request_id: str
     unacknowledged_bytes: int | None
-    has_unread_bytes: bool
+    unread_bytes: int | None
 
 
 def count_unacknowledged_bytes(stream):
@@ -50,11 +51,23 @@
 
     :return: ``None`` if the system doesn't tell, 0 if the connection has ended.
     """
+    return _read_count(stream, termios.TIOCOUTQ)
+
+
+def count_unread_bytes(stream):
+    """Return the bytes that have arrived and were not read from the system.
+
+    :return: ``None`` if the system doesn't tell, 0 if the connection has ended.
+    """
+    return _read_count(stream, termios.FIONREAD)
+
+
+def _read_count(stream, request):
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     if raw.fileno() < 0:
         return 0
     try:
-        answer = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+        answer = fcntl.ioctl(raw.fileno(), request, struct.pack("i", 0))
     except OSError:
         return None
     return struct.unpack("i", answer)[0]
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -160,6 +160,23 @@
         assert [row.phase for row in listener.find_unfinished()] == [Phase.PROCESSING]
 
 
+async def test_unfinished_connections_are_told_though_one_was_reset_meanwhile():
+    """The closed descriptor raised an error, which ended the stop."""
+
+    async def hang(exchange):
+        await anyio.sleep(30)
+
+    listener = Listener(hang)
+    async with running_listener(listener) as address, await connect(address) as stream:
+        await stream.send(REQUEST)
+        while not listener.active:
+            await anyio.sleep(0.01)
+        (connection,) = listener._connections
+        await anyio.aclose_forcefully(connection._stream)
+        (row,) = listener.find_unfinished()
+    assert (row.unacknowledged_bytes, row.unread_bytes) == (0, 0)
+
+
 async def test_listener_on_a_host_name_serves_all_of_its_addresses():
     """Only the first address of the name was listened on."""
     (port,) = free_ports(1)
