Bound what one caller can do to the end of a stop, and log what is discarded

Now a listener that closes waits 1 s for the rest of a head, then answers 408.

Requests that a caller sent behind an answer that announces the close are discarded, as RFC 9112, 9.6, has it; the log now says how many bytes, behind which request.

tests/http/test_closing.py::test_rest_of_a_head_does_not_hold_up_a_close.

--- a/banyanshore/http/closing.py
+++ b/banyanshore/http/closing.py
@@ -53,14 +53,19 @@
     no progress for :data:`LINGER_SECONDS`.
 
     :param clock: callable that returns monotonic seconds.
+    :return: the number of bytes that were discarded.
     """
+    discarded = 0
     await stream.send_eof()
     lingering = Lingering(clock(), count_unacknowledged_bytes(stream))
     while (seconds := lingering.ends_at - clock()) > 0:
         with anyio.move_on_after(min(seconds, PROGRESS_INTERVAL)):
             try:
-                if not await receive_bytes(stream):
-                    return
+                data = await receive_bytes(stream)
             except PeerClosedError:
-                return
+                break
+            if not data:
+                break
+            discarded += len(data)
         lingering.record(clock(), count_unacknowledged_bytes(stream))
+    return discarded
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -42,6 +42,8 @@
 HANGUP_CHECK_INTERVAL = 0.2
 # Seconds for which a listener that closes waits for requests that are on their way.
 LAST_REQUEST_SECONDS = 0.1
+# Seconds that it waits for the rest of a head.
+LAST_HEAD_SECONDS = 1.0
 # Bytes of a body that must arrive within the header timeout; no healthy caller is
 # slower on any link.
 BODY_PROGRESS_BYTES = 4096
@@ -156,8 +158,9 @@
         )
         self._peer_closed = False
         self._exchange = None
-        # Cancel scope of the wait for a request.
+        # Cancel scopes of the waits for a request, and for the rest of its head.
         self._idle_scope = anyio.CancelScope()
+        self._head_scope = anyio.CancelScope()
         # Monotonic time at which the last answer ended or was broken off.
         self._answered_at = -math.inf
         # Earliest arrival of the oldest bytes that no request has been parsed from.
@@ -205,18 +208,28 @@
             if not exchange.finished or not await self._next_cycle():
                 return
 
-    def end_idle_wait(self):
-        """Wait only a short time for the next request."""
-        deadline = anyio.current_time() + LAST_REQUEST_SECONDS
-        self._idle_scope.deadline = min(self._idle_scope.deadline, deadline)
+    def shorten_waits(self):
+        """Wait only a short time for the next request, or the rest of its head."""
+        now = anyio.current_time()
+        idle, head = self._idle_scope, self._head_scope
+        idle.deadline = min(idle.deadline, now + LAST_REQUEST_SECONDS)
+        head.deadline = min(head.deadline, now + LAST_HEAD_SECONDS)
 
     async def deliver(self):
         """Wait until the caller has received the last answer, for a bounded time."""
         if self._peer_closed or self.close_ends_incomplete_answer():
             return
         is_recent = time.monotonic() - self._answered_at < LINGER_SECONDS
-        if is_recent or count_unacknowledged_bytes(self._stream):
-            await linger(self._stream, time.monotonic)
+        if not is_recent and not count_unacknowledged_bytes(self._stream):
+            return
+        discarded = await linger(self._stream, time.monotonic)
+        if discarded:
+            # Further requests, which the caller has to send again.
+            request_id = self._exchange.request_id if self._exchange else ""
+            logger.info(
+                "bytes discarded after the last answer of a connection",
+                extra={"request_id": request_id, "bytes": discarded},
+            )
 
     async def refuse(self, error, started=False):
         """Answer an invalid request, unless an answer has started.
@@ -248,7 +261,7 @@
             return True
         self._idle_scope = anyio.move_on_after(self.limits.idle_timeout)
         if self._listener.is_closing:
-            self.end_idle_wait()
+            self.shorten_waits()
         data = b""
         with self._idle_scope:
             data = await receive_bytes(self._stream)
@@ -260,7 +273,10 @@
         return bool(data)
 
     async def _read_request(self):
-        with anyio.move_on_after(self.limits.header_timeout):
+        self._head_scope = anyio.move_on_after(self.limits.header_timeout)
+        if self._listener.is_closing:
+            self.shorten_waits()
+        with self._head_scope:
             event = await self._next_event()
             if not isinstance(event, h11.Request):
                 return None
@@ -454,7 +470,7 @@
         self.is_closing = True
         self._acceptor.stop()
         for connection in list(self._connections):
-            connection.end_idle_wait()
+            connection.shorten_waits()
         with anyio.move_on_after(seconds):
             await wait_for_first(self._ended, cut_short or anyio.Event())
 
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -8,7 +8,7 @@
 import pytest
 
 from banyanshore.http.closing import LINGER_SECONDS
-from banyanshore.http.listener import Listener
+from banyanshore.http.listener import LAST_HEAD_SECONDS, Listener
 from banyanshore.http.unfinished import Phase
 from tests.http.raw import connect, read_until, running_listener
 from tests.ports import free_ports
@@ -177,6 +177,17 @@
     assert (row.unacknowledged_bytes, row.unread_bytes) == (0, 0)
 
 
+async def test_rest_of_a_head_does_not_hold_up_a_close():
+    """The listener waited for it as long as at other times."""
+    listener = Listener(lambda exchange: exchange.respond(200))
+    async with running_listener(listener) as address, await connect(address) as stream:
+        await stream.send(b"GET / HTTP/1.1\r\nhost")
+        await anyio.sleep(0.1)
+        with anyio.fail_after(LAST_HEAD_SECONDS + LINGER_SECONDS + 0.5):
+            await listener.close(10.0)
+        assert (await read_until(stream, b"\r\n\r\n")).startswith(b"HTTP/1.1 408")
+
+
 async def test_listener_on_a_host_name_serves_all_of_its_addresses():
     """Only the first address of the name was listened on."""
     (port,) = free_ports(1)
