End a process in time when nobody reads its log

What was seen: with a log pipe that is full and not read, a process served its requests, but did not end. SIGTERM: control, gateway, loader, entry and agent all still ran after 7 s (1 run of the tests; control, gateway, loader in 1 more by hand), so that a supervisor has to send SIGKILL. A gateway with 8 requests in flight likewise. A full queue: the listener's stop has no place for its end mark.

Cause: the end joined the writer thread without limit; that thread waits in its write, and holds the lock of the handler and of the buffer of standard output, for which logging's and the interpreter's flush at exit would wait too. Ruled out: a log whose reader is closed, 5 of 5 roles ended with exit code 0 before as well.

Now a writer of its own writes to the descriptor without a buffer or a shared lock. The end waits 0.5 s for it, counts what is lost, dropped records included, and writes the number to standard error if that can be written at once. Records that a disk or a pipe refuses are counted in `dropped_before` of the next line; one that can't be formatted leaves a line that says so.

--- a/banyanshore/core/logs.py
+++ b/banyanshore/core/logs.py
@@ -3,11 +3,14 @@
 import json
 import logging
 import logging.handlers
+import os
 import queue
 import sys
 import time
 from contextvars import ContextVar
 
+from banyanshore.core.log_writer import LogWriter
+
 # Bound of the queue to the writer thread: a few seconds of records of a busy instance.
 MAX_QUEUED_RECORDS = 10_000
 
@@ -59,27 +62,29 @@
 
     Records are dropped while the queue is full; the next queued record carries their
     number as ``dropped_before``.
+
+    :ivar dropped: number of records dropped since the last one that was queued.
     """
 
     def __init__(self):
         super().__init__(queue.Queue(MAX_QUEUED_RECORDS))
-        self._dropped = 0
+        self.dropped = 0
 
     def prepare(self, record):
         """Return the record unformatted, with the current request id and trace id."""
         record.request_id = getattr(record, "request_id", "") or request_id_var.get()
         record.trace_id = trace_id_var.get()
-        if self._dropped:
-            record.dropped_before = self._dropped
+        if self.dropped:
+            record.dropped_before = self.dropped
         return record
 
     def enqueue(self, record):
         """Queue a record, or count it as dropped."""
         try:
             self.queue.put_nowait(record)
-            self._dropped = 0
+            self.dropped = 0
         except queue.Full:
-            self._dropped += 1
+            self.dropped += 1
 
 
 def configure_logging(
@@ -93,18 +98,28 @@
     :param level: lowest level that is written, in lower case.
     :param path: file to append to; empty for a standard stream.
     :param to_standard_output: whether to use standard output instead of standard error.
-    :return: the queue listener; its ``stop()`` writes the queued records.
+    :return: the :class:`~banyanshore.core.log_writer.LogWriter`.
     """
-    standard_stream = sys.stdout if to_standard_output else sys.stderr
-    stream = open(path, "a", encoding="utf-8") if path else standard_stream  # noqa: SIM115
-    stream_handler = logging.StreamHandler(stream)
-    stream_handler.setFormatter(JsonFormatter(instance, data_centre))
     queue_handler = BoundedQueueHandler()
     root = logging.getLogger()
     root.handlers[:] = [queue_handler]
     root.setLevel(level.upper())
     for logger_name in ("httpx", "httpcore", "hypercorn.access", "hypercorn.error"):
         logging.getLogger(logger_name).setLevel(logging.WARNING)
-    listener = logging.handlers.QueueListener(queue_handler.queue, stream_handler)
-    listener.start()
-    return listener
+    standard_stream = sys.stdout if to_standard_output else sys.stderr
+    writer = LogWriter(
+        queue_handler,
+        JsonFormatter(instance, data_centre),
+        _open_descriptor(path, standard_stream),
+    )
+    writer.start()
+    return writer
+
+
+def _open_descriptor(path, standard_stream):
+    if path:
+        return os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o666)
+    # A process may be started without the stream, whose number then is a socket's.
+    if standard_stream is None:
+        return os.open(os.devnull, os.O_WRONLY)
+    return standard_stream.fileno()
--- a/banyanshore/daemon/run.py
+++ b/banyanshore/daemon/run.py
@@ -10,6 +10,7 @@
 
 from banyanshore.conf import SettingsError, load_settings
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.log_writer import write_if_possible
 from banyanshore.core.logs import configure_logging
 from banyanshore.daemon.reload import SettingsWatcher
 from banyanshore.daemon.signals import receive_signals
@@ -43,7 +44,7 @@
         settings = load_settings(values.settings)
     except SettingsError as error:
         return _fail(error.message)
-    listener = configure_logging(
+    log_writer = configure_logging(
         settings.instance,
         settings.data_centre,
         settings.log_level,
@@ -59,10 +60,17 @@
             logger.critical("stopping: %s", error)
         exit_code = EXIT_FAILED
     finally:
-        listener.stop()
+        _tell_lost_records(log_writer.stop())
     return exit_code
 
 
+def _tell_lost_records(count):
+    # Without standard error, or with one that is stalled too, nobody can be told.
+    if count and sys.stderr is not None:
+        text = f"{count} log records could not be written\n"
+        write_if_possible(sys.stderr.fileno(), text)
+
+
 def _fail(text):
     sys.stderr.write(f"{text}\n")
     return EXIT_SETTINGS
