Wait in a stop of an entry until its web requests have ended

Callers saw, at a stop of an entry: a claimed call whose large answer was being written ended in its middle (5.62 of 8.00 MB received, no error of the connection); a request whose body was still arriving, and an operator's patch that waited for a quorum, got an empty 500 of the web server. No log line named any of them.

Cause: the stop waited for the calls in the proxy and for proposals. Requests before the proxy (body), beside it (operators) and after it (an answer that is being written) didn't count; hypercorn then cancelled them after 1 s.

Ruled out: that the targets' answers were incomplete (the entry held them).

The web server now knows the request of each connection, and an entry waits until each has its whole answer, at most stop_timeout. What is left after that is ended: calls with an unknown outcome, requests without a whole body with 503 "not-run". The connections then get the rest of stop_timeout, at least GRACEFUL_SECONDS, to deliver. So a stop ends within stop_timeout plus MAX_SECONDS_AFTER_TIMEOUT (2 s). Requests that are cut off, and answers that are not delivered, are logged with their request ids. While it stops, answers announce the end of their connections. hypercorn's own serve() can't tell about requests, so the server now builds hypercorn's connections itself.

--- a/banyanshore/entry/process.py
+++ b/banyanshore/entry/process.py
@@ -9,6 +9,7 @@
 from banyanshore.consensus.log_runner import LogRunner
 from banyanshore.consensus.node import ConsensusNode
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.entry.application import make_api_application
 from banyanshore.entry.claimed import AnswerRecovery, ClaimedCalls
 from banyanshore.entry.destinations import DestinationChooser
 from banyanshore.entry.dissemination import Dissemination
@@ -20,12 +21,12 @@
 from banyanshore.entry.reports import AgentConnections, ReportExchange
 from banyanshore.entry.state_client import StateClient
 from banyanshore.entry.status import StatusReporter
+from banyanshore.entry.stopping import CHECK_SECONDS, RequestsStop
 from banyanshore.entry.suspects import SuspectExchange
 from banyanshore.entry.versions import VersionSender
-from banyanshore.http.asgi import Problem, make_application
 from banyanshore.http.callers import CallersApi
 from banyanshore.http.operators import OperatorsApi
-from banyanshore.http.server import GRACEFUL_SECONDS, serve_http
+from banyanshore.http.server import WebServer
 from banyanshore.membership.entries import EntryTable
 from banyanshore.membership.targets import TargetTable
 from banyanshore.routing.quarantine import Quarantine
@@ -69,6 +70,9 @@
         # The log of a voter, else ``None``.
         self.log = None
         self.versions = None
+        # The :class:`RequestsStop` once this entry stops.
+        self.stop = None
+        self.servers = []
         # Number of running HTTP servers.
         self._running_servers = 0
 
@@ -247,16 +251,18 @@
         settings = self.settings
         apis = [self.callers_api]
         if settings.operators_bind:
-            operators = _make_api_application([self.operators_api])
+            operators = make_api_application([self.operators_api])
             tasks.start_soon(self._serve, operators, settings.operators_bind, shutdown)
         else:
             apis.append(self.operators_api)
-        callers = _make_api_application(apis)
+        callers = make_api_application(apis)
         tasks.start_soon(self._serve, callers, settings.callers_bind, shutdown)
 
     async def _serve(self, application, address, shutdown):
+        server = WebServer(application, address)
+        self.servers.append(server)
         self._running_servers += 1
-        await serve_http(application, address, shutdown)
+        await server.serve(shutdown, lambda: self.stop.get_close_seconds())
         self._running_servers -= 1
 
     def _open_links(self):
@@ -306,13 +312,13 @@
             for update in updates:
                 await link.notify_or_drop(update)
 
-    def _is_busy(self):
-        return self.proxy.in_flight or self.claimed_calls.pending_proposals
-
     async def _leave(self, force_requested, http_shutdown):
         """Refuse new requests and wait until those in flight have ended."""
         self.leaving = True
         self.dissemination.leaving = True
+        self.stop = RequestsStop(
+            self.proxy, self.claimed_calls, self.servers, self.settings.stop_timeout
+        )
         logger.info("leaving", extra={"in_flight": self.proxy.in_flight})
         await self.dissemination.send_digests()
         if self.node is not None:
@@ -320,29 +326,8 @@
                 await self.node.transfer_leadership()
             except BanyanshoreError as error:
                 logger.warning("leadership transfer failed: %s", error)
-        with anyio.move_on_after(self.settings.stop_timeout):
-            while self._is_busy() and not force_requested.is_set():
-                await anyio.sleep(0.05)
-        if ended := self.proxy.end_all():
-            logger.error("stopped with requests cut off", extra={"cut": ended})
-            with anyio.move_on_after(GRACEFUL_SECONDS):
-                while self._is_busy():
-                    await anyio.sleep(0.02)
+        await self.stop.wait(force_requested)
         http_shutdown.set()
-        # The servers exit by themselves once the last bytes of answers are sent.
-        with anyio.move_on_after(2 * GRACEFUL_SECONDS):
-            while self._running_servers:
-                await anyio.sleep(0.02)
-
-
-def _make_api_application(apis):
-    async def handle(request):
-        for api in apis:
-            if api.handles(request):
-                await api.handle(request)
-                return
-        await request.respond_problem(
-            Problem(404, "Not found", f"there is nothing at {request.path}", "not-run")
-        )
-
-    return make_application(handle)
+        while self._running_servers:
+            await anyio.sleep(CHECK_SECONDS)
+        self.stop.log_unfinished()
--- a/banyanshore/entry/proxy.py
+++ b/banyanshore/entry/proxy.py
@@ -79,8 +79,8 @@
         self.in_flight = 0
         self._call_added = anyio.Event()
         self._copies_by_fingerprint = {}
-        # Cancel scopes of the calls in flight.
-        self._scopes = set()
+        # Ids of the calls in flight.
+        self._request_id_by_scope = {}
         metrics.waiting.set_function(lambda: self.waiting.length)
         metrics.in_flight.set_function(lambda: self.in_flight)
 
@@ -117,7 +117,7 @@
             attributes = {"request.id": call.request_id, "service": call.service}
             with self._tracer.span("entry", call.traceparent, **attributes) as parent:
                 call = replace(call, traceparent=parent)
-                with self._track():
+                with self._track(call.request_id):
                     return await self._route(call, sink, is_forwarded)
                 # Ended by end_all().
                 return CallResult(ResultKind.UNKNOWN, FailureReason.CANCELLED)
@@ -128,23 +128,23 @@
                 del self.waiting.running[call.workspace]
 
     @contextlib.contextmanager
-    def _track(self):
+    def _track(self, request_id):
         """Let :meth:`end_all` end the work in this context."""
         with anyio.CancelScope() as scope:
-            self._scopes.add(scope)
+            self._request_id_by_scope[scope] = request_id
             try:
                 yield
             finally:
-                self._scopes.discard(scope)
+                del self._request_id_by_scope[scope]
 
     def end_all(self):
         """End all calls in flight; their callers are told that the outcome is unknown.
 
-        :return: number of calls that were ended.
+        :return: the ids of the calls that were ended.
         """
-        for scope in self._scopes:
+        for scope in self._request_id_by_scope:
             scope.cancel()
-        return len(self._scopes)
+        return list(self._request_id_by_scope.values())
 
     async def _route(self, call, sink, is_forwarded):
         progress = Progress(is_forwarded=is_forwarded)
--- a/banyanshore/http/asgi.py
+++ b/banyanshore/http/asgi.py
@@ -17,6 +17,10 @@
     """Signal a request body that exceeds the size limit."""
 
 
+class BodyRefusedError(BanyanshoreError):
+    """Signal a request whose body is not waited for any longer."""
+
+
 class CallerDisconnectedError(BanyanshoreError):
     """Signal a caller that closed the connection."""
 
@@ -53,7 +57,11 @@
 
 
 class Request:
-    """HTTP request, and the methods to answer it."""
+    """HTTP request, and the methods to answer it.
+
+    :ivar id: id of the request for logs, set by its handler.
+    :ivar is_ended: whether its answer is whole or has been given up.
+    """
 
     def __init__(self, scope, receive, send):
         self.method = scope["method"]
@@ -65,8 +73,15 @@
         )
         self._receive_event = receive
         self._send = send
+        self.id = ""
         self.response_started = False
+        self.is_ended = False
         self._is_body_complete = not self._has_body()
+        self._body_scope = None
+        # The connection of the web server, ``None`` in other servers.
+        self._connection = scope.get("state", {}).get("connection")
+        if self._connection is not None:
+            self._connection.request = self
 
     def get_header(self, name, default=""):
         """Return a header's value as text."""
@@ -92,8 +107,19 @@
         """Return the complete body.
 
         :raises BodyTooLargeError: it exceeds ``max_bytes``.
+        :raises BodyRefusedError: :meth:`refuse_body` was called before it was complete.
         :raises CallerDisconnectedError: the caller left before sending all of it.
         """
+        with anyio.CancelScope() as self._body_scope:
+            return await self._read_whole_body(max_bytes)
+        raise BodyRefusedError("the body is not waited for", step="read-body")
+
+    def refuse_body(self):
+        """Stop waiting for the rest of the body."""
+        if self._body_scope is not None and not self._is_body_complete:
+            self._body_scope.cancel()
+
+    async def _read_whole_body(self, max_bytes):
         body = bytearray()
         while True:
             event = await self._receive()
@@ -117,17 +143,20 @@
     async def start(self, status, headers):
         """Send the status line and headers.
 
-        The server closes the connection of a request whose body was not read, so the
-        headers announce the close.
+        The headers announce the close of the connection: the server closes it if it
+        stops, and if the body of the request was not read.
         """
         self.response_started = True
         all_headers = list(headers)
-        if not self._is_body_complete:
+        if not self._is_body_complete or self._is_closing():
             all_headers.append((b"connection", b"close"))
         await self._send(
             {"type": "http.response.start", "status": status, "headers": all_headers}
         )
 
+    def _is_closing(self):
+        return self._connection is not None and self._connection.is_closing
+
     async def send_body(self, data, more=True):
         """Send a piece of the body."""
         await self._send(
@@ -176,24 +205,18 @@
     """Return an ASGI application that handles requests with a coroutine function."""
 
     async def application(scope, receive, send):
-        if scope["type"] == "lifespan":
-            await _answer_lifespan(receive, send)
-        elif scope["type"] == "http":
-            await handle(Request(scope, receive, send))
+        if scope["type"] == "http":
+            request = Request(scope, receive, send)
+            try:
+                await handle(request)
+            finally:
+                request.is_ended = True
         elif scope["type"] == "websocket":
             await send({"type": "websocket.close", "code": 1003})
 
     return application
 
 
-async def _answer_lifespan(receive, send):
-    while True:
-        event = await receive()
-        await send({"type": f"{event['type']}.complete"})
-        if event["type"] == "lifespan.shutdown":
-            return
-
-
 async def run_until_disconnect(request, work):
     """Run a coroutine function, and cancel it if the caller disconnects.
 
--- a/banyanshore/http/callers.py
+++ b/banyanshore/http/callers.py
@@ -98,7 +98,7 @@
 
     async def handle(self, request):
         """Handle one request."""
-        request_id = self._make_request_id(request)
+        request_id = request.id = self._make_request_id(request)
         request_id_var.set(request_id)
         headers = ((b"x-request-id", request_id.encode()),)
         try:
--- a/tests/fakes/plain.py
+++ b/tests/fakes/plain.py
@@ -35,7 +35,8 @@
         await anyio.sleep(json.loads(body).get("seconds", self.options.seconds))
         if "BREAK" in name:
             await break_off(request)
-        document = {"order": name, "run": self.runs[name]}
+        padding = "x" * json.loads(body).get("padding", 0)
+        document = {"order": name, "run": self.runs[name], "padding": padding}
         await request.respond_json(201, document)
 
     async def item(self, request):
@@ -52,7 +53,8 @@
                 await request.send_body(b"x" * 1024 * 1024)
             await request.send_body(b"", more=False)
             return
-        await request.respond_json(200, {"path": request.path})
+        padding = "x" * int(request.get_header("x-padding", "0"))
+        await request.respond_json(200, {"path": request.path, "padding": padding})
 
     async def stats(self, request):
         await request.respond_json(200, {"runs": self.runs})
