Deliver answers to callers that send on before their connection is closed

Callers saw: an answer of 3 MB to a caller that reads slowly and sends further requests without waiting ended with a reset at a stop of the entry, after 0.28 to 0.97 of 3 MB; the entry logged nothing.

Cause: hypercorn closes a connection once the answer is with the kernel. Further requests that are unread, or that arrive later, turn the close into a reset (RFC 9112, 9.6), and the kernel drops what it still holds.

A connection now ends its own side first, reads and discards what arrives, and closes once the caller has closed or has had everything for DELIVERED_SECONDS, or has acknowledged nothing for STALLED_SECONDS.

--- a/banyanshore/http/callers.py
+++ b/banyanshore/http/callers.py
@@ -113,6 +113,7 @@
 
     async def _handle_call(self, request, request_id, headers):
         if self._is_leaving():
+            logger.info("request refused: the entry is leaving")
             raise RejectedError(
                 Problem(
                     503,
--- /dev/null
+++ b/banyanshore/http/lingering.py
@@ -0,0 +1,77 @@
+"""How long a connection stays open after its last answer was written.
+
+Load pattern: callers that read slowly, and that send further requests without waiting.
+Closing a connection while bytes of its caller are unread or still arrive resets it, and
+the caller loses what it had not received yet (RFC 9112, 9.6).
+"""
+
+import asyncio
+
+# Seconds between checks of what the caller's system has acknowledged.
+CHECK_SECONDS = 0.05
+# Seconds for which a caller that has received everything may close first.
+DELIVERED_SECONDS = 0.5
+# Seconds without any acknowledgement after which the caller counts as lost.
+STALLED_SECONDS = 30.0
+
+
+class Linger:
+    """Decide when to close a connection to which nothing more is written.
+
+    >>> linger = Linger(now=10.0)
+    >>> linger.is_over(10.0, 5000), linger.is_over(39.0, 4000), linger.is_over(68.0, 0)
+    (False, False, False)
+    >>> linger.is_over(68.4, 0), linger.is_over(68.5, 0)
+    (False, True)
+    """
+
+    def __init__(self, now):
+        self._undelivered_bytes = None
+        self._changed_at = now
+
+    def is_over(self, now, undelivered_bytes):
+        """Return whether to close the connection.
+
+        :param now: monotonic time.
+        :param undelivered_bytes: bytes that the caller's system has not acknowledged.
+        """
+        if undelivered_bytes != self._undelivered_bytes:
+            self._undelivered_bytes = undelivered_bytes
+            self._changed_at = now
+        seconds = STALLED_SECONDS if undelivered_bytes else DELIVERED_SECONDS
+        return now - self._changed_at >= seconds
+
+
+class DiscardingReader(asyncio.StreamReader):
+    """Read from a connection until what arrives isn't wanted any more.
+
+    :ivar ended: event that is set once the caller has closed the connection.
+    :ivar discarded_bytes: bytes that arrived after :meth:`discard`.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.ended = asyncio.Event()
+        self.discarded_bytes = 0
+        self._is_discarding = False
+
+    def discard(self):
+        """Discard all that arrives from now on."""
+        self._is_discarding = True
+
+    def feed_data(self, data):
+        """Take bytes from the transport."""
+        if self._is_discarding:
+            self.discarded_bytes += len(data)
+        else:
+            super().feed_data(data)
+
+    def feed_eof(self):
+        """Take the end of the caller's bytes from the transport."""
+        super().feed_eof()
+        self.ended.set()
+
+    def set_exception(self, error):
+        """Take the error that ended the connection from the transport."""
+        super().set_exception(error)
+        self.ended.set()
--- a/banyanshore/http/server.py
+++ b/banyanshore/http/server.py
@@ -9,6 +9,7 @@
 
 from banyanshore.core.exceptions import BindError
 from banyanshore.http.connections import WebConnection
+from banyanshore.http.lingering import DiscardingReader
 
 # Seconds that open connections get to close when a server stops; by then, all requests
 # have ended.
@@ -74,8 +75,7 @@
             raise BindError(self._address, error) from error
 
     def _make_protocol(self):
-        reader = asyncio.StreamReader()
-        return asyncio.StreamReaderProtocol(reader, self._run_connection)
+        return asyncio.StreamReaderProtocol(DiscardingReader(), self._run_connection)
 
     async def _run_connection(self, reader, writer):
         connection = WebConnection(
--- a/tests/stopping/test_entry.py
+++ b/tests/stopping/test_entry.py
@@ -12,6 +12,7 @@
 # Small enough that most of an answer waits in the entry.
 RECEIVE_BUFFER = 8192
 STOP_TIMEOUT = 10.0
+PADDING = 3_000_000
 # Too large for the buffers of the system.
 LARGE_PADDING = 8_000_000
 PATCH = {
@@ -83,6 +84,29 @@
     assert code == 0
 
 
+def test_answer_reaches_a_caller_that_sends_further_requests(deployment):
+    """Requests that nobody read turned the close into a reset."""
+    callers = [
+        make_caller(
+            deployment, receive_buffer=RECEIVE_BUFFER, bytes_per_second=1_500_000
+        )
+        for _ in range(4)
+    ]
+    further = make_request("GET", "/services/orders/items/b")
+    for caller in callers:
+        caller.ask("GET", "/services/orders/items/a", headers=[f"x-padding: {PADDING}"])
+        caller.keep_sending(further, 0.15)
+    assert all(caller.began.wait(5) for caller in callers)
+    process = stop(deployment)
+    code = process.process.wait(STOP_TIMEOUT + 5)
+    for caller in callers:
+        caller.wait()
+    assert [(caller.status, caller.error) for caller in callers] == [(200, "")] * 4, [
+        len(caller.received) for caller in callers
+    ]
+    assert code == 0
+
+
 def test_request_whose_body_arrives_during_the_stop_is_answered(deployment):
     """Nobody waited for it, and its connection ended without an answer."""
     caller = make_caller(deployment)
