Share one rule for how long a connection lingers, and one log of what is left

The gateway's listener and the entry's web server came with a rule and a log each. Now both use Linger (2 s for a caller that has acknowledged all, 3 s, as TCP_USER_TIMEOUT, for one that acknowledges nothing) and log_unfinished. In the tests a connection that is reset as it opens counts as not opened, and a failure of the entry's test shows the heads of the answers.

--- a/banyanshore/entry/stopping.py
+++ b/banyanshore/entry/stopping.py
@@ -6,7 +6,7 @@
 import anyio
 
 from banyanshore.http.server import GRACEFUL_SECONDS
-from banyanshore.http.unfinished import Phase
+from banyanshore.http.unfinished import MAX_LOGGED, log_unfinished
 
 logger = logging.getLogger(__name__)
 
@@ -15,10 +15,6 @@
 # Seconds after the stop timeout within which an entry ends, whatever its callers do:
 # one GRACEFUL_SECONDS for errors to the requests that are cut off, one for connections.
 MAX_SECONDS_AFTER_TIMEOUT = 2 * GRACEFUL_SECONDS
-# Requests that are logged one by one; the summary counts all.
-MAX_LOGGED = 200
-# Phases in which a request has been read and has no whole answer.
-_CUT_OFF_PHASES = frozenset({Phase.PROCESSING, Phase.ANSWERING})
 
 
 class RequestsStop:
@@ -56,26 +52,7 @@
 
     def log_unfinished(self):
         """Log the requests that were cut off or not delivered when servers ended."""
-        rows = [row for server in self._servers for row in server.unfinished]
-        cut_off = [row for row in rows if row.phase in _CUT_OFF_PHASES]
-        undelivered = [
-            row
-            for row in rows
-            if row.phase is Phase.DELIVERING and row.unacknowledged_bytes
-        ]
-        for row in cut_off[:MAX_LOGGED]:
-            logger.error("request cut off", extra=_describe(row))
-        for row in undelivered[:MAX_LOGGED]:
-            logger.warning("answer not delivered", extra=_describe(row))
-        logger.info(
-            "connections at the end of the stop",
-            extra={
-                "open": len(rows),
-                "cut_off": len(cut_off),
-                "not_delivered": len(undelivered),
-                "not_read": sum(row.has_unread_bytes for row in rows),
-            },
-        )
+        log_unfinished([row for server in self._servers for row in server.unfinished])
 
     def _is_busy(self):
         return (
@@ -105,11 +82,3 @@
         with anyio.move_on_after(GRACEFUL_SECONDS):
             while self._is_busy():
                 await anyio.sleep(CHECK_SECONDS)
-
-
-def _describe(row):
-    return {
-        "request_id": row.request_id,
-        "phase": row.phase.value,
-        "unacknowledged_bytes": row.unacknowledged_bytes,
-    }
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -17,9 +17,9 @@
 from banyanshore.gateway.screening import Rejection, Screening
 from banyanshore.gateway.suspected_parts import SuspectedParts
 from banyanshore.gateway.suspects import Suspects
-from banyanshore.gateway.unfinished import log_unfinished
 from banyanshore.gateway.withdrawals import Withdrawals
 from banyanshore.http.listener import Listener, ListenerLimits
+from banyanshore.http.unfinished import log_unfinished
 from banyanshore.http.wire import PeerClosedError
 from banyanshore.membership.feed import GATEWAY_ROLE, FeedClient, MemberRow, Registry
 from banyanshore.membership.follower import Follower
@@ -414,7 +414,7 @@
             await self.caller_listener.close(seconds, force_requested)
         if force_requested.is_set():
             await self._cut_short()
-        log_unfinished(self.caller_listener)
+        log_unfinished(self.caller_listener.find_unfinished())
 
     async def _cut_short(self):
         """Answer the requests in flight as if their time had run out."""
--- a/banyanshore/http/connections.py
+++ b/banyanshore/http/connections.py
@@ -2,16 +2,17 @@
 
 import asyncio
 import contextlib
-import fcntl
-import struct
-import termios
 import time
 
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.events import Closed, Updated
 
 from banyanshore.http.lingering import CHECK_SECONDS, Linger
-from banyanshore.http.unfinished import Phase, Unfinished
+from banyanshore.http.unfinished import (
+    Phase,
+    Unfinished,
+    count_unacknowledged_bytes,
+)
 
 
 class WebConnection(TCPServer):
@@ -67,17 +68,14 @@
             self.phase,
             self.request.id if self.request is not None else "",
             self.count_undelivered_bytes(),
-            self.reader.discarded_bytes > 0,
+            self.reader.discarded_bytes,
         )
 
     def count_undelivered_bytes(self):
         """Return the bytes of answers that the caller's system has not acknowledged."""
         transport = self.writer.transport
-        raw = transport.get_extra_info("socket")
-        if raw.fileno() < 0:
-            return 0
-        answer = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-        return transport.get_write_buffer_size() + struct.unpack("i", answer)[0]
+        count = count_unacknowledged_bytes(transport.get_extra_info("socket"))
+        return transport.get_write_buffer_size() + (count or 0)
 
     def cut(self):
         """End the connection, whatever it does."""
--- a/banyanshore/http/lingering.py
+++ b/banyanshore/http/lingering.py
@@ -7,38 +7,41 @@
 
 import asyncio
 
+from banyanshore.http.wire import TCP_USER_TIMEOUT_MS
+
 # Seconds between checks of what the caller's system has acknowledged.
 CHECK_SECONDS = 0.05
 # Seconds for which a caller that has received everything may close first.
-DELIVERED_SECONDS = 0.5
+DELIVERED_SECONDS = 2.0
 # Seconds without any acknowledgement after which the caller counts as lost.
-STALLED_SECONDS = 30.0
+STALLED_SECONDS = TCP_USER_TIMEOUT_MS / 1000
 
 
 class Linger:
     """Decide when to close a connection to which nothing more is written.
 
     >>> linger = Linger(now=10.0)
-    >>> linger.is_over(10.0, 5000), linger.is_over(39.0, 4000), linger.is_over(68.0, 0)
+    >>> linger.is_over(10.0, 5000), linger.is_over(12.0, 4000), linger.is_over(14.0, 0)
     (False, False, False)
-    >>> linger.is_over(68.4, 0), linger.is_over(68.5, 0)
+    >>> linger.is_over(15.9, 0), linger.is_over(16.0, 0)
     (False, True)
     """
 
     def __init__(self, now):
-        self._undelivered_bytes = None
+        self._unacknowledged = None
         self._changed_at = now
 
-    def is_over(self, now, undelivered_bytes):
+    def is_over(self, now, unacknowledged):
         """Return whether to close the connection.
 
         :param now: monotonic time.
-        :param undelivered_bytes: bytes that the caller's system has not acknowledged.
+        :param unacknowledged: bytes that the caller's system has not acknowledged,
+            ``None`` if that isn't known.
         """
-        if undelivered_bytes != self._undelivered_bytes:
-            self._undelivered_bytes = undelivered_bytes
+        if unacknowledged != self._unacknowledged:
+            self._unacknowledged = unacknowledged
             self._changed_at = now
-        seconds = STALLED_SECONDS if undelivered_bytes else DELIVERED_SECONDS
+        seconds = STALLED_SECONDS if unacknowledged else DELIVERED_SECONDS
         return now - self._changed_at >= seconds
 
 
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -17,7 +17,8 @@
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.core.groups import open_task_group, wait_for_first
 from banyanshore.http.accepting import open_acceptor
-from banyanshore.http.closing import LINGER_SECONDS, linger
+from banyanshore.http.closing import linger
+from banyanshore.http.lingering import DELIVERED_SECONDS
 from banyanshore.http.unfinished import (
     Phase,
     Unfinished,
@@ -151,6 +152,7 @@
     def __init__(self, listener, stream):
         self._listener = listener
         self._stream = stream
+        self._raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self.limits = listener.limits()
         self._phase = Phase.IDLE
         self._h11 = h11.Connection(
@@ -171,8 +173,8 @@
         return Unfinished(
             self._phase,
             self._exchange.request_id if self._exchange else "",
-            count_unacknowledged_bytes(self._stream),
-            count_unread_bytes(self._stream),
+            count_unacknowledged_bytes(self._raw),
+            count_unread_bytes(self._raw),
         )
 
     def close_ends_incomplete_answer(self):
@@ -219,8 +221,8 @@
         """Wait until the caller has received the last answer, for a bounded time."""
         if self._peer_closed or self.close_ends_incomplete_answer():
             return
-        is_recent = time.monotonic() - self._answered_at < LINGER_SECONDS
-        if not is_recent and not count_unacknowledged_bytes(self._stream):
+        is_recent = time.monotonic() - self._answered_at < DELIVERED_SECONDS
+        if not is_recent and not count_unacknowledged_bytes(self._raw):
             return
         discarded = await linger(self._stream, time.monotonic)
         if discarded:
--- a/banyanshore/http/unfinished.py
+++ b/banyanshore/http/unfinished.py
@@ -6,12 +6,16 @@
 """
 
 import fcntl
+import logging
 import struct
 import termios
 from dataclasses import dataclass
 from enum import Enum
 
-import anyio
+logger = logging.getLogger(__name__)
+
+# Requests that are logged one by one; the summary counts all.
+MAX_LOGGED = 200
 
 
 class Phase(Enum):
@@ -46,24 +50,25 @@
     unread_bytes: int | None
 
 
-def count_unacknowledged_bytes(stream):
+def count_unacknowledged_bytes(raw):
     """Return the bytes that were sent and not acknowledged by the peer's system.
 
+    :param raw: socket of the connection.
     :return: ``None`` if the system doesn't tell, 0 if the connection has ended.
     """
-    return _read_count(stream, termios.TIOCOUTQ)
+    return _read_count(raw, termios.TIOCOUTQ)
 
 
-def count_unread_bytes(stream):
+def count_unread_bytes(raw):
     """Return the bytes that have arrived and were not read from the system.
 
+    :param raw: socket of the connection.
     :return: ``None`` if the system doesn't tell, 0 if the connection has ended.
     """
-    return _read_count(stream, termios.FIONREAD)
+    return _read_count(raw, termios.FIONREAD)
 
 
-def _read_count(stream, request):
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+def _read_count(raw, request):
     if raw.fileno() < 0:
         return 0
     try:
@@ -71,3 +76,40 @@
     except OSError:
         return None
     return struct.unpack("i", answer)[0]
+
+
+# Phases in which a request has been read and has no whole answer.
+_CUT_OFF_PHASES = frozenset({Phase.PROCESSING, Phase.ANSWERING})
+
+
+def log_unfinished(rows):
+    """Log the requests that are cut off, not delivered or not read at the end.
+
+    :param rows: the :class:`Unfinished` of the connections that are still open.
+    """
+    cut_off = [row for row in rows if row.phase in _CUT_OFF_PHASES]
+    others = [row for row in rows if row.phase not in _CUT_OFF_PHASES]
+    undelivered = [row for row in others if row.unacknowledged_bytes]
+    for row in cut_off[:MAX_LOGGED]:
+        logger.error("request cut off", extra=_describe(row))
+    for row in undelivered[:MAX_LOGGED]:
+        logger.warning("answer not delivered", extra=_describe(row))
+    if cut_off:
+        logger.error("requests cut off", extra={"in_flight": len(cut_off)})
+    logger.info(
+        "connections at the end of the stop",
+        extra={
+            "open": len(rows),
+            "cut_off": len(cut_off),
+            "not_delivered": len(undelivered),
+            "not_read": sum(bool(row.unread_bytes) for row in others),
+        },
+    )
+
+
+def _describe(row):
+    return {
+        "request_id": row.request_id,
+        "phase": row.phase.value,
+        "unacknowledged_bytes": row.unacknowledged_bytes,
+    }
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from banyanshore.http.closing import LINGER_SECONDS
+from banyanshore.http.lingering import DELIVERED_SECONDS
 from banyanshore.http.listener import LAST_HEAD_SECONDS, Listener
 from banyanshore.http.unfinished import Phase
 from tests.http.raw import connect, read_until, running_listener
@@ -94,7 +94,7 @@
             tasks.start_soon(send_on)
             tasks.start_soon(read_on)
             await anyio.sleep(0.2)
-            with anyio.fail_after(LINGER_SECONDS + 1.0):
+            with anyio.fail_after(DELIVERED_SECONDS + 1.0):
                 await listener.close(10.0)
             tasks.cancel_scope.cancel()
 
@@ -107,7 +107,7 @@
         stream = await Callers(address, receive_buffer=8192).connect()
         async with stream:
             await stream.send(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
-            with anyio.fail_after(LINGER_SECONDS + 4.0):
+            with anyio.fail_after(DELIVERED_SECONDS + 4.0):
                 while not listener.find_unfinished():
                     await anyio.sleep(0.01)
                 while listener.find_unfinished():
@@ -183,7 +183,7 @@
     async with running_listener(listener) as address, await connect(address) as stream:
         await stream.send(b"GET / HTTP/1.1\r\nhost")
         await anyio.sleep(0.1)
-        with anyio.fail_after(LAST_HEAD_SECONDS + LINGER_SECONDS + 0.5):
+        with anyio.fail_after(LAST_HEAD_SECONDS + DELIVERED_SECONDS + 0.5):
             await listener.close(10.0)
         assert (await read_until(stream, b"\r\n\r\n")).startswith(b"HTTP/1.1 408")
 
@@ -232,7 +232,7 @@
             sent, request = callers.make_request()
             await stream.send(request)
             tasks.start_soon(callers.receive_answer, stream, sent)
-            await anyio.sleep(LINGER_SECONDS + 0.3)
+            await anyio.sleep(DELIVERED_SECONDS + 0.3)
             tasks.start_soon(listener.close, 8.0)
             await anyio.sleep(0.3)
             await stream.send(request)
--- a/tests/stopping/callers.py
+++ b/tests/stopping/callers.py
@@ -111,10 +111,14 @@
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer)
         try:
             await anyio.to_thread.run_sync(raw.connect, self._address)
+            return await anyio.abc.SocketStream.from_socket(raw)
+        except ValueError as error:
+            # The connection was reset before anything was sent on it.
+            raw.close()
+            raise ConnectionResetError(str(error)) from None
         except OSError:
             raw.close()
             raise
-        return await anyio.abc.SocketStream.from_socket(raw)
 
     def make_request(self):
         """Return a new :class:`Sent` and the bytes of its request."""
--- a/tests/stopping/test_entry.py
+++ b/tests/stopping/test_entry.py
@@ -102,7 +102,7 @@
     for caller in callers:
         caller.wait()
     assert [(caller.status, caller.error) for caller in callers] == [(200, "")] * 4, [
-        len(caller.received) for caller in callers
+        bytes(caller.received[:900]) for caller in callers
     ]
     assert code == 0
 
