End connections between processes once their peers have what was queued

Cause: a connection was closed with an abort. That drops what is queued, and resets the connection if heartbeats of the peer are unread, which drops what the system still holds.

Ruled out: that the stream's send returns before the system has taken all: anyio 4.16 sets the transport's write limit to 0.

LinkPool.finish(seconds) stops accepting and opening connections, sends what is queued, ends the own side of each connection, and waits until the peer has read to the end and closes. A silent peer doesn't hold it; what is left after the time is logged by peer.

--- a/banyanshore/entry/process.py
+++ b/banyanshore/entry/process.py
@@ -331,3 +331,4 @@
         while self._running_servers:
             await anyio.sleep(CHECK_SECONDS)
         self.stop.log_unfinished()
+        await self.links.finish(self.stop.get_close_seconds())
--- a/banyanshore/http/connections.py
+++ b/banyanshore/http/connections.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import contextlib
-import fcntl
-import struct
-import termios
 import time
 
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.events import Closed, Updated
 
+from banyanshore.core.sockets import count_unacknowledged_bytes
 from banyanshore.http.lingering import CHECK_SECONDS, Linger
 from banyanshore.http.unfinished import Phase, Unfinished
 
@@ -74,10 +72,7 @@
         """Return the bytes of answers that the caller's system has not acknowledged."""
         transport = self.writer.transport
         raw = transport.get_extra_info("socket")
-        if raw.fileno() < 0:
-            return 0
-        answer = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-        return transport.get_write_buffer_size() + struct.unpack("i", answer)[0]
+        return transport.get_write_buffer_size() + count_unacknowledged_bytes(raw)
 
     def cut(self):
         """End the connection, whatever it does."""
--- a/banyanshore/transport/connection.py
+++ b/banyanshore/transport/connection.py
@@ -13,6 +13,7 @@
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.sockets import count_unacknowledged_bytes
 from banyanshore.transport.codec import CodecError, Decoder, encode
 from banyanshore.transport.frames import (
     Ack,
@@ -36,6 +37,8 @@
 READ_SIZE_BYTES = 256 * 1024
 # Senders block while more than this many bytes are queued for writing.
 MAX_PENDING_BYTES = 4 * 1024 * 1024
+# Seconds between checks whether all that is queued was sent.
+DRAIN_CHECK_SECONDS = 0.01
 # Seconds by which a timer may be late before that is logged.
 MAX_TIMER_DELAY = 0.25
 # Seconds without data after which an incomplete frame counts as interrupted.
@@ -133,6 +136,8 @@
         self._wake_writer = anyio.Event()
         self._wake_gatherer = anyio.Event()
         self._drained = anyio.Event()
+        # Whether the last byte was sent; whatever is queued later is dropped.
+        self._is_finished = False
         self._tasks = None
 
     @property
@@ -175,6 +180,29 @@
         if self._tasks is not None:
             self._tasks.cancel_scope.cancel()
 
+    async def finish(self):
+        """End the connection once the peer has received all that is queued.
+
+        The peer reads until the end of the stream and closes first, since a connection
+        that is closed with unread bytes is reset. A silent peer doesn't hold it.
+        """
+        self.is_open = False
+        while self.pending_bytes and not self.ended.is_set():
+            await anyio.sleep(DRAIN_CHECK_SECONDS)
+        self._is_finished = True
+        if self._ticker is not None:
+            self._ticker.connections.discard(self)
+        if not self.ended.is_set():
+            await self._stream.send_eof()
+        while not self.ended.is_set() and not self._is_silent():
+            await anyio.sleep(DRAIN_CHECK_SECONDS)
+        self.close()
+
+    def count_undelivered_bytes(self):
+        """Return the bytes of frames that the peer's system has not acknowledged."""
+        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        return self.pending_bytes + count_unacknowledged_bytes(raw)
+
     async def call(self, body, timeout):
         """Send a call that has a single reply, and return the reply.
 
@@ -241,6 +269,8 @@
             await self._drained.wait()
 
     def _enqueue(self, data, may_wait=False):
+        if self._is_finished:
+            return
         self._pending.append(data)
         self.pending_bytes += len(data)
         now = self._clock()
--- a/banyanshore/transport/links.py
+++ b/banyanshore/transport/links.py
@@ -28,6 +28,8 @@
     """Configure the connections of a process; times are in seconds.
 
     :param ticker: the :class:`~banyanshore.transport.connection.HeartbeatTicker`.
+    :param finishing: event that is set once no connection is accepted or opened any
+        more, or ``None``.
     """
 
     heartbeat_interval: float = 1.0
@@ -36,6 +38,12 @@
     reconnect_delay: float = 0.2
     ticker: HeartbeatTicker | None = None
     gather_seconds: float = 0.0
+    finishing: anyio.Event | None = None
+
+    @property
+    def is_finishing(self):
+        """Whether no connection is accepted or opened any more."""
+        return self.finishing is not None and self.finishing.is_set()
 
     @classmethod
     def from_settings(cls, settings):
@@ -46,6 +54,7 @@
             settings.connect_timeout,
             ticker=HeartbeatTicker(settings.heartbeat_interval),
             gather_seconds=settings.gather_seconds,
+            finishing=anyio.Event(),
         )
 
 
@@ -62,6 +71,8 @@
 async def serve_peers(address, handler, instance, options, *, task_status):
     """Accept connections on an address, and serve them with a handler.
 
+    Once ``options.finishing`` is set, the address isn't listened on any more.
+
     :param task_status: started with the bound port once the socket listens.
     :raises BindError: the address can't be listened on.
     """
@@ -84,7 +95,17 @@
         )
         await connection.run()
 
-    await listener.serve(serve)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_accept, listener, serve, tasks)
+        await (options.finishing or anyio.Event()).wait()
+        await listener.aclose()
+
+
+async def _accept(listener, serve, tasks):
+    try:
+        await listener.serve(serve, tasks)
+    except* anyio.ClosedResourceError:
+        pass
 
 
 class Link:
@@ -113,7 +134,7 @@
     async def run(self):
         """Keep the connection open until :meth:`close`."""
         with self._scope:
-            while True:
+            while not self._options.is_finishing:
                 if self.prefers_inbound:
                     await self._follow_inbound()
                 await self._connect_once()
@@ -287,6 +308,29 @@
             for connection in ticker.connections
         )
 
+    async def finish(self, seconds):
+        """End all connections of the process once what is queued was delivered.
+
+        :param seconds: time after which the rest is given up.
+        """
+        self._options.finishing.set()
+        connections = list(self._options.ticker.connections)
+        with anyio.move_on_after(seconds) as scope:
+            async with anyio.create_task_group() as tasks:
+                for connection in connections:
+                    tasks.start_soon(connection.finish)
+        if scope.cancelled_caught:
+            logger.warning(
+                "connections ended with undelivered bytes",
+                extra={
+                    "undelivered_bytes_by_peer": {
+                        connection.peer: connection.count_undelivered_bytes()
+                        for connection in connections
+                        if not connection.ended.is_set()
+                    }
+                },
+            )
+
     def keep_only(self, addresses):
         """Close the links to all addresses but the given ones."""
         for address in self.by_address.keys() - addresses:
