Deliver the replies that a stopping agent still holds

Callers saw: a large answer to a slow caller ended in its middle after its agent got SIGTERM (20.8 to 20.9 of 24.0 MB received).

Cause: the agent waited until its target had answered, and then 0.2 s. Up to 4 MB of replies may wait for their readers after that, and as much for the connection. Requests whose replies were still being read were also forgotten 6 s after their target had answered.

Ruled out: that the entry dropped the rest; with the agent waiting, it arrives.

The agent now waits, within stop_timeout, until the replies have been read, and ends its connections by LinkPool.finish. A stop ends within stop_timeout plus two LAST_REPLIES_SECONDS (1 s each). Answers that are not delivered are logged with their request ids. The retention of replies begins when their last reader leaves.

--- a/banyanshore/agent/process.py
+++ b/banyanshore/agent/process.py
@@ -44,6 +44,10 @@
 
 # Consecutive failed health checks after which the target counts as unavailable.
 MAX_FAILED_HEALTH_CHECKS = 2
+# Seconds from the announcement that an agent leaves until it may end.
+NOTICE_SECONDS = 0.2
+# Seconds after the stop timeout for the last replies, and again for the connections.
+LAST_REPLIES_SECONDS = 1.0
 # Seconds between checks for requests that have ended or that nobody reads.
 EXPIRE_INTERVAL = 0.5
 
@@ -257,15 +261,28 @@
         self.leaving = True
         self.announcer.status = TargetStatus.LEAVING
         logger.info("leaving", extra={"running": self.requests.running})
+        ends_at = time.monotonic() + self.settings.stop_timeout
         await self.announcer.announce()
-        with anyio.move_on_after(self.settings.stop_timeout):
-            while self.requests.running and not force_requested.is_set():
+        # Entries may have sent requests before they receive the announcement.
+        await anyio.sleep(NOTICE_SECONDS)
+        with anyio.move_on_after(ends_at - time.monotonic()):
+            while self._is_busy() and not force_requested.is_set():
                 await anyio.sleep(0.05)
         if self.requests.running:
             cancelled = self.requests.cancel_all()
             logger.error("stopped with requests cut off", extra={"cut": cancelled})
-        # Leaves time to send the last replies and the announcement.
-        await anyio.sleep(0.2)
+        with anyio.move_on_after(LAST_REPLIES_SECONDS):
+            while self._is_busy():
+                await anyio.sleep(0.02)
+        if unread := self.requests.find_unread():
+            logger.warning("answers not delivered", extra={"request_ids": unread})
+        seconds_left = ends_at - time.monotonic()
+        if force_requested.is_set():
+            seconds_left = 0.0
+        await self.links.finish(max(LAST_REPLIES_SECONDS, seconds_left))
+
+    def _is_busy(self):
+        return self.requests.running or self.requests.find_unread()
 
 
 Agent.call_by_type = {
--- a/banyanshore/agent/requests.py
+++ b/banyanshore/agent/requests.py
@@ -91,6 +91,10 @@
         """Return the number of requests that have not ended."""
         return sum(not item.is_ended for item in self._by_id.values())
 
+    def find_unread(self):
+        """Return the ids of the requests whose replies are being sent."""
+        return [key for key, item in self._by_id.items() if item.readers]
+
     async def handle_dispatch(self, dispatch, responder):
         """Run or refuse a request, and send the replies."""
         request = self._by_id.get(dispatch.request_id)
@@ -137,7 +141,9 @@
         """Drop ended requests after their retention; cancel those that nobody reads."""
         for request_id, request in list(self._by_id.items()):
             if request.is_ended:
-                if now - request.ended_at > self._retention(request):
+                kept_since = max(request.ended_at, request.unread_since)
+                is_old = now - kept_since > self._retention(request)
+                if is_old and not request.readers:
                     del self._by_id[request_id]
             elif request.readers == 0 and now - request.unread_since > ABANDON_AFTER:
                 self.cancel(request_id)
--- a/tests/agent/test_request_runner.py
+++ b/tests/agent/test_request_runner.py
@@ -7,7 +7,8 @@
 import anyio
 import pytest
 
-from banyanshore.agent.requests import RequestRunner
+from banyanshore.agent.requests import REPLY_RETENTION, RequestRunner
+from banyanshore.agent.running import RunningRequest
 from banyanshore.routing.admission import Admission, AdmissionOptions
 from banyanshore.routing.messages import Dispatch, RefusalReason
 from banyanshore.telemetry.metrics import AgentMetrics
@@ -108,3 +109,19 @@
     assert refusals == [None]
     refused = await runner._admit(make_dispatch("other"))
     assert refused.reason == RefusalReason.FULL
+
+
+async def test_request_whose_replies_are_still_read_is_kept():
+    """Its retention ended while a slow caller read, so that a stop forgot it."""
+    runner = make_runner()
+    request = RunningRequest(make_dispatch("q"), 0.0)
+    runner._by_id["q"] = request
+    request.begin_reading()
+    request.ended_at = 1.0
+    runner.expire(2.0 + REPLY_RETENTION)
+    assert runner.find_unread() == ["q"]
+    request.end_reading(20.0)
+    runner.expire(20.0 + REPLY_RETENTION)
+    assert "q" in runner._by_id
+    runner.expire(20.1 + REPLY_RETENTION)
+    assert "q" not in runner._by_id
--- a/tests/stopping/raw_callers.py
+++ b/tests/stopping/raw_callers.py
@@ -7,6 +7,7 @@
 import time
 
 _LENGTH = re.compile(rb"content-length: (\d+)\r\n", re.IGNORECASE)
+END_OF_HEAD = b"\r\n\r\n"
 # End of an answer that was sent in chunks.
 LAST_CHUNK = b"\r\n0\r\n\r\n"
 # Bytes that a caller reads at a time.
@@ -34,7 +35,7 @@
         self._bytes_per_second = bytes_per_second
         self._reader = threading.Thread(target=self._read)
         self._sender = None
-        self.received = b""
+        self.received = bytearray()
         self.error = ""
         self.began = threading.Event()
         self.ended = threading.Event()
@@ -78,11 +79,15 @@
         self.ended.set()
 
     def _is_whole(self):
-        head, separator, body = self.received.partition(b"\r\n\r\n")
-        length = _LENGTH.search(head + b"\r\n")
+        head_end = self.received.find(END_OF_HEAD) + len(END_OF_HEAD)
+        if head_end < len(END_OF_HEAD):
+            return False
+        length = _LENGTH.search(self.received, 0, head_end)
         if length is None:
-            return bool(separator) and body.endswith(LAST_CHUNK)
-        return len(body) >= int(length[1])
+            # The answer to a further request may follow in the bytes read last.
+            last = len(self.received) - READ_BYTES - len(LAST_CHUNK)
+            return self.received.find(LAST_CHUNK, max(head_end, last)) >= 0
+        return len(self.received) - head_end >= int(length[1])
 
     def wait(self):
         """Wait until the first answer is whole or the connection has ended."""
