--- a/banyanshore/http/closing.py
+++ b/banyanshore/http/closing.py
@@ -2,8 +2,8 @@
 
 import anyio
 
+from banyanshore.core.sockets import count_unacknowledged_bytes
 from banyanshore.http.lingering import CHECK_SECONDS, Linger
-from banyanshore.http.unfinished import count_unacknowledged_bytes
 from banyanshore.http.wire import PeerClosedError, receive_bytes
 
 
--- a/banyanshore/http/connections.py
+++ b/banyanshore/http/connections.py
@@ -7,12 +7,9 @@
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.events import Closed, Updated
 
+from banyanshore.core.sockets import count_unacknowledged_bytes
 from banyanshore.http.lingering import CHECK_SECONDS, Linger
-from banyanshore.http.unfinished import (
-    Phase,
-    Unfinished,
-    count_unacknowledged_bytes,
-)
+from banyanshore.http.unfinished import Phase, Unfinished
 
 
 class WebConnection(TCPServer):
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -16,15 +16,11 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.core.groups import open_task_group, wait_for_first
+from banyanshore.core.sockets import count_unacknowledged_bytes, count_unread_bytes
 from banyanshore.http.accepting import open_acceptor
 from banyanshore.http.closing import linger
 from banyanshore.http.lingering import DELIVERED_SECONDS
-from banyanshore.http.unfinished import (
-    Phase,
-    Unfinished,
-    count_unacknowledged_bytes,
-    count_unread_bytes,
-)
+from banyanshore.http.unfinished import Phase, Unfinished
 from banyanshore.http.wire import (
     PeerClosedError,
     get_header,
--- a/banyanshore/http/unfinished.py
+++ b/banyanshore/http/unfinished.py
@@ -5,10 +5,7 @@
 that were never read differ in what their callers may do.
 """
 
-import fcntl
 import logging
-import struct
-import termios
 from dataclasses import dataclass
 from enum import Enum
 
@@ -50,34 +47,6 @@
     unread_bytes: int | None
 
 
-def count_unacknowledged_bytes(raw):
-    """Return the bytes that were sent and not acknowledged by the peer's system.
-
-    :param raw: socket of the connection.
-    :return: ``None`` if the system doesn't tell, 0 if the connection has ended.
-    """
-    return _read_count(raw, termios.TIOCOUTQ)
-
-
-def count_unread_bytes(raw):
-    """Return the bytes that have arrived and were not read from the system.
-
-    :param raw: socket of the connection.
-    :return: ``None`` if the system doesn't tell, 0 if the connection has ended.
-    """
-    return _read_count(raw, termios.FIONREAD)
-
-
-def _read_count(raw, request):
-    if raw.fileno() < 0:
-        return 0
-    try:
-        answer = fcntl.ioctl(raw.fileno(), request, struct.pack("i", 0))
-    except OSError:
-        return None
-    return struct.unpack("i", answer)[0]
-
-
 # Phases in which a request has been read and has no whole answer.
 _CUT_OFF_PHASES = frozenset({Phase.PROCESSING, Phase.ANSWERING})
 
