--- a/tests/stopping/process.py
+++ b/tests/stopping/process.py
@@ -93,6 +93,17 @@
         self.stop_seconds = time.monotonic() - self.stopped_at
         return self._process.process.returncode
 
+    def start_again(self):
+        """Start it anew after its end, on the same ports and with valid settings."""
+        self.write_settings()
+        self.stopped_at = 0.0
+        self.stop_seconds = None
+        self._process.start()
+
+    def poll(self):
+        """Return its exit code, ``None`` while it runs."""
+        return self._process.process.poll()
+
     def kill(self):
         """End it at once."""
         self._process.kill()
