--- a/tests/stopping/soak_callers.py
+++ b/tests/stopping/soak_callers.py
@@ -151,6 +151,8 @@
     """A connection of a caller to a gateway.
 
     :ivar rows: its requests in the order in which they were sent.
+    :ivar is_closing: whether an answer has announced the end of the connection; its
+        caller then sends nothing further (RFC 9112, section 9.6).
     """
 
     def __init__(self, stream, bytes_per_second, gateway, number, callers, kind):
@@ -160,6 +162,7 @@
         self._place = (gateway, number, kind)
         self._rest = b""
         self.rows = []
+        self.is_closing = False
         self._answered = 0
 
     async def ask(self):
@@ -170,6 +173,8 @@
     async def send_in_a_row(self, pause):
         """Send several requests without waiting for their answers."""
         for _ in range(PIPELINED_REQUESTS):
+            if self.is_closing:
+                return
             await self._send()
             await anyio.sleep(pause)
 
@@ -225,6 +230,8 @@
                 parser.receive_data(await self._receive_bytes())
             elif isinstance(event, h11.Response):
                 head = event
+                headers = dict(event.headers)
+                self.is_closing = headers.get(b"connection") == b"close"
             elif isinstance(event, h11.Data):
                 body += event.data
                 row.received_bytes = len(body)
@@ -233,8 +240,7 @@
         self._rest = parser.trailing_data[0]
         row.ended_at = time.monotonic()
         row.status = head.status_code
-        headers = dict(head.headers)
-        row.is_last = headers.get(b"connection") == b"close"
+        row.is_last = self.is_closing
         row.foreign = self._find_foreign(row, headers, bytes(body))
 
     async def _receive_bytes(self):
