--- a/tests/stopping/soak_rules.py
+++ b/tests/stopping/soak_rules.py
@@ -167,13 +167,17 @@
         repr(plan),
     ]
     row_by_id = {row.request_id: row for row in record.rows}
+    last_by_connection = {row.connection: row for row in record.rows if row.is_last}
     for finding in findings:
         lines.append(f"- {finding.rule} at gateway {finding.gateway}: {finding.text}")
         history = record.gateways[finding.gateway]
         at = [f"{name} {moment:.3f}" for moment, name in history.events]
         lines.append(f"  events: {', '.join(at)}")
         if finding.request_id:
-            lines.append(f"  {row_by_id[finding.request_id]}")
+            row = row_by_id[finding.request_id]
+            lines.append(f"  {row}")
+            if row.connection in last_by_connection:
+                lines.append(f"  closed by {last_by_connection[row.connection]}")
             lines.append(f"  {record.works_by_id.get(finding.request_id, [])}")
             quoted = f'"{finding.request_id}"'
             lines += [f"  {line}" for line in history.log_lines if quoted in line]
