--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -365,7 +365,9 @@
             return True
         # A further request that has arrived is answered too. Before the end of a
         # request, what has arrived may be its own body.
-        is_request_read = self._h11.their_state is h11.DONE
+        is_request_read = self._h11.their_state is h11.DONE or not _has_body(
+            self._exchange
+        )
         has_further_request = is_request_read and self._h11.trailing_data[0]
         return self._listener.leaving and not has_further_request
 
@@ -399,6 +401,11 @@
     return len(request.method) + len(request.target) + len(b"  HTTP/1.1\r\n") + fields
 
 
+def _has_body(exchange):
+    is_chunked = exchange.get_header(b"transfer-encoding") is not None
+    return is_chunked or exchange.get_header(b"content-length", "0") != "0"
+
+
 def _check_framing(exchange):
     """Reject a request with ambiguous framing, as in request smuggling.
 
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -73,6 +73,17 @@
         assert b"connection: close" in answer.lower()
 
 
+async def test_request_behind_one_without_a_body_is_answered_though_that_is_refused():
+    """Its end was still to be parsed, so that the refusal announced the close."""
+    listener = Listener(lambda exchange: exchange.respond(503))
+    listener.leaving = True
+    request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+    async with running_listener(listener) as address, await connect(address) as stream:
+        await stream.send(2 * request)
+        answers = await read_until(stream, b"close\r\n\r\n")
+        assert answers.count(b"HTTP/1.1 503") == 2
+
+
 async def test_caller_that_never_stops_sending_does_not_hold_up_a_close():
     """Each of its requests was answered as long as another one had arrived."""
     listener = Listener(lambda exchange: exchange.respond(200))
