--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -66,6 +66,8 @@
         self._parts = shared_part_digests(screened.request)
         self._arrived_at = arrived_at
         self._deadline = arrived_at + answer_seconds(screened)
+        # Whether the answer to the caller has begun.
+        self._has_begun = False
         # Cancels the request at its deadline.
         self._scope = anyio.CancelScope()
         self._attempts = Attempts(route.may_repeat, max(1, route.max_attempts))
@@ -105,9 +107,18 @@
     def shorten_deadline(self, deadline):
         """Answer the request by a time, if it is before its deadline."""
         self._deadline = min(self._deadline, deadline)
+        self._set_scope_deadline()
+
+    def _set_scope_deadline(self):
+        # The margin is for an answer of the gateway's own, which none can be once a
+        # target's answer has begun.
+        margin = 0.0 if self._has_begun else DEADLINE_MARGIN
         # The clock of anyio is not the monotonic clock on all of its backends.
-        seconds = self._seconds_left - DEADLINE_MARGIN
-        self._scope.deadline = anyio.current_time() + seconds
+        self._scope.deadline = anyio.current_time() + self._seconds_left - margin
+
+    def _record_begun(self):
+        self._has_begun = True
+        self._set_scope_deadline()
 
     async def _offer_until_answered(self):
         while True:
@@ -362,6 +373,7 @@
                 held.require_complete()
                 self._failure = (answer.status, headers, held.body)
                 return Outcome.FAILED
+            self._record_begun()
             if held.is_complete:
                 await self._respond(answer.status, headers, held.body)
             else:
@@ -389,11 +401,12 @@
         :raises BrokenAnswerError: the answer broke off, or its events are invalid.
         """
         offer = self._offer_in_flight
-        await self._events.relay(
-            answer,
-            self._event_timeout,
-            lambda: self._gateway.suspects.record_begun(offer),
-        )
+
+        async def on_begun():
+            self._record_begun()
+            await self._gateway.suspects.record_begun(offer)
+
+        await self._events.relay(answer, self._event_timeout, on_begun)
         self._log_end("answered", answer.status, **self._body_details())
         return None
 
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -121,24 +121,28 @@
     async def respond(self, status, headers=(), body=b""):
         """Send a complete answer."""
         length = (b"content-length", str(len(body)).encode())
-        await self.start(status, (length, *headers))
-        await self.send(body)
-        await self.finish()
+        end = h11.EndOfMessage()
+        # The end goes with the last bytes, so that a stop between them can't tell the
+        # caller something else than the log.
+        await self.start(status, (length, *headers), *([] if body else [end]))
+        if body:
+            await self._connection.send_events(h11.Data(data=body), end)
+        self.finished = True
 
-    async def start(self, status, headers):
-        """Send the status and headers."""
+    async def start(self, status, headers, *events):
+        """Send the status and headers, and further parts with them."""
         self.started = True
         self.started_at = time.monotonic()
-        await self._connection.send_head(status, list(headers))
+        await self._connection.send_head(status, list(headers), *events)
 
     async def send(self, data):
         """Send a piece of the body."""
         if data:
-            await self._connection.send_event(h11.Data(data=data))
+            await self._connection.send_events(h11.Data(data=data))
 
     async def finish(self):
         """Mark the end of a complete answer."""
-        await self._connection.send_event(h11.EndOfMessage())
+        await self._connection.send_events(h11.EndOfMessage())
         self.finished = True
 
 
@@ -240,8 +244,7 @@
         if started or self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
-        await self.send_head(error.status, headers)
-        await self.send_event(h11.EndOfMessage())
+        await self.send_head(error.status, headers, h11.EndOfMessage())
         self._answered_at = time.monotonic()
 
     async def _read_head(self):
@@ -297,7 +300,7 @@
     async def read_body(self):
         """Return the complete body of the request."""
         if self._h11.they_are_waiting_for_100_continue:
-            await self.send_event(
+            await self.send_events(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
         body = bytearray()
@@ -352,12 +355,13 @@
         self._peer_closed = True
         scope.cancel()
 
-    async def send_head(self, status, headers):
-        """Send the status and headers."""
-        if self._announces_close() and get_header(headers, b"connection") is None:
+    async def send_head(self, status, headers, *events):
+        """Send the status and headers, and further parts with them."""
+        if get_header(headers, b"connection") is None and self._announces_close():
             headers.append((b"connection", b"close"))
         self._phase = Phase.ANSWERING
-        await self.send_event(h11.Response(status_code=status, headers=headers))
+        head = h11.Response(status_code=status, headers=headers)
+        await self.send_events(head, *events)
 
     def _announces_close(self):
         """Return whether an answer says that it is the last one of its connection."""
@@ -371,12 +375,13 @@
         has_further_request = is_request_read and self._h11.trailing_data[0]
         return self._listener.leaving and not has_further_request
 
-    async def send_event(self, event):
-        """Send a part of the answer."""
-        data = self._h11.send(event)
+    async def send_events(self, *events):
+        """Send parts of the answer with one write."""
+        parts = [self._h11.send(event) for event in events]
+        data = b"".join(part for part in parts if part)
         if data:
             await send_bytes(self._stream, data)
-        if isinstance(event, h11.EndOfMessage):
+        if isinstance(events[-1], h11.EndOfMessage):
             self._phase = Phase.DELIVERING
 
     async def _next_cycle(self):
--- a/tests/gateway/test_ends_of_answers.py
+++ b/tests/gateway/test_ends_of_answers.py
@@ -1,5 +1,7 @@
 """An answer that broke off never reaches the caller as if it were complete."""
 
+import time
+
 import anyio
 import pytest
 
@@ -126,3 +128,17 @@
         events(1, 2)
     )
     assert not answer.endswith(LAST_CHUNK)
+
+
+async def test_stream_that_has_begun_goes_on_until_the_timeout_of_its_route():
+    """It was broken off a little earlier, as requests without an answer are."""
+
+    async def stream_for_long(stream):
+        await stream.send(SIGNED + b"\r\n" + events(1, 1))
+        await anyio.sleep(30)
+
+    route = {"kind": "streaming", "timeout_seconds": 0.6, "max_attempts": 1}
+    async with running_gateway(Target(stream_for_long), **route) as (_, address):
+        sent_at = time.monotonic()
+        await ask(address)
+        assert time.monotonic() - sent_at >= route["timeout_seconds"]
