Take answers with an invalid status line for lost ones

What callers saw (MIXED): a target's status from 600 to 999 as its signed answer, and "HTTP/0.9 200 OK" as a success; so did other versions but 1.0 and 1.1. With Not-Executed such an answer counted as a refusal, and the caller got 503 for a request that may have run. Events after "HTTP/0.9 200 OK" became a part of a resumed stream. Notices in such answers were recorded. A loader took HTTP/0.9 202 for a load that had begun, and read reports, chunks and digests from such answers.

Cause: the HTTP library accepts statuses up to 999 and any version HTTP/x.y.

Ruled out: 000, 001, 099, 101, and statuses of one, two or four digits, with a sign or letters, were no answer before either.

Now each head that is read, informational ones too, has version 1.0 or 1.1 and a status from 100 to 599, or the answer is broken: the request may have run. One that may not be repeated ends as 502, an idempotent one is offered again, a stream is resumed or broken off. The log names the status or version. A target that runs on isn't recorded as ended.

--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -17,6 +17,7 @@
 from banyanshore.core.exceptions import BanyanshoreError, UnavailableError
 from banyanshore.core.framing import Framing, find_framing
 from banyanshore.core.groups import open_task_group
+from banyanshore.core.status_lines import find_status_line_fault
 from banyanshore.http.wire import (
     PeerClosedError,
     get_header,
@@ -115,7 +116,7 @@
 
         :raises BrokenAnswerError: the answer broke off or is invalid.
         """
-        event = await self._next_event()
+        event = await self._next_head()
         informational_heads = 0
         while isinstance(event, h11.InformationalResponse):
             informational_heads += 1
@@ -123,9 +124,7 @@
                 raise BrokenAnswerError(
                     "informational heads without end", step="read-head", peer=self._peer
                 )
-            event = await self._next_event()
-        if not isinstance(event, h11.Response):
-            raise BrokenAnswerError("no answer", step="read-head", peer=self._peer)
+            event = await self._next_head()
         self.status = event.status_code
         self.headers = [(bytes(name), bytes(value)) for name, value in event.headers]
         self.has_head = True
@@ -192,6 +191,17 @@
         states = (self._h11.our_state, self._h11.their_state)
         return states == (h11.DONE, h11.DONE) and not self._h11.trailing_data[0]
 
+    async def _next_head(self):
+        """Return the next informational or final head."""
+        event = await self._next_event()
+        if not isinstance(event, (h11.InformationalResponse, h11.Response)):
+            raise BrokenAnswerError("no answer", step="read-head", peer=self._peer)
+        version = event.http_version.decode("latin-1")
+        fault = find_status_line_fault(version, event.status_code)
+        if fault is not None:
+            raise BrokenAnswerError(fault, step="read-head", peer=self._peer)
+        return event
+
     async def _next_event(self):
         while True:
             try:
