Count an engine's invalid answer as unknown, not as its crash

All requests in flight became suspects, and after two such answers sound ones were refused as quarantined. The target's limit fell to the cold one.

Cause: the agent took each error of an engine during a request for a crash.

Ruled out: telling it apart by the text of errors; the class suffices. httpcore passes on h11's error on an illegal head, and reports the end of a connection within a head by itself.

Now the engines have an error of their own for an invalid head, also for one with invalid headers. The request ends as broken-answer: not run again if it may not repeat, otherwise offered again. The log names what was invalid. The request stays in flight for the time that a target takes to notice the closed connection.

Not told apart: in a body, h11 reports invalid chunks and the connection's end by the same class, so both stay evidence of a crash; so does an invalid head that ends early, or whose connection is reset before it was read.

--- a/banyanshore/agent/requests.py
+++ b/banyanshore/agent/requests.py
@@ -9,7 +9,11 @@
 
 from banyanshore.agent.running import RunningRequest
 from banyanshore.core.logs import request_id_var
-from banyanshore.engines import EngineError, EngineUnreachableError
+from banyanshore.engines import (
+    EngineError,
+    EngineInvalidAnswerError,
+    EngineUnreachableError,
+)
 from banyanshore.routing.messages import (
     AnswerReply,
     Data,
@@ -39,7 +43,9 @@
 # Seconds within which failed requests count as one crash.
 CRASH_WINDOW = 1.0
 # Failures after which the target may still be working on the request.
-_ABORT_REASONS = frozenset({FailureReason.CANCELLED, FailureReason.DEADLINE})
+_ABORT_REASONS = frozenset(
+    {FailureReason.BROKEN_ANSWER, FailureReason.CANCELLED, FailureReason.DEADLINE}
+)
 # Maximum number of remembered ids of requests that must not run.
 MAX_TOMBSTONES = 50_000
 # Statuses by which a target reports that it can't serve; other targets may.
@@ -237,6 +243,9 @@
             logger.warning("target not reached: %s", error)
             self._admission.become_cold()
             last_reply = Refused(RefusalReason.ENGINE_UNREACHABLE, 1.0, str(error))
+        except EngineInvalidAnswerError as error:
+            logger.warning("target's answer not valid: %s", error)
+            last_reply = Failed(FailureReason.BROKEN_ANSWER)
         except EngineError as error:
             last_reply = self._record_crash(request, error)
         except Exception:
--- a/banyanshore/engines/base.py
+++ b/banyanshore/engines/base.py
@@ -14,6 +14,10 @@
     """Signal that connecting to the target failed; nothing was sent to it."""
 
 
+class EngineInvalidAnswerError(EngineError):
+    """Signal that the head of an answer is invalid, though its connection lasted."""
+
+
 class EngineRefusedError(EngineError):
     """Signal that the target refused an order, such as one with a stale fence."""
 
@@ -72,6 +76,7 @@
         ``iter_body()``.
 
         :raises EngineUnreachableError: nothing was sent to the target.
+        :raises EngineInvalidAnswerError: the request may have run; the target answered.
         :raises EngineError: the request may have run.
         """
 
--- a/banyanshore/engines/http.py
+++ b/banyanshore/engines/http.py
@@ -5,12 +5,13 @@
 
 import httpx
 
+from banyanshore.core.answer_heads import check_status_line, is_head_invalid
 from banyanshore.core.framing import find_framing
-from banyanshore.core.status_lines import find_status_line_fault
 from banyanshore.engines.base import (
     Engine,
     EngineError,
     EngineHealth,
+    EngineInvalidAnswerError,
     EngineRefusedError,
     EngineUnreachableError,
 )
@@ -141,21 +142,10 @@
         verify=verify,
         trust_env=False,
         follow_redirects=False,
-        event_hooks={"response": [_check_status_line]},
+        event_hooks={"response": [check_status_line]},
     )
 
 
-async def _check_status_line(response):
-    """Check the head of a response, before its body is read.
-
-    :raises httpx.RemoteProtocolError: the version or the status is invalid.
-    """
-    version = response.http_version.removeprefix("HTTP/")
-    fault = find_status_line_fault(version, response.status_code)
-    if fault is not None:
-        raise httpx.RemoteProtocolError(fault, request=response.request)
-
-
 class HttpPlainService(Engine):
     """Plain service, which gets forwarded requests and loads no weights.
 
@@ -203,6 +193,10 @@
                 f"not connected: {error!r}", step="connect", peer=self._settings.url
             ) from error
         except httpx.HTTPError as error:
+            if is_head_invalid(error):
+                raise EngineInvalidAnswerError(
+                    f"invalid head: {error!r}", step="request", peer=self._settings.url
+                ) from error
             raise EngineError(
                 f"the target broke off: {error!r}",
                 step="request",
