Take answers of origins with an invalid status line for errors

What callers saw (MIXED): agents read manifests and chunks from answers of origins with another version but HTTP/1.0 and 1.1, such as "HTTP/0.9 200", and used connections of such answers again.

Cause: httpx takes any version HTTP/x.y.

Ruled out: statuses other than 200 for a manifest and 206 for a chunk were errors before, and digests kept wrong bytes from being loaded.

Now the origin's client checks each head by the same hook as the engines' clients, before the body is read.

--- a/banyanshore/weights/origin.py
+++ b/banyanshore/weights/origin.py
@@ -2,6 +2,7 @@
 
 import httpx
 
+from banyanshore.core.answer_heads import check_status_line
 from banyanshore.weights.exceptions import OriginError
 from banyanshore.weights.manifest import MAX_MANIFEST_BYTES, parse_manifest
 
@@ -17,6 +18,7 @@
             timeout=httpx.Timeout(stall_timeout),
             trust_env=False,
             headers={"accept-encoding": "identity"},
+            event_hooks={"response": [check_status_line]},
         )
 
     async def fetch_manifest(self, url, expected_digest):
