--- a/banyanshore/engines/http.py
+++ b/banyanshore/engines/http.py
@@ -5,11 +5,13 @@
 
 import httpx
 
+from banyanshore.core.answer_heads import check_status_line, is_head_invalid
 from banyanshore.core.framing import find_framing
 from banyanshore.engines.base import (
     Engine,
     EngineError,
     EngineHealth,
+    EngineInvalidAnswerError,
     EngineRefusedError,
     EngineUnreachableError,
 )
@@ -140,6 +142,7 @@
         verify=verify,
         trust_env=False,
         follow_redirects=False,
+        event_hooks={"response": [check_status_line]},
     )
 
 
@@ -190,6 +193,10 @@
                 f"not connected: {error!r}", step="connect", peer=self._settings.url
             ) from error
         except httpx.HTTPError as error:
+            if is_head_invalid(error):
+                raise EngineInvalidAnswerError(
+                    f"invalid head: {error!r}", step="request", peer=self._settings.url
+                ) from error
             raise EngineError(
                 f"the target broke off: {error!r}",
                 step="request",
