--- a/banyanshore/gateway/event_relay.py
+++ b/banyanshore/gateway/event_relay.py
@@ -7,7 +7,7 @@
 class EventRelay:
     """Relay the events of one request, which several targets may send in turn.
 
-    :param exchange: the caller's :class:`~banyanshore.http.listener.Exchange`.
+    :param exchange: the caller's :class:`~banyanshore.http.exchange.Exchange`.
     :param dialect: the :class:`~banyanshore.routing.caller_requests.CallerDialect`.
     :ivar last_event_id: id of the last event that was passed on, or ``None``.
     :ivar incomplete_bytes: size of the event that the current answer has begun.
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -51,7 +51,7 @@
     """One request that this gateway processes.
 
     :param gateway: the :class:`~banyanshore.gateway.process.Gateway`.
-    :param exchange: the caller's :class:`~banyanshore.http.listener.Exchange`.
+    :param exchange: the caller's :class:`~banyanshore.http.exchange.Exchange`.
     :param screened: the :class:`~banyanshore.gateway.screening.Screened` request.
     :param arrived_at: monotonic time at which its head had arrived.
     """
--- /dev/null
+++ b/banyanshore/http/caller_connection.py
@@ -0,0 +1,300 @@
+"""Serve the requests of one connection of a caller."""
+
+import logging
+import math
+import time
+
+import anyio
+import h11
+
+from banyanshore.core.groups import open_task_group
+from banyanshore.core.sockets import count_unacknowledged_bytes, count_unread_bytes
+from banyanshore.http.closing import linger
+from banyanshore.http.exchange import (
+    Exchange,
+    RequestError,
+    check_framing,
+    has_body,
+    head_size,
+)
+from banyanshore.http.lingering import DELIVERED_SECONDS
+from banyanshore.http.unfinished import Phase, Unfinished
+from banyanshore.http.wire import (
+    PeerClosedError,
+    get_header,
+    is_closed_by_peer,
+    receive_bytes,
+    send_bytes,
+)
+
+logger = logging.getLogger(__name__)
+
+# Bytes of pipelined requests that are buffered while one is answered.
+MAX_PIPELINED_BYTES = 64 * 1024
+# Seconds between checks whether a caller that has sent more has disconnected.
+HANGUP_CHECK_INTERVAL = 0.2
+# Seconds for which a listener that closes waits for requests that are on their way.
+LAST_REQUEST_SECONDS = 0.1
+# Seconds that it waits for the rest of a head.
+LAST_HEAD_SECONDS = 1.0
+# Bytes of a body that must arrive within the header timeout; no healthy caller is
+# slower on any link.
+BODY_PROGRESS_BYTES = 4096
+
+
+class CallerConnection:
+    """Serve one connection of a caller.
+
+    :param listener: the :class:`~banyanshore.http.listener.Listener`.
+    :param stream: the anyio byte stream.
+    """
+
+    def __init__(self, listener, stream):
+        self._listener = listener
+        self._stream = stream
+        self._raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self.limits = listener.limits()
+        self._phase = Phase.IDLE
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
+        )
+        self._peer_closed = False
+        self._exchange = None
+        # Cancel scopes of the waits for a request, and for the rest of its head.
+        self._idle_scope = anyio.CancelScope()
+        self._head_scope = anyio.CancelScope()
+        # Monotonic time at which the last answer ended or was broken off.
+        self._answered_at = -math.inf
+        # Earliest arrival of the oldest bytes that no request has been parsed from.
+        self._arrived_after = 0.0
+
+    def unfinished(self):
+        """Return what a close of the connection now would leave unfinished."""
+        return Unfinished(
+            self._phase,
+            self._exchange.request_id if self._exchange else "",
+            count_unacknowledged_bytes(self._raw),
+            count_unread_bytes(self._raw),
+        )
+
+    def close_ends_incomplete_answer(self):
+        """Return whether an orderly close would complete an answer that broke off.
+
+        Answers to HTTP/1.0 callers have neither a length nor chunks; they end with the
+        connection.
+        """
+        exchange = self._exchange
+        is_incomplete = exchange and exchange.started and not exchange.finished
+        return bool(is_incomplete) and self._h11.their_http_version == b"1.0"
+
+    async def serve(self):
+        """Serve requests until the connection ends."""
+        while True:
+            request = await self._read_head()
+            if request is None:
+                return
+            exchange = Exchange(self, request, self._arrived_after)
+            self._listener.active += 1
+            self._exchange = exchange
+            self._phase = Phase.PROCESSING
+            try:
+                check_framing(exchange)
+                await self._listener.handle(exchange)
+            except RequestError as error:
+                await self.refuse(error, exchange.started)
+                return
+            finally:
+                self._listener.active -= 1
+                if exchange.started:
+                    self._answered_at = time.monotonic()
+            if not exchange.finished or not await self._next_cycle():
+                return
+
+    def shorten_waits(self):
+        """Wait only a short time for the next request, or the rest of its head."""
+        now = anyio.current_time()
+        idle, head = self._idle_scope, self._head_scope
+        idle.deadline = min(idle.deadline, now + LAST_REQUEST_SECONDS)
+        head.deadline = min(head.deadline, now + LAST_HEAD_SECONDS)
+
+    async def deliver(self):
+        """Wait until the caller has received the last answer, for a bounded time."""
+        if self._peer_closed or self.close_ends_incomplete_answer():
+            return
+        is_recent = time.monotonic() - self._answered_at < DELIVERED_SECONDS
+        if not is_recent and not count_unacknowledged_bytes(self._raw):
+            return
+        discarded = await linger(self._stream, time.monotonic)
+        if discarded:
+            # Further requests, which the caller has to send again.
+            request_id = self._exchange.request_id if self._exchange else ""
+            logger.info(
+                "bytes discarded after the last answer of a connection",
+                extra={"request_id": request_id, "bytes": discarded},
+            )
+
+    async def refuse(self, error, started=False):
+        """Answer an invalid request, unless an answer has started.
+
+        The connection can't be used afterwards.
+        """
+        logger.info(
+            "request refused", extra={"status": error.status, "why": str(error)}
+        )
+        if started or self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        await self.send_head(error.status, headers, h11.EndOfMessage())
+        self._answered_at = time.monotonic()
+
+    async def _read_head(self):
+        """Return the next request, or ``None`` if the connection has ended."""
+        self.limits = self._listener.limits()
+        self._phase = Phase.IDLE
+        if not await self._wait_for_bytes():
+            return None
+        self._phase = Phase.READING_HEAD
+        return await self._read_request()
+
+    async def _wait_for_bytes(self):
+        """Return whether bytes of a request have arrived."""
+        if self._h11.trailing_data[0]:
+            return True
+        self._idle_scope = anyio.move_on_after(self.limits.idle_timeout)
+        if self._listener.is_closing:
+            self.shorten_waits()
+        data = b""
+        with self._idle_scope:
+            data = await receive_bytes(self._stream)
+        if self._idle_scope.cancelled_caught:
+            return False
+        self._arrived_after = self._listener.earliest_arrival()
+        self._h11.receive_data(data)
+        self._peer_closed = not data
+        return bool(data)
+
+    async def _read_request(self):
+        self._head_scope = anyio.move_on_after(self.limits.header_timeout)
+        if self._listener.is_closing:
+            self.shorten_waits()
+        with self._head_scope:
+            event = await self._next_event()
+            if not isinstance(event, h11.Request):
+                return None
+            # The parser limits only the size of incomplete heads.
+            if head_size(event) > self.limits.max_header_bytes:
+                raise RequestError(431, "the head of the request is too long")
+            return event
+        raise RequestError(408, "the head of the request took too long")
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                raise RequestError(error.error_status_hint, str(error)) from None
+            if event is not h11.NEED_DATA:
+                return event
+            self._h11.receive_data(await receive_bytes(self._stream))
+
+    async def read_body(self):
+        """Return the complete body of the request."""
+        if self._h11.they_are_waiting_for_100_continue:
+            await self.send_events(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        body = bytearray()
+        due_at = anyio.current_time() + self.limits.header_timeout
+        progress_mark = 0
+        while True:
+            with anyio.CancelScope(deadline=due_at):
+                event = await self._next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    return bytes(body)
+                if isinstance(event, h11.ConnectionClosed):
+                    raise PeerClosedError("the caller left", step="read-body")
+                body += event.data
+                if len(body) - progress_mark >= BODY_PROGRESS_BYTES:
+                    progress_mark = len(body)
+                    due_at = anyio.current_time() + self.limits.header_timeout
+                if len(body) > self.limits.max_body_bytes:
+                    raise RequestError(413, "the body is too long")
+                continue
+            raise RequestError(408, "the body took too long")
+
+    async def run_while_connected(self, work):
+        """Run a coroutine function, and cancel it if the caller disconnects."""
+        if is_closed_by_peer(self._stream):
+            self._peer_closed = True
+            return False
+        completed = False
+        async with open_task_group() as tasks:
+            tasks.start_soon(self._watch_for_disconnect, tasks.cancel_scope)
+            await work()
+            completed = True
+            tasks.cancel_scope.cancel()
+        return completed
+
+    async def _watch_for_disconnect(self, scope):
+        pipelined_bytes = 0
+        while pipelined_bytes <= MAX_PIPELINED_BYTES:
+            try:
+                data = await receive_bytes(self._stream)
+            except PeerClosedError:
+                data = b""
+            if not data:
+                self._peer_closed = True
+                scope.cancel()
+                return
+            pipelined_bytes += len(data)
+            if not self._h11.trailing_data[0]:
+                self._arrived_after = self._listener.earliest_arrival()
+            self._h11.receive_data(data)
+        while not is_closed_by_peer(self._stream):
+            await anyio.sleep(HANGUP_CHECK_INTERVAL)
+        self._peer_closed = True
+        scope.cancel()
+
+    async def send_head(self, status, headers, *events):
+        """Send the status and headers, and further parts with them."""
+        if get_header(headers, b"connection") is None and self._announces_close():
+            headers.append((b"connection", b"close"))
+        self._phase = Phase.ANSWERING
+        head = h11.Response(status_code=status, headers=headers)
+        await self.send_events(head, *events)
+
+    def _announces_close(self):
+        """Return whether an answer says that it is the last one of its connection."""
+        if self._listener.is_closing:
+            return True
+        # A further request that has arrived is answered too. Before the end of a
+        # request, what has arrived may be its own body.
+        is_request_read = self._h11.their_state is h11.DONE or not has_body(
+            self._exchange
+        )
+        has_further_request = is_request_read and self._h11.trailing_data[0]
+        return self._listener.leaving and not has_further_request
+
+    async def send_events(self, *events):
+        """Send parts of the answer with one write."""
+        parts = [self._h11.send(event) for event in events]
+        data = b"".join(part for part in parts if part)
+        if data:
+            await send_bytes(self._stream, data)
+        if isinstance(events[-1], h11.EndOfMessage):
+            self._phase = Phase.DELIVERING
+
+    async def _next_cycle(self):
+        """Prepare for the next request; return whether there can be one."""
+        if self._peer_closed:
+            return False
+        # Discard the rest of a body that the handler hasn't read.
+        while self._h11.their_state is h11.SEND_BODY:
+            with anyio.move_on_after(self.limits.header_timeout) as scope:
+                await self._next_event()
+            if scope.cancelled_caught:
+                return False
+        if (self._h11.our_state, self._h11.their_state) != (h11.DONE, h11.DONE):
+            return False
+        self._h11.start_next_cycle()
+        return True
--- a/banyanshore/platform/caller_dialect.py
+++ b/banyanshore/platform/caller_dialect.py
@@ -3,7 +3,7 @@
 import math
 import re
 
-from banyanshore.http.listener import RequestError
+from banyanshore.http.exchange import RequestError
 from banyanshore.http.upstream import OutgoingRequest
 from banyanshore.http.wire import strip_hop_by_hop
 from banyanshore.routing.caller_requests import CallerDialect, CallerRequest
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -7,8 +7,9 @@
 import anyio
 import pytest
 
+from banyanshore.http.caller_connection import LAST_HEAD_SECONDS
 from banyanshore.http.lingering import DELIVERED_SECONDS
-from banyanshore.http.listener import LAST_HEAD_SECONDS, Listener
+from banyanshore.http.listener import Listener
 from banyanshore.http.unfinished import Phase
 from tests.http.raw import connect, read_until, running_listener
 from tests.ports import free_ports
--- a/tests/http/test_misbehaving.py
+++ b/tests/http/test_misbehaving.py
@@ -5,7 +5,8 @@
 import anyio
 import pytest
 
-from banyanshore.http.listener import MAX_PIPELINED_BYTES, Listener, ListenerLimits
+from banyanshore.http.caller_connection import MAX_PIPELINED_BYTES
+from banyanshore.http.listener import Listener, ListenerLimits
 from banyanshore.http.upstream import (
     MAX_HEAD_BYTES,
     BrokenAnswerError,
