Pad the answers of the fake service only on request

One compared an answer with what the fake had sent before it learned to pad (test_order_resent_after_its_entry_was_killed_runs_once).

--- a/tests/fakes/plain.py
+++ b/tests/fakes/plain.py
@@ -35,8 +35,9 @@
         await anyio.sleep(json.loads(body).get("seconds", self.options.seconds))
         if "BREAK" in name:
             await break_off(request)
-        padding = "x" * json.loads(body).get("padding", 0)
-        document = {"order": name, "run": self.runs[name], "padding": padding}
+        document = {"order": name, "run": self.runs[name]}
+        if length := json.loads(body).get("padding"):
+            document["padding"] = "x" * length
         await request.respond_json(201, document)
 
     async def item(self, request):
@@ -53,8 +54,10 @@
                 await request.send_body(b"x" * 1024 * 1024)
             await request.send_body(b"", more=False)
             return
-        padding = "x" * int(request.get_header("x-padding", "0"))
-        await request.respond_json(200, {"path": request.path, "padding": padding})
+        document = {"path": request.path}
+        if length := request.get_header("x-padding"):
+            document["padding"] = "x" * int(length)
+        await request.respond_json(200, document)
 
     async def stats(self, request):
         await request.respond_json(200, {"runs": self.runs})
