Split the choice of targets into room and spread

Cause: who may use the room of a target and which of several targets gets a request are changed by separate parts of the work on hard load; both stood in TargetBoard. The requirements of a request carry its rank, which nothing reads yet. No behaviour changes.

--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -4,9 +4,9 @@
 requests that this gateway has sent and finished since. Load pattern: many gateways send
 at once based on reports that are some hundred milliseconds old, and prompts differ
 tenfold in length, so that two long ones at the same target delay everything there.
-Gateways therefore announce the prefill time of each request that they place, and a
-request goes to the target that can start it first; a little noise spreads requests over
-targets with equal estimates.
+Gateways therefore announce the prefill time of each request that they place. Which
+targets have room is decided in :mod:`~banyanshore.routing.room`, and which one of these
+gets a request in :mod:`~banyanshore.routing.spread`.
 """
 
 import math
@@ -19,38 +19,14 @@
 from banyanshore.routing.notices import TargetNotices
 from banyanshore.routing.request_limits import RequestLimits
 from banyanshore.routing.retry_after import Reason
+from banyanshore.routing.room import RoomRule
 from banyanshore.routing.shares import USED_PART
+from banyanshore.routing.spread import Candidate, TargetSpread
 from banyanshore.routing.target_load import TargetLoad
 
-# Maximum prefill backlog of an engine, as a fraction of the request's objective. The
-# rest is for the request's own prefill, the pass in progress and load not yet reported.
-MAX_BACKLOG_PART = 0.25
-# Requests that may queue at a plain target for each one that it can process at once.
-PLAIN_QUEUE_FACTOR = 2
-# Penalty of a target in another data centre, in seconds: the network latency and the
-# cost of traffic between regions.
-REMOTE_PENALTY_SECONDS = 0.02
-# Fraction of a remote target's capacity that is reserved for the gateways in its data
-# centre, while this data centre has its share of targets. Information about remote
-# targets is some tenths of a second old, and all gateways whose local targets are full
-# turn to them.
-REMOTE_RESERVE = 0.5
-# Number of gateways from which the full reserve applies; with fewer it is reduced in
-# proportion. Each gateway may send one request before the others learn of it, and a few
-# gateways can't overload the free capacity.
-REMOTE_RESERVE_GATEWAYS = 40
-# Penalty of a cold target, in seconds.
-COLD_PENALTY_SECONDS = 0.02
-# Upper bound of the random noise added to the estimated times, in seconds.
-MAX_NOISE_SECONDS = 0.01
-# Penalty of a target whose answers all fail, in seconds: about one objective, since a
-# request that fails has to be run again elsewhere.
-FAILURE_PENALTY_SECONDS = 0.5
 # Maximum delay until a gateway learns that a target has become cold, in seconds: a
 # heartbeat interval and the network latency.
 MAX_COLD_DELAY_SECONDS = 1.5
-# Assumed duration of a request at a plain target, in seconds.
-PLAIN_REQUEST_SECONDS = 0.02
 # Seconds for which a failed target is suspended, doubled with each consecutive failure
 # up to the maximum.
 SUSPENSION_SECONDS = 0.4
@@ -92,6 +68,7 @@
     :param exact_version: the only version that may run it, 0 for any.
     :param excluded: ids of targets that must not be selected.
     :param objective_seconds: objective for the time to the first event, 0 for none.
+    :param rank: urgency, 0 for the most urgent requests.
     """
 
     service: str
@@ -101,6 +78,7 @@
     exact_version: int = 0
     excluded: frozenset = field(default_factory=frozenset)
     objective_seconds: float = 0.0
+    rank: int = 0
 
 
 def connection_share(service, gateways):
@@ -133,7 +111,8 @@
         self._settings = settings
         self._table = table
         self._cold_shares = cold_shares
-        self._rng = rng
+        self._room = RoomRule(settings.data_centre)
+        self._spread = TargetSpread(settings.data_centre, rng)
         self._load_by_address = {}
         self._expected_cold_until = {}
 
@@ -258,13 +237,11 @@
             if self.load(candidate.row.address).suspended_until <= now
         ]
         connections = connection_share(service, len(gateways))
-        remote_part = self._remote_capacity_part(serving, len(gateways))
+        remote_part = self._room.remote_capacity_part(serving, len(gateways))
         free = [
             candidate
             for candidate in unsuspended
-            if self._can_start_in_time(
-                now, candidate.row, service, requirements, remote_part
-            )
+            if self._has_room(now, candidate.row, service, requirements, remote_part)
             and self.load(candidate.row.address).own_in_flight < connections
         ]
         if not free:
@@ -282,10 +259,11 @@
             return NoChoice(Reason.TARGETS_LIMITED, room_at - now)
         engine = service.get("engine")
         model = EngineModel.from_row(engine) if engine else None
-        best = min(
-            within_limit,
-            key=lambda candidate: self._estimated_start_seconds(now, candidate, model),
-        )
+        candidates = [
+            Candidate(k.row, self.load(k.row.address), self.cold_until(k) > now)
+            for k in within_limit
+        ]
+        best = self._spread.select(now, candidates, model)
         return Choice(best.row, self.version_at(best.row) if requirements.model else 0)
 
     def may_send(self, now, boottime, choice, requirements, desired, permit):
@@ -373,65 +351,12 @@
             return False
         return version >= max(1, self._oldest_version(now, row, requirements))
 
-    def _remote_capacity_part(self, serving, gateways):
-        """Return the fraction of a remote target's capacity that may be used.
-
-        Load pattern: more requests than all data centres together can serve. Requests
-        that found no local target gathered at the remote target that had last looked
-        free, and delayed everything there. A data centre with few targets or none may
-        still fill those of the others.
-
-        :param serving: targets that may serve the request, full or not.
-        :param gateways: number of gateways.
-        """
-        data_centres = [candidate.row.data_centre for candidate in serving]
-        local_count = data_centres.count(self._settings.data_centre)
-        fair_share = len(serving) / len(set(data_centres))
-        reserve = REMOTE_RESERVE * min(1.0, gateways / REMOTE_RESERVE_GATEWAYS)
-        return 1 - reserve * min(1.0, local_count / fair_share)
-
-    def _can_start_in_time(self, now, row, service, requirements, remote_part):
-        """Return whether a target can start another request in time.
-
-        Load pattern: for some seconds there are more requests than the targets can
-        serve. Requests queued in an engine delay all later ones, so that even a short
-        queue there makes more requests miss their objective than it serves.
-        """
+    def _has_room(self, now, row, service, requirements, remote_part):
         load = self.load(row.address)
-        if not service.get("engine"):
-            return load.estimated_in_flight(now) < row.slots * (1 + PLAIN_QUEUE_FACTOR)
-        is_local = row.data_centre == self._settings.data_centre
-        part = 1.0 if is_local else remote_part
-        backlog = load.remaining_prefill_seconds(now)
-        longest = part * MAX_BACKLOG_PART * requirements.objective_seconds or math.inf
-        return load.estimated_in_flight(now) < part * row.slots and backlog <= longest
+        return self._room.has_room(now, load, row, service, requirements, remote_part)
 
     def _is_within_cold_rate(self, now, candidate, service, gateways):
         per_second = service.get("cold_per_second", 0)
         if self.cold_until(candidate) <= now or not per_second:
             return True
         return self._cold_shares.has_room(now, candidate.row.id, per_second, gateways)
-
-    def _estimated_start_seconds(self, now, candidate, model):
-        """Return the estimated time until a target starts a request, for ranking.
-
-        Penalties and some noise are added.
-
-        :param model: the :class:`EngineModel`, or ``None`` for a plain target.
-        """
-        load = self.load(candidate.row.address)
-        count = load.estimated_in_flight(now)
-        if model is None:
-            seconds = count * PLAIN_REQUEST_SECONDS / max(1, candidate.row.slots)
-        else:
-            waiting = max(0, count + 1 - candidate.row.slots)
-            seconds = load.remaining_prefill_seconds(now)
-            seconds += waiting * model.slot_seconds(candidate.row.slots)
-            seconds += count * model.steps_per_pass * model.request_seconds
-            seconds *= max(1.0, load.pace)
-        seconds += load.failure_rate * FAILURE_PENALTY_SECONDS
-        if candidate.row.data_centre != self._settings.data_centre:
-            seconds += REMOTE_PENALTY_SECONDS
-        if self.cold_until(candidate) > now:
-            seconds += COLD_PENALTY_SECONDS
-        return seconds + self._rng.uniform(0, MAX_NOISE_SECONDS)
--- a/tests/routing/test_board.py
+++ b/tests/routing/test_board.py
@@ -298,7 +298,7 @@
     arrivals = replay_data_centres(300)
     admitted = [row for row in arrivals if not row.refusals]
     assert late_share(admitted) < 0.1
-    monkeypatch.setattr("banyanshore.routing.board.REMOTE_RESERVE", 0.0)
+    monkeypatch.setattr("banyanshore.routing.room.REMOTE_RESERVE", 0.0)
     before = [row for row in replay_data_centres(300) if not row.refusals]
     in_time = sum(row.is_in_time for row in admitted)
     assert in_time > 1.2 * sum(row.is_in_time for row in before)
