Check a declaration before it is sent

Cause: banyanshore check reads settings files only. A route that no request can match, a workspace that no route admits or a key taken away by mistake showed only in the answers to callers.

--- /dev/null
+++ b/banyanshore/management/declaration_files.py
@@ -0,0 +1,95 @@
+"""Read files with a declaration or a patch, in the product's or the platform's format.
+
+The code that refuses a declaration on arrival also reads it here.
+"""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+
+from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.http.operators import MAX_PATCH_BYTES
+from banyanshore.management.base import CommandError, ExitCode
+from banyanshore.platform.declaration import decode_declaration
+from banyanshore.platform.declaration_calls import is_declaration
+from banyanshore.state.document import (
+    check_document,
+    empty_document,
+    merge_patch,
+    parse_patch,
+)
+from banyanshore.state.findings import Finding, Level
+from banyanshore.state.routes import CallerLimits
+
+# Largest declaration that a control instance accepts, in bytes.
+MAX_DECLARATION_BYTES = CallerLimits().max_body_bytes
+
+
+@dataclass(frozen=True)
+class DeclarationFile:
+    """The content of a file.
+
+    :param document: the JSON object.
+    :param is_declaration: whether it is a whole declaration in the platform's format;
+        else it is a merge patch of the desired state.
+    """
+
+    body: bytes
+    document: dict
+    is_declaration: bool
+
+
+def read_file(path):
+    """Return the :class:`DeclarationFile` of a path.
+
+    :raises CommandError: the file can't be read, is too large or holds no JSON object.
+    """
+    try:
+        body = Path(path).read_bytes()
+    except OSError as error:
+        reason = error.strerror or error
+        raise CommandError(f"{path}: {reason}", ExitCode.USAGE) from None
+    if len(body) > MAX_DECLARATION_BYTES:
+        raise CommandError(
+            f"{path}: {len(body)} bytes, at most {MAX_DECLARATION_BYTES} are accepted",
+            ExitCode.INVALID,
+        )
+    try:
+        document = json.loads(body)
+    except json.JSONDecodeError as error:
+        where = f"line {error.lineno}, column {error.colno}"
+        raise CommandError(
+            f"{path}: not JSON at {where}: {error.msg}", ExitCode.INVALID
+        ) from None
+    except (UnicodeDecodeError, RecursionError) as error:
+        reason = "nested too deeply" if isinstance(error, RecursionError) else error
+        raise CommandError(f"{path}: not JSON: {reason}", ExitCode.INVALID) from None
+    if not isinstance(document, dict):
+        raise CommandError(f"{path}: expected a JSON object", ExitCode.INVALID)
+    return DeclarationFile(body, document, is_declaration(document))
+
+
+def make_document(file, in_force):
+    """Return the document that a file leads to, and the findings that would refuse it.
+
+    :param file: the :class:`DeclarationFile`.
+    :param in_force: the document in force, ``None`` if unknown.
+    :return: the document, ``None`` if it is refused, and a list of
+        :class:`~banyanshore.state.findings.Finding`.
+    """
+    try:
+        if file.is_declaration:
+            _, document = decode_declaration(file.body)
+        else:
+            if len(file.body) > MAX_PATCH_BYTES:
+                text = f"{len(file.body)} bytes, at most {MAX_PATCH_BYTES} are accepted"
+                return None, [Finding(Level.ERROR, "too-large", "(body)", text)]
+            patch = parse_patch(file.body)
+            document = merge_patch(in_force or empty_document(), patch)
+        check_document(document)
+    except BanyanshoreError as error:
+        place, _, message = error.message.partition(": ")
+        if not message:
+            place, message = "(body)", error.message
+        return None, [Finding(Level.ERROR, "refused", place, message)]
+    return document, []
--- /dev/null
+++ b/banyanshore/state/declaration_diff.py
@@ -0,0 +1,154 @@
+"""What differs between two versions of the declared tables, and what callers notice.
+
+Load pattern: a declaration of thousands of routes replaces the one in force, and a
+generator has left some out. Their callers would get 404, or another route's service.
+"""
+
+import hashlib
+from dataclasses import dataclass
+from enum import StrEnum
+
+from banyanshore.state.document import diff_documents
+from banyanshore.state.routes import RouteTable
+
+# Tables that are compared.
+TABLES = ("routes", "services", "workspaces", "limits")
+# Characters of the digest that stands for a key, which is a secret.
+KEY_DIGEST_CHARACTERS = 8
+
+
+class Change(StrEnum):
+    """How a row differs from the version in force."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@dataclass(frozen=True)
+class Difference:
+    """One row that differs.
+
+    :param place: dotted path of the row.
+    :param fields: what differs in a changed row, as texts ``field: old -> new``.
+    :param effect: what it does to callers, empty for nothing that they notice.
+    """
+
+    change: Change
+    place: str
+    fields: tuple = ()
+    effect: str = ""
+
+    def to_document(self):
+        """Return the difference as a JSON object."""
+        return {
+            "change": self.change.value,
+            "place": self.place,
+            "fields": list(self.fields),
+            "effect": self.effect,
+        }
+
+    def to_line(self):
+        """Return the difference as a line of text."""
+        fields = f" ({', '.join(self.fields)})" if self.fields else ""
+        effect = f": {self.effect}" if self.effect else ""
+        return f"{self.change.value} {self.place}{fields}{effect}"
+
+
+def find_differences(before, after):
+    """Return the :class:`Difference` rows between two valid documents.
+
+    :param before: document in force.
+    :param after: document to send.
+    """
+    table = RouteTable(after)
+    differences = []
+    for name in TABLES:
+        rows, wanted = before.get(name, {}), after.get(name, {})
+        patch = diff_documents(rows, wanted)
+        for key in sorted(patch):
+            differences.append(
+                _make_difference(name, key, rows.get(key), wanted.get(key), table)
+            )
+    return differences
+
+
+def _make_difference(table_name, key, before, after, table):
+    place = f"{table_name}.{key}"
+    if before is None:
+        return Difference(Change.ADDED, place)
+    if after is None:
+        effect = _EFFECT_OF_REMOVAL[table_name](before, table)
+        return Difference(Change.REMOVED, place, (), effect)
+    fields = tuple(
+        _describe_field(name, before.get(name), after.get(name))
+        for name in sorted(before.keys() | after.keys())
+        if before.get(name) != after.get(name)
+    )
+    effect = _EFFECT_OF_CHANGE[table_name](before, after)
+    return Difference(Change.CHANGED, place, fields, effect)
+
+
+def _describe_field(name, before, after):
+    if name == "keys":
+        removed, added = _key_changes(before, after)
+        return f"keys: {len(removed)} taken away, {len(added)} added"
+    return f"{name}: {before!r} -> {after!r}"
+
+
+def _key_changes(before, after):
+    known, wanted = set(before or ()), set(after or ())
+    return known - wanted, wanted - known
+
+
+def _digests(keys):
+    hashed = (hashlib.sha256(key.encode()).hexdigest() for key in keys)
+    return ", ".join(sorted(text[:KEY_DIGEST_CHARACTERS] for text in hashed))
+
+
+def _removed_route(route, table):
+    other = table.find_route(route["host"], route["prefix"])
+    if other is None:
+        return "its requests get 404"
+    names = ", ".join(share.service for share in other.services)
+    return f"its requests go by the route {other.host}{other.prefix} to {names}"
+
+
+def _changed_route(before, after):
+    if before["services"] == after["services"]:
+        return ""
+    return "its requests go to other services or in other shares"
+
+
+def _removed_workspace(workspace, table):
+    keys = workspace.get("keys", ())
+    return f"its {len(keys)} keys are refused with 401" if keys else ""
+
+
+def _changed_workspace(before, after):
+    removed, _ = _key_changes(before.get("keys"), after.get("keys"))
+    if not removed:
+        return ""
+    return f"refused with 401: keys with SHA-256 {_digests(removed)}"
+
+
+def _no_effect(*arguments):
+    return ""
+
+
+def _removed_service(service, table):
+    return "its targets get no requests"
+
+
+_EFFECT_OF_REMOVAL = {
+    "routes": _removed_route,
+    "services": _removed_service,
+    "workspaces": _removed_workspace,
+    "limits": lambda row, table: "the default limits are in force",
+}
+_EFFECT_OF_CHANGE = {
+    "routes": _changed_route,
+    "services": _no_effect,
+    "workspaces": _changed_workspace,
+    "limits": _no_effect,
+}
--- /dev/null
+++ b/tests/state/test_declaration_diff.py
@@ -0,0 +1,59 @@
+"""Tests of what differs between two versions, and of its effect on callers."""
+
+from banyanshore.state.declaration_diff import Change, find_differences
+from tests.state.test_declaration_checks import ROUTE, make_document
+
+
+def differences(before, after):
+    return {row.place: row for row in find_differences(before, after)}
+
+
+def test_equal_documents_differ_in_nothing():
+    assert find_differences(make_document(), make_document()) == []
+
+
+def test_vanished_route_names_the_route_that_takes_its_requests():
+    wide = {**ROUTE, "prefix": "/", "services": [{"service": "other", "weight": 1}]}
+    before, after = make_document(), make_document()
+    before["routes"]["wide"] = after["routes"]["wide"] = wide
+    del after["routes"]["r"]
+    row = differences(before, after)["routes.r"]
+    assert row.change is Change.REMOVED
+    assert "other" in row.effect
+    del after["routes"]["wide"]
+    assert "404" in differences(before, after)["routes.r"].effect
+
+
+def test_key_that_is_taken_away_is_reported_without_its_text():
+    before = make_document(workspace={"keys": ["first-secret", "second-secret"]})
+    after = make_document(workspace={"keys": ["second-secret", "third-secret"]})
+    row = differences(before, after)["workspaces.w"]
+    assert row.fields == ("keys: 1 taken away, 1 added",)
+    assert "401" in row.effect
+    assert "secret" not in row.to_line()
+
+
+def test_key_that_moves_to_another_workspace_is_still_taken_away():
+    before = make_document()
+    after = make_document(workspace={"keys": []})
+    after["workspaces"]["v"] = {"keys": ["secret"]}
+    rows = differences(before, after)
+    assert rows["workspaces.v"].change is Change.ADDED
+    assert rows["workspaces.w"].change is Change.CHANGED
+
+
+def test_changed_route_lists_its_fields():
+    after = make_document({"timeout_seconds": 4.0})
+    row = differences(make_document(), after)["routes.r"]
+    assert row.fields == ("timeout_seconds: 6.0 -> 4.0",)
+    assert row.effect == ""
+
+
+def test_removed_workspace_and_service_tell_their_effect():
+    before = make_document()
+    before["workspaces"]["v"] = {"keys": ["other"]}
+    before["services"]["old"] = {"kind": "direct"}
+    rows = differences(before, make_document())
+    assert "401" in rows["workspaces.v"].effect
+    assert rows["services.old"].change is Change.REMOVED
+    assert "other" not in rows["workspaces.v"].to_line()
