Keep the links of origin and root free for a version that is late

Now a relay has two loaders and the root none, members other than the root ask a returning origin in turn and for one chunk, the root asks it for digests every 0.2 s, a fetch starts when another ends, and a relay keeps its chunks.

The version is now bound by the loaders' links.

--- a/banyanshore/gateway/relay.py
+++ b/banyanshore/gateway/relay.py
@@ -40,6 +40,10 @@
             return self.planner.tick_neighbour_fetches(now)
         return super()._next_fetches(now)
 
+    def _start_planner(self, have):
+        self._store.keep_only(self.manifest.chunk_digests)
+        super()._start_planner(have)
+
 
 class WeightsRelay:
     """Relay the weights of all services in whose trees this gateway is a relay.
@@ -54,6 +58,9 @@
         self._uploads = Uploads(gateway.settings, gateway.metrics)
         self._rosters_by_service = {}
         self._running_by_service = {}
+        # Chunks of the service's version, which outlive a transfer that is started
+        # again after a change of the members.
+        self._store_by_service = {}
 
     async def run(self):
         """Relay weights until cancelled."""
@@ -99,7 +106,7 @@
             wanted.known_since,
             gateway.settings,
             ModelSpec(wanted.model, str(wanted.version), "", "", ""),
-            MemoryChunkStore(),
+            self._store_by_service.setdefault(wanted.service, MemoryChunkStore()),
             None,
             gateway.links,
             rosters,
--- a/banyanshore/weights/planner.py
+++ b/banyanshore/weights/planner.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+import math
 from itertools import islice
 
 from banyanshore.weights.planner_rows import (
@@ -170,26 +171,34 @@
         # uploads of an agent would block agents that need each other's last chunks.
         return active < self._options.max_uploads
 
-    def tick(self, now):
-        """Return the :class:`Fetch` objects to start now."""
+    def tick(self, now, origin_limit=None):
+        """Return the :class:`Fetch` objects to start now.
+
+        :param origin_limit: most concurrent fetches from the origin, ``None`` for the
+            option's.
+        """
         if self.is_complete:
             return []
-        fetches = self._fetch_assigned(now)
+        if origin_limit is None:
+            origin_limit = self._options.max_origin_fetches
+        fetches = self._fetch_assigned(now, origin_limit)
         fetches += self._fetch_from_neighbours(now)
         for fetch in fetches:
             self.in_flight[fetch.index] = fetch.source
         return fetches
 
-    def tick_origin_fetches(self, now):
+    def tick_origin_fetches(self, now, most=math.inf):
         """Return the origin fetches to start now, for any missing chunks.
 
         Used by the one agent that fetches from the origin for all others. While the
         origin is unavailable, it is asked for one chunk at a time, with a pause, until
         it sends one.
+
+        :param most: most concurrent fetches, if fewer than the option's.
         """
         origin_fetches = sum(source == ORIGIN for source in self.in_flight.values())
         fetches = []
-        limit = self._options.max_origin_fetches
+        limit = min(self._options.max_origin_fetches, most)
         if self._failed_origin_fetches >= limit:
             if now < self._retry_origin_at:
                 return []
@@ -211,16 +220,16 @@
             self.in_flight[fetch.index] = fetch.source
         return fetches
 
-    def _fetch_assigned(self, now):
+    def _fetch_assigned(self, now, origin_limit):
         while self._due_heap and self._due_heap[0][0] <= now:
             index = heapq.heappop(self._due_heap)[1]
             if index in self._assignments:
                 self._due_chunks[index] = None
         if not self._due_chunks:
             return []
-        return self._fetch_due(now)
+        return self._fetch_due(now, origin_limit)
 
-    def _fetch_due(self, now):
+    def _fetch_due(self, now, origin_limit):
         fetches = []
         origin_fetches = sum(source == ORIGIN for source in self.in_flight.values())
         peer_fetches = len(self.in_flight) - origin_fetches
@@ -232,7 +241,7 @@
             assignment = self._assignments[index]
             source = self._assignment_source(now, index, assignment)
             if source == ORIGIN:
-                if origin_fetches >= self._options.max_origin_fetches:
+                if origin_fetches >= origin_limit:
                     continue
                 origin_fetches += 1
             else:
--- a/banyanshore/weights/relay.py
+++ b/banyanshore/weights/relay.py
@@ -9,6 +9,7 @@
 import math
 import time
 from dataclasses import replace
+from itertools import count
 
 import anyio
 
@@ -24,6 +25,7 @@
     is_stalled,
     max_concurrent_pushes,
     next_fetches,
+    origin_fetch_limit,
 )
 from banyanshore.weights.relay_messages import ChunkPush, ChunkPushReply
 from banyanshore.weights.transfer import Transfer
@@ -32,6 +34,9 @@
 
 # Seconds before the digests are requested again.
 DIGESTS_RETRY_SECONDS = 0.2
+# Seconds before a member other than the root requests them from the origin again. In
+# between it asks peers, so that an origin that returns isn't busy with digests.
+DIGESTS_FALLBACK_SECONDS = 2.0
 # Timeout in seconds for connecting to a peer, and for its manifest.
 PEER_TIMEOUT = 0.5
 # Timeout in seconds for a child to accept a pushed chunk. The connection to a lost
@@ -79,7 +84,9 @@
         self.urgent_from = known_since + URGENT_SHARE * switch_seconds
         self._find_origin = find_origin
         self._chunk_bytes = chunk_bytes
-        self._progressed_at = time.monotonic()
+        self._progressed_at = self._pushed_at = time.monotonic()
+        # Time of the first chunk fetched from the origin since the last pushed one.
+        self._fetched_since = None
         self._child_by_instance = {}
         # Set when the chunks of this member or of a child change.
         self._chunks_changed = anyio.Event()
@@ -122,6 +129,7 @@
         started_at = time.monotonic()
         await self._store_chunk(push.index, push.data)
         self.planner.record_received(push.index)
+        self._pushed_at, self._fetched_since = time.monotonic(), None
         self._notify_chunks_changed()
         return ChunkPushReply(True, time.monotonic() - started_at)
 
@@ -155,7 +163,20 @@
     def _next_fetches(self, now):
         self._refresh_children()
         is_root = self._rosters.tree.root == self._settings.instance
-        return next_fetches(self.planner, now, is_root, self._is_stalled(now))
+        return next_fetches(
+            self.planner,
+            now,
+            is_root,
+            self._is_stalled(now),
+            0 if is_root else self._origin_limit(now),
+        )
+
+    def _origin_limit(self, now):
+        rank = self._rosters.tree.origin_rank(self._settings.instance)
+        since = self._fetched_since
+        return origin_fetch_limit(
+            now - self._pushed_at, rank, None if since is None else now - since
+        )
 
     def _is_stalled(self, now):
         parent = self._rosters.tree.parent(self._settings.instance)
@@ -252,14 +273,20 @@
         return reply.is_accepted
 
     async def _fetch_manifest(self):
-        while True:
-            digests = await self._fetch_digests_from_origin()
-            if digests:
-                return self._make_manifest(digests)
-            manifest = await self._fetch_manifest_from_any_peer()
+        retry_origin_at = -math.inf
+        for attempt in count():
+            if time.monotonic() >= retry_origin_at:
+                digests = await self._fetch_digests_from_origin()
+                if digests:
+                    return self._make_manifest(digests)
+                is_root = self._rosters.tree.root == self._settings.instance
+                pause = 0.0 if is_root else DIGESTS_FALLBACK_SECONDS
+                retry_origin_at = time.monotonic() + pause
+            manifest = await self._fetch_manifest_from_peers(attempt)
             if manifest is not None:
                 return manifest
             await anyio.sleep(DIGESTS_RETRY_SECONDS)
+        return None
 
     async def _fetch_digests_from_origin(self):
         origin = self._find_origin()
@@ -277,14 +304,20 @@
             self.spec.name, self.spec.version, length, self._chunk_bytes, digests
         )
 
-    async def _fetch_manifest_from_any_peer(self):
+    async def _fetch_manifest_from_peers(self, attempt):
+        """Ask the parent and one other peer, a different one at each attempt."""
         self._build_placement()
+        parent = self._rosters.tree.parent(self._settings.instance)
+        others = sorted(
+            self._address_by_instance.keys() - {parent, self._settings.instance}
+        )
+        names = [parent] if parent in self._address_by_instance else []
+        if others:
+            names.append(others[attempt % len(others)])
         version_id = f"{self.spec.name}/{self.spec.version}"
-        for name, address in self._address_by_instance.items():
-            if name == self._settings.instance:
-                continue
+        for name in names:
             try:
-                link = self._links.get(address, name)
+                link = self._links.get(self._address_by_instance[name], name)
                 connection = await link.get_connection(PEER_TIMEOUT)
                 reply = await connection.call(ManifestRequest(version_id), PEER_TIMEOUT)
                 if reply.content:
@@ -297,9 +330,12 @@
         origin = self._find_origin()
         if origin is None:
             raise OriginError("no weights origin is declared", step="fetch-chunk")
-        return await origin.fetch_chunk(
+        data = await origin.fetch_chunk(
             self.spec.name, self.version, index, self._chunk_bytes
         )
+        if self._fetched_since is None:
+            self._fetched_since = time.monotonic()
+        return data
 
     async def _store_chunk(self, index, data):
         self._store.put(self.manifest.chunk_digests[index], data)
--- a/banyanshore/weights/relay_fetches.py
+++ b/banyanshore/weights/relay_fetches.py
@@ -29,6 +29,13 @@
 # a pushed chunk is arriving slowly.
 STALL_SECONDS = 1.5
 SLOW_STALL_SECONDS = 4.0
+# Seconds after which the next member of a data centre asks the origin in place of those
+# before it. The origin has a link for one copy: each one that asks beside the root
+# takes some of it from all.
+ORIGIN_TURN_SECONDS = 4.0
+# Seconds after a member's first own chunk from the origin in which its parent, which
+# may have got the origin back at the same time, can push the next one.
+HANDOVER_SECONDS = 0.5
 
 
 def is_stalled(seconds_without_chunk, is_receiving):
@@ -43,19 +50,48 @@
     return seconds_without_chunk > limit
 
 
-def next_fetches(planner, now, is_root, is_stalled):
+def origin_fetch_limit(waited, rank, fetching_for):
+    """Return how many chunks a member other than the root may fetch from the origin.
+
+    Load pattern: the origin is away for some seconds, while all members wait for the
+    same chunks. When it returns, it has to send each chunk once, to the root. The
+    members ask in turn, one chunk each, in case the root or a parent can't.
+
+    :param waited: seconds since a chunk was last pushed to this member.
+    :param rank: its position in its data centre, see
+        :meth:`~banyanshore.weights.tree.RelayTree.origin_rank`.
+    :param fetching_for: seconds since the first chunk that it has fetched from the
+        origin after that, ``None`` if there is none.
+
+    >>> origin_fetch_limit(6.0, 2, None), origin_fetch_limit(6.0, 1, None)
+    (0, 1)
+    >>> origin_fetch_limit(6.0, 1, 0.2), origin_fetch_limit(7.0, 1, 1.2)
+    (0, inf)
+    """
+    if waited <= STALL_SECONDS + rank * ORIGIN_TURN_SECONDS:
+        return 0
+    if fetching_for is None:
+        return 1
+    return 0 if fetching_for < HANDOVER_SECONDS else math.inf
+
+
+def next_fetches(planner, now, is_root, is_stalled, origin_limit=0):
     """Return the :class:`~banyanshore.weights.planner_rows.Fetch` objects to start now.
 
     :param planner: the :class:`~banyanshore.weights.planner.TransferPlanner`.
     :param is_root: whether this instance fetches from the origin for all others.
     :param is_stalled: whether no new chunk has arrived for a while.
+    :param origin_limit: most concurrent fetches of another member from the origin.
     """
     if is_root:
         # Neighbours may have chunks that a restarted root lacks. It fetches all others
         # itself without waiting, since no other member fetches from the origin.
         fetches = planner.tick_neighbour_fetches(now) if is_stalled else []
         return fetches + planner.tick_origin_fetches(now)
-    return planner.tick(now) if is_stalled else []
+    fetches = planner.tick(now, origin_limit=0) if is_stalled else []
+    if origin_limit:
+        fetches += planner.tick_origin_fetches(now, origin_limit)
+    return fetches
 
 
 class PushTimes:
--- a/banyanshore/weights/transfer.py
+++ b/banyanshore/weights/transfer.py
@@ -91,6 +91,8 @@
         self._last_have = None
         self._next_have_at = 0.0
         self._roster_digest = None
+        # Set when a fetch ends, so that the next one starts without a pause.
+        self._fetch_ended = anyio.Event()
 
     async def run(self):
         """Fetch the complete version and serve peers, until cancelled."""
@@ -113,7 +115,9 @@
                     self.completed_at = now
                     self.completed.set()
                 delay = HAVE_INTERVAL if self.planner.is_complete else TICK_SECONDS
-                await anyio.sleep(delay)
+                with anyio.move_on_after(delay):
+                    await self._fetch_ended.wait()
+                self._fetch_ended = anyio.Event()
 
     def _next_fetches(self, now):
         """Return the fetches to start now."""
@@ -332,6 +336,8 @@
         except BanyanshoreError as error:
             logger.warning("chunk %d not fetched: %s", fetch.index, error)
             self.planner.record_failure(time.monotonic(), fetch)
+        finally:
+            self._fetch_ended.set()
 
     async def _fetch_from_origin(self, index):
         """Return the bytes of a chunk from the origin, without verifying its digest."""
--- a/banyanshore/weights/tree.py
+++ b/banyanshore/weights/tree.py
@@ -12,9 +12,10 @@
 import math
 from dataclasses import dataclass
 
-# Loaders per relay. On the slowest known gateway link, four loaders that receive chunks
-# at full speed leave two thirds of the link to requests.
-LOADERS_PER_RELAY = 4
+# Loaders per relay. A relay receives one copy and sends one to each loader and to the
+# next relay. With two loaders, that takes a gateway link of 20 Mbit/s less time than a
+# loader's link of 3.8 Mbit/s needs for its one copy, and leaves a part to requests.
+LOADERS_PER_RELAY = 2
 
 
 @dataclass(frozen=True)
@@ -41,15 +42,27 @@
         self.relays_by_data_centre = {}
         self._parent_by_instance = {}
         self._children_by_instance = {}
+        self._origin_rank_by_instance = {}
         by_data_centre = {}
         for member in members:
             by_data_centre.setdefault(member.data_centre, []).append(member)
         region_by_data_centre = {
             name: rows[0].region or name for name, rows in by_data_centre.items()
         }
-        for name, rows in by_data_centre.items():
-            self._choose_relays(name, rows)
+        self._gateways_by_data_centre = {
+            name: _rank_gateways(rows) for name, rows in by_data_centre.items()
+        }
+        loaders_by_data_centre = {
+            name: sum(not row.is_gateway for row in rows)
+            for name, rows in by_data_centre.items()
+        }
+        for name, loaders in loaders_by_data_centre.items():
+            self._choose_relays(name, math.ceil(loaders / LOADERS_PER_RELAY))
         self._root_data_centre = self._choose_root_data_centre(origin_data_centre)
+        if self._root_data_centre:
+            # The root has no loaders, so one more relay is needed.
+            name = self._root_data_centre
+            self._choose_relays(name, len(self.relays_by_data_centre[name]) + 1)
         for name, rows in by_data_centre.items():
             self._link_relays(name, region_by_data_centre)
             self._link_loaders(name, rows)
@@ -71,17 +84,19 @@
         """Return the instances to which an instance pushes chunks."""
         return self._children_by_instance.get(instance, ())
 
+    def origin_rank(self, instance):
+        """Return the position in which a member of a data centre asks the origin.
+
+        The relays come first, in the order in which they push to each other.
+        """
+        return self._origin_rank_by_instance.get(instance, 0)
+
     def is_relay(self, instance):
         """Return whether an instance relays chunks."""
         return any(instance in names for names in self.relays_by_data_centre.values())
 
-    def _choose_relays(self, data_centre, rows):
-        gateways = sorted(
-            (row.instance for row in rows if row.is_gateway),
-            key=lambda name: hashlib.blake2b(name.encode(), digest_size=8).digest(),
-        )
-        loaders = sum(not row.is_gateway for row in rows)
-        count = math.ceil(loaders / LOADERS_PER_RELAY)
+    def _choose_relays(self, data_centre, count):
+        gateways = self._gateways_by_data_centre[data_centre]
         if gateways and count:
             self.relays_by_data_centre[data_centre] = gateways[:count]
 
@@ -113,12 +128,17 @@
         return self._root_data_centre if first == data_centre else first
 
     def _link_loaders(self, data_centre, rows):
-        relays = self.relays_by_data_centre.get(data_centre)
-        if relays is None and self._root_data_centre:
+        loaders = sorted(row.instance for row in rows if not row.is_gateway)
+        relays = self.relays_by_data_centre.get(data_centre, ())
+        self._origin_rank_by_instance.update(
+            (name, rank) for rank, name in enumerate((*relays, *loaders))
+        )
+        if not relays and self._root_data_centre:
             relays = self.relays_by_data_centre[self._root_data_centre]
         if not relays:
             return
-        loaders = sorted(row.instance for row in rows if not row.is_gateway)
+        if relays[0] == self.root and len(relays) > 1:
+            relays = relays[1:]
         for position, name in enumerate(loaders):
             self._link(relays[position % len(relays)], name)
 
@@ -126,3 +146,11 @@
         self._parent_by_instance[child] = parent
         siblings = self._children_by_instance.get(parent, ())
         self._children_by_instance[parent] = (*siblings, child)
+
+
+def _rank_gateways(rows):
+    """Return the names of the gateways among members, in the order of preference."""
+    return sorted(
+        (row.instance for row in rows if row.is_gateway),
+        key=lambda name: hashlib.blake2b(name.encode(), digest_size=8).digest(),
+    )
--- a/tests/weights/test_relay_fetches.py
+++ b/tests/weights/test_relay_fetches.py
@@ -8,13 +8,16 @@
 from banyanshore.weights.planner import TransferPlanner
 from banyanshore.weights.planner_rows import ORIGIN, PlannerOptions
 from banyanshore.weights.relay_fetches import (
+    HANDOVER_SECONDS,
     MAX_BACKOFF,
+    ORIGIN_TURN_SECONDS,
     SLOW_STALL_SECONDS,
     STALL_SECONDS,
     PushTimes,
     is_stalled,
     max_concurrent_pushes,
     next_fetches,
+    origin_fetch_limit,
 )
 
 CHUNKS = 96
@@ -154,3 +157,43 @@
     assert is_stalled(STALL_SECONDS + 0.1, is_receiving=False)
     assert not is_stalled(SLOW_STALL_SECONDS, is_receiving=True)
     assert is_stalled(SLOW_STALL_SECONDS + 0.1, is_receiving=True)
+
+
+def fetches_at_return(away_seconds, members):
+    """Return the fetches that members other than the root have at a returning origin.
+
+    All of them have waited for the same chunks since the origin went away.
+    """
+    names = [f"member-{rank}" for rank in range(members)]
+    placement = Placement([Member(name, "a", "a") for name in names])
+    digests = [f"chunk-{index}" for index in range(CHUNKS)]
+    options = PlannerOptions(max_origin_fetches=3, takeover_timeout=1.0)
+    total = 0
+    for rank, name in enumerate(names):
+        planner = TransferPlanner(
+            name, "a", digests, placement, options, random.Random(rank), 0.0
+        )
+        limit = origin_fetch_limit(away_seconds, rank, None)
+        fetches = next_fetches(planner, away_seconds, False, True, limit)
+        total += sum(fetch.from_origin for fetch in fetches)
+    return total
+
+
+@pytest.mark.parametrize("away_seconds", [2.0, 6.0, 8.0])
+def test_few_members_beside_the_root_take_chunks_of_an_origin_that_returns(
+    away_seconds,
+):
+    """Each of 20 members took three, 2.6 s of the origin's link for all."""
+    expected = 1 + (away_seconds - STALL_SECONDS) // ORIGIN_TURN_SECONDS
+    assert fetches_at_return(away_seconds, 20) == expected
+
+
+def test_members_fetch_from_the_origin_in_the_end():
+    assert origin_fetch_limit(99.0, 12, None) == 1
+
+
+def test_member_whose_parent_stays_silent_fetches_as_the_root_does():
+    """One that fetched a chunk each 1.5 s would need minutes for a version."""
+    waited = STALL_SECONDS + 1.0
+    assert origin_fetch_limit(waited, 0, HANDOVER_SECONDS / 2) == 0
+    assert origin_fetch_limit(waited, 0, HANDOVER_SECONDS) > 3
--- a/tests/weights/test_tree.py
+++ b/tests/weights/test_tree.py
@@ -83,3 +83,40 @@
 def test_tree_without_gateways_has_no_root():
     tree = RelayTree(deployment((2, 2), (0, 0)), "dc-0")
     assert tree.root == tree.parent("l0-0") == ""
+
+
+@pytest.mark.parametrize("home", ["dc-0", "dc-1"])
+def test_root_pushes_one_copy_to_each_other_place_and_none_to_loaders(home):
+    """The root's link carried seven copies, and held up the version for all."""
+    rows = deployment((6, 6, 5), (15, 15, 15))
+    tree = RelayTree(rows, home)
+    loaders = {row.instance for row in rows if not row.is_gateway}
+    assert not loaders & set(tree.children(tree.root))
+    assert len(tree.children(tree.root)) == 3
+
+
+def test_root_pushes_to_loaders_if_there_is_no_other_gateway():
+    rows = deployment((2,), (1,))
+    tree = RelayTree(rows, "dc-0")
+    assert set(tree.children(tree.root)) == {"l0-0", "l0-1"}
+
+
+def test_link_of_a_relay_carries_its_copies_before_that_of_a_loader_does():
+    """Links of 20 Mbit/s, loaders of 3.8 Mbit/s: one copy in, and one to each child."""
+    rows = deployment((6, 6, 5), (15, 15, 15))
+    tree = RelayTree(rows, "dc-0")
+    for names in tree.relays_by_data_centre.values():
+        for name in names:
+            copies = 1 + len(tree.children(name))
+            assert copies / 20 < 1 / 3.8
+
+
+def test_members_of_a_data_centre_ask_the_origin_in_an_order_of_their_own():
+    rows = deployment((4, 2), (3, 3))
+    tree = RelayTree(rows, "dc-0")
+    for number in (0, 1):
+        place = [row.instance for row in rows if row.data_centre == f"dc-{number}"]
+        relays = tree.relays_by_data_centre[f"dc-{number}"]
+        loaders = sorted(name for name in place if name.startswith("l"))
+        ranked = [*relays, *loaders]
+        assert [tree.origin_rank(name) for name in ranked] == list(range(len(ranked)))
