Define data classes without compiling their methods at the start of a process

Cause: a process defines 129 to 156 data classes while it starts, and the standard library compiles up to seven functions for each: 3.7 million of instructions for a frozen class of five fields, about half of the start.

Change: banyanshore.core.values.dataclass makes the same data classes from shared methods; the constructor is compiled for the first instance.

--- a/banyanshore/agent/requests.py
+++ b/banyanshore/agent/requests.py
@@ -3,12 +3,12 @@
 import logging
 import time
 import uuid
-from dataclasses import dataclass
 
 import anyio
 
 from banyanshore.agent.running import RunningRequest
 from banyanshore.core.logs import request_id_var
+from banyanshore.core.values import dataclass
 from banyanshore.engines import (
     EngineError,
     EngineInvalidAnswerError,
--- a/banyanshore/agent/running.py
+++ b/banyanshore/agent/running.py
@@ -1,9 +1,10 @@
 """Track one request that runs on the target, and keep the replies to it."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
 import anyio
 
+from banyanshore.core.values import dataclass
 from banyanshore.routing.messages import Data
 
 # Bytes of unsent replies above which reading from the target pauses, and bytes of
--- a/banyanshore/conf/checks.py
+++ b/banyanshore/conf/checks.py
@@ -1,10 +1,10 @@
 """Check settings and report all problems at once, each with an id."""
 
 import ipaddress
-from dataclasses import dataclass
 from urllib.parse import urlsplit
 
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.values import dataclass
 
 # Largest supported number of voters of the replicated log.
 MAX_VOTERS = 7
--- a/banyanshore/conf/registered.py
+++ b/banyanshore/conf/registered.py
@@ -1,13 +1,12 @@
 """Settings of the roles that serve registered targets: control, gateway, loader."""
 
-from dataclasses import dataclass
-
 from banyanshore.conf.fields import setting
 from banyanshore.conf.sections import (
     ConsensusSettings,
     TransportSettings,
     WeightsSettings,
 )
+from banyanshore.core.values import dataclass
 
 # Fraction of a deployment's time bound after which a process acts, so that work in
 # progress at that time still completes within the bound.
--- a/banyanshore/conf/sections.py
+++ b/banyanshore/conf/sections.py
@@ -3,9 +3,8 @@
 Times are in seconds and sizes in bytes unless a name says otherwise.
 """
 
-from dataclasses import dataclass
-
 from banyanshore.conf.fields import setting
+from banyanshore.core.values import dataclass
 
 
 @dataclass(frozen=True)
--- a/banyanshore/conf/settings.py
+++ b/banyanshore/conf/settings.py
@@ -5,8 +5,6 @@
 The ``help`` of each field is printed in ``docs/reference/settings.md``.
 """
 
-from dataclasses import dataclass
-
 from banyanshore.conf.fields import setting
 from banyanshore.conf.registered import ControlSettings, GatewaySettings, LoaderSettings
 from banyanshore.conf.sections import (
@@ -18,6 +16,7 @@
     TransportSettings,
     WeightsSettings,
 )
+from banyanshore.core.values import dataclass
 
 
 @dataclass(frozen=True)
--- a/banyanshore/consensus/log.py
+++ b/banyanshore/consensus/log.py
@@ -1,8 +1,7 @@
 """The in-memory log: the last snapshot and the entries after it."""
 
-from dataclasses import dataclass
-
 from banyanshore.consensus.messages import EntryKind, Members
+from banyanshore.core.values import dataclass
 from banyanshore.transport.codec import decode
 
 
--- a/banyanshore/consensus/log_clock.py
+++ b/banyanshore/consensus/log_clock.py
@@ -6,7 +6,7 @@
 time, and it stops while there is no leader.
 """
 
-from dataclasses import dataclass
+from banyanshore.core.values import dataclass
 
 
 @dataclass(frozen=True)
--- a/banyanshore/consensus/node.py
+++ b/banyanshore/consensus/node.py
@@ -9,7 +9,6 @@
 import logging
 import random
 import time
-from dataclasses import dataclass
 
 import anyio
 
@@ -42,6 +41,7 @@
 from banyanshore.consensus.storage import StorageError
 from banyanshore.consensus.waiters import Waiters
 from banyanshore.core.exceptions import NotAcceptedError, OutcomeUnknownError
+from banyanshore.core.values import dataclass
 from banyanshore.state.commands import TimedCommand
 from banyanshore.transport.codec import decode, encode
 
--- a/banyanshore/consensus/proposals.py
+++ b/banyanshore/consensus/proposals.py
@@ -1,10 +1,11 @@
 """Requests that are queued for the consensus core, and their waiting callers."""
 
 import abc
-from dataclasses import dataclass
 
 import anyio
 
+from banyanshore.core.values import dataclass
+
 
 @dataclass
 class Waiter:
--- a/banyanshore/consensus/repair.py
+++ b/banyanshore/consensus/repair.py
@@ -3,9 +3,8 @@
 A voter is replaced by the same instance with a new disk, or by another instance.
 """
 
-from dataclasses import dataclass
-
 from banyanshore.consensus.messages import Members, instance_of
+from banyanshore.core.values import dataclass
 
 # Seconds without contact after which another instance may replace a voter.
 REPLACE_AFTER = 2.0
--- a/banyanshore/consensus/replication.py
+++ b/banyanshore/consensus/replication.py
@@ -1,8 +1,9 @@
 """Replication state of a leader: progress of followers, rounds and pending reads."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from banyanshore.consensus.messages import AppendRequest, SnapshotRequest
+from banyanshore.core.values import dataclass
 
 # Largest size in bytes of the entries in one message.
 MAX_APPEND_BYTES = 256 * 1024
--- a/banyanshore/consensus/storage.py
+++ b/banyanshore/consensus/storage.py
@@ -12,13 +12,13 @@
 import struct
 import uuid
 import zlib
-from dataclasses import dataclass
 from pathlib import Path
 
 from banyanshore.consensus.log import EMPTY_SNAPSHOT, Log, Snapshot
 from banyanshore.consensus.types import HardState
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.core.files import replace_file, sync_folder
+from banyanshore.core.values import dataclass
 from banyanshore.transport.codec import CodecError, decode, encode
 
 # Length of the payload, CRC-32 of all that follows, number of bytes synced before.
--- a/banyanshore/consensus/types.py
+++ b/banyanshore/consensus/types.py
@@ -1,9 +1,9 @@
 """Options, durable state and outputs of the consensus core."""
 
 import enum
-from dataclasses import dataclass
 
 from banyanshore.consensus.log import Snapshot
+from banyanshore.core.values import dataclass
 
 
 class Role(enum.Enum):
--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -3,7 +3,6 @@
 import logging
 import math
 import time
-from dataclasses import dataclass
 
 import anyio
 
@@ -11,6 +10,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.core.groups import open_task_group
+from banyanshore.core.values import dataclass
 from banyanshore.membership.feed import (
     CONTROL_ROLE,
     GATEWAY_ROLE,
--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -2,7 +2,7 @@
 
 import logging
 import time
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from types import MappingProxyType
 
 import anyio
@@ -24,6 +24,7 @@
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.core.standstill import TICK_INTERVAL, StandstillMonitor
 from banyanshore.core.stopping import NOT_STOPPING, StopPlan
+from banyanshore.core.values import dataclass
 from banyanshore.entry.state_client import StateClient
 from banyanshore.http.listener import Listener
 from banyanshore.membership.feed import (
--- a/banyanshore/control/version_history.py
+++ b/banyanshore/control/version_history.py
@@ -1,9 +1,10 @@
 """The latest version and the changes that lead to it, encoded for all followers."""
 
 from collections import deque
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import cached_property
 
+from banyanshore.core.values import dataclass
 from banyanshore.membership.compression import compress_notice
 from banyanshore.membership.messages import StateChange, StateUpdate
 from banyanshore.transport import encode_notice
--- a/banyanshore/core/stopping.py
+++ b/banyanshore/core/stopping.py
@@ -5,7 +5,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 
 @dataclass(frozen=True)
--- a/banyanshore/engines/base.py
+++ b/banyanshore/engines/base.py
@@ -1,9 +1,9 @@
 """Define the interface through which an agent uses its target."""
 
 import abc
-from dataclasses import dataclass
 
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.values import dataclass
 
 
 class EngineError(BanyanshoreError):
--- a/banyanshore/entry/claimed.py
+++ b/banyanshore/entry/claimed.py
@@ -9,7 +9,7 @@
 import math
 import time
 import uuid
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import anyio
 
@@ -18,6 +18,7 @@
     NotAcceptedError,
     OutcomeUnknownError,
 )
+from banyanshore.core.values import dataclass
 from banyanshore.entry.answers import CollectingSink
 from banyanshore.entry.exchange import call_or_none
 from banyanshore.routing.calls import ANSWERED, CallResult, ResultKind
--- a/banyanshore/entry/destinations.py
+++ b/banyanshore/entry/destinations.py
@@ -1,7 +1,6 @@
 """Choose the target or the other data centre that a call is offered to."""
 
-from dataclasses import dataclass
-
+from banyanshore.core.values import dataclass
 from banyanshore.entry.neighbours import find_contact
 from banyanshore.routing.budgets import ByteBudget
 from banyanshore.routing.selection import SelectionCriteria
--- a/banyanshore/entry/progress.py
+++ b/banyanshore/entry/progress.py
@@ -1,10 +1,11 @@
 """Routing state of a call, and of concurrent copies of one request."""
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import field
 
 import anyio
 
+from banyanshore.core.values import dataclass
 from banyanshore.routing.messages import Refused
 
 
--- a/banyanshore/gateway/suspects.py
+++ b/banyanshore/gateway/suspects.py
@@ -3,11 +3,12 @@
 import logging
 import math
 import time
-from dataclasses import dataclass, field
+from dataclasses import field
 from functools import partial
 
 import anyio
 
+from banyanshore.core.values import dataclass
 from banyanshore.gateway.findings import Findings
 from banyanshore.gateway.target_probes import TargetProbes
 from banyanshore.membership.load_reports import CrashNotice, TargetAnswered
--- a/banyanshore/http/asgi.py
+++ b/banyanshore/http/asgi.py
@@ -1,11 +1,11 @@
 """Provide helpers for ASGI: requests, responses and problem details."""
 
 import json
-from dataclasses import dataclass
 
 import anyio
 
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.values import dataclass
 
 # Seconds and bytes for which the rest of a body is read and discarded after its answer:
 # closing a connection with unread bytes resets it, and the caller loses the answer.
--- a/banyanshore/http/operators.py
+++ b/banyanshore/http/operators.py
@@ -5,13 +5,13 @@
 import re
 import time
 import uuid
-from dataclasses import dataclass
 
 from banyanshore.core.exceptions import (
     BanyanshoreError,
     NotAcceptedError,
     OutcomeUnknownError,
 )
+from banyanshore.core.values import dataclass
 from banyanshore.http.asgi import BodyTooLargeError, CallerDisconnectedError, Problem
 from banyanshore.http.metrics import METRICS_CONTENT_TYPE
 from banyanshore.state import DocumentError, PatchCommand, PatchStatus
--- a/banyanshore/http/unfinished.py
+++ b/banyanshore/http/unfinished.py
@@ -6,9 +6,10 @@
 """
 
 import logging
-from dataclasses import dataclass
 from enum import Enum
 
+from banyanshore.core.values import dataclass
+
 logger = logging.getLogger(__name__)
 
 # Requests that are logged one by one; the summary counts all.
--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -8,7 +8,6 @@
 import math
 import time
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from enum import Enum
 
 import anyio
@@ -18,6 +17,7 @@
 from banyanshore.core.framing import Framing, find_framing
 from banyanshore.core.groups import open_task_group
 from banyanshore.core.status_lines import find_status_line_fault
+from banyanshore.core.values import dataclass
 from banyanshore.http.wire import (
     PeerClosedError,
     get_header,
--- a/banyanshore/loader/decisions.py
+++ b/banyanshore/loader/decisions.py
@@ -1,9 +1,10 @@
 """Decide when a target drains and loads a version, without I/O."""
 
 import hashlib
-from dataclasses import dataclass
 from enum import Enum
 
+from banyanshore.core.values import dataclass
+
 # Cumulative shares of a service's targets that load in the first and in the second
 # wave; all others load in the last one. With three tenths of the targets out at a time,
 # the others have the capacity for their requests.
--- a/banyanshore/membership/control_choice.py
+++ b/banyanshore/membership/control_choice.py
@@ -1,7 +1,8 @@
 """Choose the control instance that a follower follows."""
 
 import hashlib
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 # Seconds for which an instance is avoided after it failed, doubled with each further
 # failure, and their limit.
--- a/banyanshore/membership/entries.py
+++ b/banyanshore/membership/entries.py
@@ -1,8 +1,9 @@
 """One entry's view of the entries and data centres of the deployment."""
 
 import zlib
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from banyanshore.core.values import dataclass
 from banyanshore.membership.messages import DataCentreDigest, EntryDigest
 from banyanshore.membership.rendezvous import rank
 from banyanshore.transport.codec import encode
--- a/banyanshore/membership/lease.py
+++ b/banyanshore/membership/lease.py
@@ -6,9 +6,10 @@
 lease is counted from the sending of the request.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 
+from banyanshore.core.values import dataclass
+
 
 class ConfirmationStatus(Enum):
     """The outcome of a request to confirm the desired state."""
--- a/banyanshore/membership/registry.py
+++ b/banyanshore/membership/registry.py
@@ -5,9 +5,10 @@
 are monotonic seconds passed in by the caller.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from enum import StrEnum
 
+from banyanshore.core.values import dataclass
 from banyanshore.transport.codec import message
 
 # Seconds for which a departure is remembered: longer than any update is delayed.
--- a/banyanshore/membership/report_forwarding.py
+++ b/banyanshore/membership/report_forwarding.py
@@ -9,8 +9,9 @@
 """
 
 import zlib
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from banyanshore.core.values import dataclass
 from banyanshore.membership.messages import (
     AgentReport,
     ForwardedReports,
--- a/banyanshore/membership/targets.py
+++ b/banyanshore/membership/targets.py
@@ -2,8 +2,9 @@
 
 import zlib
 from collections import Counter
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from banyanshore.core.values import dataclass
 from banyanshore.membership.messages import (
     AgentReport,
     CapacityRow,
--- a/banyanshore/platform/control_api.py
+++ b/banyanshore/platform/control_api.py
@@ -2,10 +2,10 @@
 
 import json
 import logging
-from dataclasses import dataclass
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.values import dataclass
 from banyanshore.http.wire import PeerClosedError
 from banyanshore.membership.registry import Departure, TargetState
 from banyanshore.platform.declaration import DeclarationDecoder, encode_declaration
--- a/banyanshore/routing/admission.py
+++ b/banyanshore/routing/admission.py
@@ -6,7 +6,9 @@
 overdue lowers the limit before it arrives.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import field
+
+from banyanshore.core.values import dataclass
 
 # Weight of a new sample in the exponential moving averages.
 _SMOOTHING = 0.1
--- a/banyanshore/routing/attempts.py
+++ b/banyanshore/routing/attempts.py
@@ -5,9 +5,11 @@
 middle of a burst, when each unnecessary offer adds to the overload.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 
+from banyanshore.core.values import dataclass
+
 # Unreachable targets that one request may skip without using up an offer.
 MAX_UNREACHABLE = 3
 
--- a/banyanshore/routing/budgets.py
+++ b/banyanshore/routing/budgets.py
@@ -1,6 +1,6 @@
 """Token buckets for retries and for the bandwidth of a link."""
 
-from dataclasses import dataclass
+from banyanshore.core.values import dataclass
 
 
 @dataclass
--- a/banyanshore/routing/calls.py
+++ b/banyanshore/routing/calls.py
@@ -1,8 +1,8 @@
 """A caller's request inside an entry, and its result."""
 
 import enum
-from dataclasses import dataclass
 
+from banyanshore.core.values import dataclass
 from banyanshore.routing.messages import Dispatch
 
 
--- a/banyanshore/routing/crashes.py
+++ b/banyanshore/routing/crashes.py
@@ -19,7 +19,7 @@
 for nothing. Answers are reported to all gateways; each weighs them itself.
 """
 
-from dataclasses import dataclass
+from banyanshore.core.values import dataclass
 
 # Seconds between a lost answer and the restart of its target within which the answer
 # counts as lost by a crash: a restart and the heartbeat that reports it.
--- a/banyanshore/routing/engine_model.py
+++ b/banyanshore/routing/engine_model.py
@@ -1,6 +1,6 @@
 """Time estimates for a model engine, from the cost model that its service publishes."""
 
-from dataclasses import dataclass
+from banyanshore.core.values import dataclass
 
 
 @dataclass(frozen=True)
--- a/banyanshore/routing/notices.py
+++ b/banyanshore/routing/notices.py
@@ -9,9 +9,10 @@
 """
 
 import math
-from dataclasses import dataclass
 from enum import StrEnum
 
+from banyanshore.core.values import dataclass
+
 # Seconds for which a pause is kept after the target's row is gone, since a delayed
 # heartbeat may bring the row back for as long.
 RETENTION_SECONDS = 120.0
--- a/banyanshore/routing/part_evidence.py
+++ b/banyanshore/routing/part_evidence.py
@@ -3,8 +3,8 @@
 import hashlib
 import math
 from collections import Counter
-from dataclasses import dataclass
 
+from banyanshore.core.values import dataclass
 from banyanshore.routing.crashes import CRASHES_TO_REFUSE, refusal_seconds
 
 # Bounds of the estimated share of a part's requests that crash their targets. A part
--- a/banyanshore/routing/permits.py
+++ b/banyanshore/routing/permits.py
@@ -11,7 +11,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 # Lowest rate of permits per second: the end of a limit shows only in an answer.
 MIN_PER_SECOND = 0.1
--- a/banyanshore/routing/quarantine.py
+++ b/banyanshore/routing/quarantine.py
@@ -16,8 +16,8 @@
 import hashlib
 import itertools
 from collections import OrderedDict
-from dataclasses import dataclass
 
+from banyanshore.core.values import dataclass
 from banyanshore.membership.messages import SuspectUpdate
 
 # Seconds that a suspect waits after the update on a crash before it runs again, so that
--- a/banyanshore/routing/request_limits.py
+++ b/banyanshore/routing/request_limits.py
@@ -8,8 +8,8 @@
 """
 
 import math
-from dataclasses import dataclass
 
+from banyanshore.core.values import dataclass
 from banyanshore.routing.permits import PermitHolder
 
 # Limit of a target that names none.
--- a/banyanshore/routing/retry_after.py
+++ b/banyanshore/routing/retry_after.py
@@ -8,10 +8,11 @@
 """
 
 import math
-from dataclasses import dataclass
 from enum import StrEnum
 from types import MappingProxyType
 
+from banyanshore.core.values import dataclass
+
 # Maximum delay of a retry as a fraction of the caller's remaining time; the rest is for
 # the answer.
 MAX_DELAY_PART = 0.33
--- a/banyanshore/routing/selection.py
+++ b/banyanshore/routing/selection.py
@@ -6,8 +6,8 @@
 
 import math
 from collections import Counter
-from dataclasses import dataclass
 
+from banyanshore.core.values import dataclass
 from banyanshore.membership.rendezvous import rank_score
 
 # Maximum load of a prefix's home target, as a multiple of the mean load, up to which
--- a/banyanshore/routing/spill.py
+++ b/banyanshore/routing/spill.py
@@ -6,7 +6,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 # Seconds between probes, initially and at most; doubled with each refusal.
 FIRST_PROBE_SECONDS = 0.25
--- a/banyanshore/routing/version_switch.py
+++ b/banyanshore/routing/version_switch.py
@@ -1,7 +1,8 @@
 """Grace period in which targets with older weights are still used."""
 
 import math
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 # Seconds for which a process that has just started uses versions older than those in
 # its first state. Other instances don't depend on it for as long after its start.
--- a/banyanshore/routing/waiting.py
+++ b/banyanshore/routing/waiting.py
@@ -2,8 +2,8 @@
 
 import itertools
 from collections import Counter, deque
-from dataclasses import dataclass
 
+from banyanshore.core.values import dataclass
 from banyanshore.routing.messages import RefusalReason
 
 
--- a/banyanshore/routing/withdrawal.py
+++ b/banyanshore/routing/withdrawal.py
@@ -6,7 +6,7 @@
 link, and must arrive within the bound too.
 """
 
-from dataclasses import dataclass
+from banyanshore.core.values import dataclass
 
 # Position of the last withdrawals between the end of the grace period, when requests
 # are no longer sent to older weights, and the bound. The rest is for the close.
--- a/banyanshore/state/claims.py
+++ b/banyanshore/state/claims.py
@@ -1,8 +1,9 @@
 """Claims, which let each call that may not be repeated run at most once."""
 
 from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from banyanshore.core.values import dataclass
 from banyanshore.state.commands import Answer, ClaimOutcome, ClaimStatus
 from banyanshore.transport.codec import message
 
--- a/banyanshore/state/routes.py
+++ b/banyanshore/state/routes.py
@@ -1,9 +1,9 @@
 """The routes of the desired state, indexed for request lookup."""
 
 import math
-from dataclasses import dataclass
 from enum import StrEnum
 
+from banyanshore.core.values import dataclass
 from banyanshore.state.document import changed_rows
 
 
--- a/banyanshore/state/schema.py
+++ b/banyanshore/state/schema.py
@@ -1,7 +1,8 @@
 """Schema of the desired state: its tables and the fields of their rows."""
 
 import math
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 MAX_PRIORITY = 1000
 
--- a/banyanshore/state/summary.py
+++ b/banyanshore/state/summary.py
@@ -2,7 +2,8 @@
 
 import json
 import zlib
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 _DIGEST_MODULUS = 2**32
 
--- a/banyanshore/state/views.py
+++ b/banyanshore/state/views.py
@@ -2,9 +2,9 @@
 
 import json
 import zlib
-from dataclasses import dataclass
 from functools import cached_property
 
+from banyanshore.core.values import dataclass
 from banyanshore.state.document import (
     diff_documents,
     is_non_repeatable,
--- a/banyanshore/telemetry/tracing.py
+++ b/banyanshore/telemetry/tracing.py
@@ -8,9 +8,9 @@
 import os
 import secrets
 from contextlib import contextmanager
-from dataclasses import dataclass
 
 from banyanshore.core.logs import trace_id_var
+from banyanshore.core.values import dataclass
 
 _HEX_DIGITS = frozenset("0123456789abcdef")
 _FLAGS = "01"
--- a/banyanshore/transport/codec.py
+++ b/banyanshore/transport/codec.py
@@ -5,12 +5,13 @@
 array is accepted, and a longer one from a newer peer is truncated to the known fields.
 """
 
-import dataclasses
 import operator
+from dataclasses import fields
 
 import msgpack
 
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.values import dataclass
 
 # Largest frame accepted from a peer, in bytes.
 MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -40,8 +41,8 @@
     def register(cls):
         if code in _class_by_code:
             raise ValueError(f"message code {code} is already in use: {cls.__name__}")
-        cls = dataclasses.dataclass(frozen=True, slots=True)(cls)
-        names = [field.name for field in dataclasses.fields(cls)]
+        cls = dataclass(cls, frozen=True, slots=True)
+        names = [field.name for field in fields(cls)]
         _class_by_code[code] = cls
         _code_by_class[cls] = code
         _getter_by_class[cls] = _make_getter(names)
--- a/banyanshore/transport/connection.py
+++ b/banyanshore/transport/connection.py
@@ -7,13 +7,13 @@
 """
 
 import logging
-from dataclasses import dataclass
 
 import anyio
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.core.sockets import count_unacknowledged_bytes
+from banyanshore.core.values import dataclass
 from banyanshore.transport.codec import CodecError, Decoder, encode
 from banyanshore.transport.frames import (
     Ack,
--- a/banyanshore/transport/links.py
+++ b/banyanshore/transport/links.py
@@ -1,11 +1,11 @@
 """Accept connections from peers and keep connections to them open."""
 
 import logging
-from dataclasses import dataclass
 
 import anyio
 
 from banyanshore.core.exceptions import BindError, UnavailableError
+from banyanshore.core.values import dataclass
 from banyanshore.transport.connection import (
     Connection,
     HeartbeatTicker,
--- a/banyanshore/weights/desired_versions.py
+++ b/banyanshore/weights/desired_versions.py
@@ -1,6 +1,6 @@
 """Find the weights that the desired state asks for, and their origin."""
 
-from dataclasses import dataclass
+from banyanshore.core.values import dataclass
 
 # Version of the weights that is served before a rollout names another one.
 FIRST_VERSION = 1
--- a/banyanshore/weights/manifest.py
+++ b/banyanshore/weights/manifest.py
@@ -3,10 +3,10 @@
 import hashlib
 import json
 import math
-from dataclasses import dataclass
 from functools import cached_property
 
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.values import dataclass
 
 # Desired number of chunks per manifest; more chunks shorten the tail of a rollout.
 DESIRED_CHUNKS = 256
--- a/banyanshore/weights/pacing.py
+++ b/banyanshore/weights/pacing.py
@@ -12,7 +12,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 # Smallest and largest piece in bytes, and the time to send one at the current rate.
 MIN_PIECE_BYTES = 2 * 1024
--- a/banyanshore/weights/placement.py
+++ b/banyanshore/weights/placement.py
@@ -7,10 +7,11 @@
 """
 
 import hashlib
-from dataclasses import dataclass
 from functools import lru_cache
 from heapq import nlargest
 
+from banyanshore.core.values import dataclass
+
 # Number of agents in one data centre that are asked for a chunk.
 MAX_HOLDERS = 3
 _MASK = (1 << 64) - 1
--- a/banyanshore/weights/planner_rows.py
+++ b/banyanshore/weights/planner_rows.py
@@ -1,7 +1,9 @@
 """Options and state of the transfer planner."""
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import field
+
+from banyanshore.core.values import dataclass
 
 ORIGIN = ""
 
--- a/banyanshore/weights/staged.py
+++ b/banyanshore/weights/staged.py
@@ -1,10 +1,10 @@
 """Interfaces of engines that load staged chunks, and of the origin of the chunks."""
 
 import abc
-from dataclasses import dataclass
 from enum import StrEnum
 
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.values import dataclass
 
 
 class StagedEngineError(BanyanshoreError):
