Bound what callers take of a process with one account

Cause: each request had a bound, and their sum had none. Callers that stop short of the end of their bodies, send requests ahead without reading the answers, or connect and stay silent took all memory or all descriptors.

Change: core/byte_account.py decides who is asked to stop, from the memory and descriptor settings of the process: the largest share that makes no progress first. http/caller_account.py applies it to all listeners of gateways, control, entries and agents. Refused with 503 while a request is read, reset while an answer waits, closed while idle. A stream takes at most 64 KiB at a time from the system, whose receive buffers have a set size.

--- a/banyanshore/agent/process.py
+++ b/banyanshore/agent/process.py
@@ -144,10 +144,14 @@
         self.requests.get_loaded_version = lambda: self.rollout.loaded
 
     async def _serve_metrics(self):
+        from banyanshore.http.caller_account import CallerAccount
         from banyanshore.http.metrics import metrics_application
         from banyanshore.http.server import serve_http
 
-        await serve_http(metrics_application(self.metrics), self.settings.metrics_bind)
+        settings = self.settings
+        callers = CallerAccount(settings.memory_bytes, settings.max_descriptors)
+        application = metrics_application(self.metrics)
+        await serve_http(application, settings.metrics_bind, callers=callers)
 
     def _refusal_reason(self):
         """Return the reason to refuse new requests now, or ``None``."""
--- a/banyanshore/conf/registered.py
+++ b/banyanshore/conf/registered.py
@@ -7,6 +7,9 @@
     ConsensusSettings,
     TransportSettings,
     WeightsSettings,
+    descriptors_setting,
+    memory_bytes,
+    memory_setting,
 )
 
 # Fraction of a deployment's time bound after which a process acts, so that work in
@@ -58,9 +61,13 @@
     stop_timeout: float = setting(
         "Longest time that a planned stop waits for requests.", 4.0, minimum=0.0
     )
+    memory_mb: float = memory_setting()
+    max_descriptors: int = descriptors_setting()
     consensus: ConsensusSettings = setting("Replicated log.", ConsensusSettings)
     transport: TransportSettings = setting("Peer connections.", TransportSettings)
 
+    memory_bytes = property(memory_bytes)
+
     @property
     def target_expiry_seconds(self):
         """Return the seconds without a heartbeat after which a target is dropped."""
@@ -147,12 +154,8 @@
         minimum=1.0,
     )
     version_bound_ms: float = _version_bound_ms()
-    memory_mb: float = setting(
-        "Memory that the process may use, in MB; what it holds of answers is a part of "
-        "it.",
-        256.0,
-        minimum=1.0,
-    )
+    memory_mb: float = memory_setting()
+    max_descriptors: int = descriptors_setting()
     retries: RetrySettings = setting("Retries.", RetrySettings)
     cold_start: ColdStartSettings = setting("Cold targets.", ColdStartSettings)
     max_target_pause_seconds: float = setting(
@@ -166,10 +169,7 @@
 
     version_switch_seconds = property(_version_switch_seconds)
 
-    @property
-    def memory_bytes(self):
-        """Return the bytes of memory that the process may use."""
-        return int(self.memory_mb * 1_000_000)
+    memory_bytes = property(memory_bytes)
 
     @property
     def version_bound_seconds(self):
--- a/banyanshore/conf/sections.py
+++ b/banyanshore/conf/sections.py
@@ -8,6 +8,32 @@
 from banyanshore.conf.fields import setting
 
 
+def memory_setting():
+    """Return the setting of the memory of a process."""
+    return setting(
+        "Memory that the process may use, in MB. Callers' requests and answers may "
+        "take a quarter of it; whoever takes most without making progress is asked to "
+        "stop first.",
+        256.0,
+        minimum=32.0,
+    )
+
+
+def memory_bytes(settings):
+    """Return the bytes of memory that a process with some settings may use."""
+    return int(settings.memory_mb * 1_000_000)
+
+
+def descriptors_setting():
+    """Return the setting of the descriptors of a process."""
+    return setting(
+        "Descriptors that the process may have, the system's own limit if that is "
+        "lower. Callers' connections may take half of them.",
+        4096,
+        minimum=64,
+    )
+
+
 @dataclass(frozen=True)
 class EntryPeer:
     """Settings of one entry, as listed in the settings of every instance."""
--- a/banyanshore/conf/settings.py
+++ b/banyanshore/conf/settings.py
@@ -17,6 +17,9 @@
     RoutingSettings,
     TransportSettings,
     WeightsSettings,
+    descriptors_setting,
+    memory_bytes,
+    memory_setting,
 )
 
 
@@ -67,10 +70,14 @@
     digest_interval: float = setting(
         "Time between digests to other entries.", 1.0, minimum=0.02
     )
+    memory_mb: float = memory_setting()
+    max_descriptors: int = descriptors_setting()
     consensus: ConsensusSettings = setting("Replicated log.", ConsensusSettings)
     transport: TransportSettings = setting("Peer connections.", TransportSettings)
     routing: RoutingSettings = setting("Requests.", RoutingSettings)
 
+    memory_bytes = property(memory_bytes)
+
 
 @dataclass(frozen=True)
 class AgentSettings:
@@ -114,6 +121,8 @@
     )
     log_file: str = setting("File for the log; empty: standard error.", "")
     trace_file: str = setting("File for spans as JSON lines; empty: none.", "")
+    memory_mb: float = memory_setting()
+    max_descriptors: int = descriptors_setting()
     metrics_bind: str = setting(
         "Address for /metrics; empty: not served.", "", kind="address"
     )
@@ -124,6 +133,8 @@
     weights: WeightsSettings = setting("Transfer of weights.", WeightsSettings)
     transport: TransportSettings = setting("Peer connections.", TransportSettings)
 
+    memory_bytes = property(memory_bytes)
+
 
 SETTINGS_BY_ROLE = {
     "entry": EntrySettings,
--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -25,6 +25,7 @@
 from banyanshore.core.standstill import TICK_INTERVAL, StandstillMonitor
 from banyanshore.core.stopping import NOT_STOPPING, StopPlan
 from banyanshore.entry.state_client import StateClient
+from banyanshore.http.caller_account import CallerAccount
 from banyanshore.http.listener import Listener
 from banyanshore.membership.feed import (
     CONTROL_ROLE,
@@ -107,6 +108,11 @@
             0,
         )
         self.metrics = ControlMetrics()
+        self._callers = CallerAccount(
+            settings.memory_bytes,
+            settings.max_descriptors,
+            self.metrics.stopped_callers,
+        )
         self._make_api = make_api
         self._stop_plan = NOT_STOPPING
         self._log_settings = LogSettings(settings)
@@ -137,7 +143,10 @@
             tasks.start_soon(self._checks.run)
             await tasks.start(self.listener.serve, self.settings.control_bind)
             start_metrics_server(
-                tasks, self.settings.metrics_bind, self.metrics.registry
+                tasks,
+                self.settings.metrics_bind,
+                self.metrics.registry,
+                self._callers,
             )
             logger.info("started", extra={"role": CONTROL_ROLE})
             await stop_requested.wait()
@@ -170,6 +179,7 @@
         self.listener = Listener(
             self._handle,
             earliest_arrival=lambda: self._standstill.earliest_arrival(boottime_now()),
+            callers=self._callers,
         )
 
     def reload(self, settings):
--- a/banyanshore/entry/application.py
+++ b/banyanshore/entry/application.py
@@ -25,10 +25,10 @@
 async def _handle_or_refuse(api, request):
     try:
         await api.handle(request)
-    except BodyRefusedError:
-        logger.info("request refused before its body was complete")
+    except BodyRefusedError as error:
+        logger.info(
+            "request refused before its body was complete", extra={"why": error.title}
+        )
         await request.respond_problem(
-            Problem(
-                503, "Entry is leaving", "the body was not complete", "not-run", 1.0
-            )
+            Problem(503, error.title, "the body was not complete", "not-run", 1.0)
         )
--- a/banyanshore/entry/process.py
+++ b/banyanshore/entry/process.py
@@ -24,6 +24,7 @@
 from banyanshore.entry.stopping import CHECK_SECONDS, RequestsStop
 from banyanshore.entry.suspects import SuspectExchange
 from banyanshore.entry.versions import VersionSender
+from banyanshore.http.caller_account import CallerAccount
 from banyanshore.http.callers import CallersApi
 from banyanshore.http.operators import OperatorsApi
 from banyanshore.http.server import WebServer
@@ -51,6 +52,11 @@
     def __init__(self, settings):
         self.settings = settings
         self.metrics = EntryMetrics()
+        self._callers = CallerAccount(
+            settings.memory_bytes,
+            settings.max_descriptors,
+            self.metrics.stopped_callers,
+        )
         self.tracer = Tracer(
             settings.instance, settings.data_centre, settings.trace_file
         )
@@ -259,7 +265,7 @@
         tasks.start_soon(self._serve, callers, settings.callers_bind, shutdown)
 
     async def _serve(self, application, address, shutdown):
-        server = WebServer(application, address)
+        server = WebServer(application, address, self._callers)
         self.servers.append(server)
         self._running_servers += 1
         await server.serve(shutdown, lambda: self.stop.get_close_seconds())
--- a/banyanshore/entry/stopping.py
+++ b/banyanshore/entry/stopping.py
@@ -70,7 +70,7 @@
         active = list(self._iter_active())
         calls = self._proxy.end_all()
         for request in active:
-            request.refuse_body()
+            request.refuse_body("Entry is leaving")
         logger.error(
             "stopped with requests cut off",
             extra={
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import time
+from functools import partial
 from types import MappingProxyType
 
 import anyio
@@ -18,6 +19,8 @@
 from banyanshore.gateway.suspected_parts import SuspectedParts
 from banyanshore.gateway.suspects import Suspects
 from banyanshore.gateway.withdrawals import Withdrawals
+from banyanshore.http.caller_account import CallerAccount
+from banyanshore.http.exchange import NoRoomError
 from banyanshore.http.listener import Listener, ListenerLimits
 from banyanshore.http.unfinished import log_unfinished
 from banyanshore.http.wire import PeerClosedError
@@ -68,6 +71,8 @@
 CUT_SHORT_SECONDS = 1.0
 # Rejection of a request that this gateway can't answer before it stops.
 LEAVING = Rejection(503, "leaving", Reason.LEAVING)
+# Rejection of a request that is not read to its end, as others need the memory.
+NO_ROOM = Rejection(503, "no room for the request", Reason.FULL)
 # Seconds between clean-ups of state that is no longer needed.
 UPKEEP_INTERVAL = 5.0
 
@@ -91,7 +96,14 @@
             settings.version_switch_seconds, settings.version_bound_seconds
         )
         self.withdrawals = Withdrawals(rule, self.newer_known_for)
-        self.answer_memory = AnswerMemory(settings.memory_bytes)
+        self.callers = CallerAccount(
+            settings.memory_bytes,
+            settings.max_descriptors,
+            self.metrics.stopped_callers,
+        )
+        self.answer_memory = AnswerMemory(
+            settings.memory_bytes, partial(self.callers.hold, self.callers.open())
+        )
         self.screening = Screening(settings.key_lease_seconds, settings.change_seconds)
         self.leaving = False
         self.stop_plan = NOT_STOPPING
@@ -154,8 +166,10 @@
 
         :param force_requested: event that cuts a graceful stop short.
         """
-        self.caller_listener = Listener(self._handle, self._limits)
-        self.readiness_listener = Listener(self._handle_ready)
+        self.caller_listener = Listener(
+            self._handle, self._limits, callers=self.callers
+        )
+        self.readiness_listener = Listener(self._handle_ready, callers=self.callers)
         async with anyio.create_task_group() as tasks:
             self._open_links(tasks)
             await self._serve_peers(tasks)
@@ -293,7 +307,11 @@
             await self._reject(exchange, request, screened)
             return
         self.retry_share(screened.service).record_request(arrived_at)
-        body = await exchange.read_body()
+        try:
+            body = await exchange.read_body()
+        except NoRoomError:
+            await self._reject(exchange, request, NO_ROOM)
+            return
         if not self.stop_plan.accepts(arrived_at, answer_seconds(screened)):
             # The stop began while the body arrived.
             await self._reject(exchange, request, LEAVING)
--- a/banyanshore/http/accepting.py
+++ b/banyanshore/http/accepting.py
@@ -19,6 +19,8 @@
 BACKLOG = 1024
 # Seconds until the next attempt after the system had no descriptor or memory left.
 RETRY_SECONDS = 0.1
+# Seconds until the next attempt while connections that were stopped end.
+FULL_SECONDS = 0.005
 
 
 class Acceptor:
@@ -31,10 +33,12 @@
         self._listener = listener
         self._waiting = anyio.CancelScope()
 
-    async def run(self, start):
+    async def run(self, start, may_accept):
         """Accept connections until :meth:`stop`, then those that still wait.
 
         :param start: function that is called with each accepted socket.
+        :param may_accept: function that returns whether there is a descriptor for one
+            more; it is asked again after :data:`FULL_SECONDS`.
         """
         attribute = anyio.abc.SocketAttribute.raw_socket
         sockets = [item.extra(attribute) for item in self._listener.listeners]
@@ -42,7 +46,7 @@
             with self._waiting:
                 async with anyio.create_task_group() as tasks:
                     for item in sockets:
-                        tasks.start_soon(self._accept_forever, item, start)
+                        tasks.start_soon(self._accept_forever, item, start, may_accept)
             for item in sockets:
                 _accept_all(item, start)
 
@@ -50,17 +54,21 @@
         """Accept no connections but those that already wait."""
         self._waiting.cancel()
 
-    async def _accept_forever(self, listening, start):
+    async def _accept_forever(self, listening, start, may_accept):
         while True:
             await anyio.wait_readable(listening)
-            if not _accept_all(listening, start):
+            if not may_accept():
+                await anyio.sleep(FULL_SECONDS)
+            elif not _accept_all(listening, start, may_accept):
                 await anyio.sleep(RETRY_SECONDS)
 
 
-async def open_acceptor(address):
+async def open_acceptor(address, receive_buffer):
     """Listen on an address, and return the :class:`Acceptor`.
 
     :param address: ``HOST:PORT``.
+    :param receive_buffer: bytes that the system keeps for each connection until they
+        are read.
     :raises BindError: the address can't be listened on.
     """
     host, port = split_address(address)
@@ -70,12 +78,16 @@
         )
     except OSError as error:
         raise BindError(address, error) from error
+    for item in listener.listeners:
+        raw = item.extra(anyio.abc.SocketAttribute.raw_socket)
+        # Connections inherit it.
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
     return Acceptor(listener)
 
 
-def _accept_all(listening, start):
+def _accept_all(listening, start, may_accept=lambda: True):
     """Accept the connections that wait; return whether the system allowed it."""
-    while True:
+    while may_accept():
         try:
             raw, _ = listening.accept()
         except BlockingIOError:
@@ -87,3 +99,4 @@
             return False
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         start(raw)
+    return True
--- a/banyanshore/http/asgi.py
+++ b/banyanshore/http/asgi.py
@@ -18,7 +18,14 @@
 
 
 class BodyRefusedError(BanyanshoreError):
-    """Signal a request whose body is not waited for any longer."""
+    """Signal a request whose body is not waited for any longer.
+
+    :ivar title: title of the refusal.
+    """
+
+    def __init__(self, title):
+        super().__init__("the body is not waited for", step="read-body")
+        self.title = title
 
 
 class CallerDisconnectedError(BanyanshoreError):
@@ -78,6 +85,7 @@
         self.is_ended = False
         self._is_body_complete = not self._has_body()
         self._body_scope = None
+        self._refusal_title = ""
         # The connection of the web server, ``None`` in other servers.
         self._connection = scope.get("state", {}).get("connection")
         if self._connection is not None:
@@ -110,14 +118,25 @@
         :raises BodyRefusedError: :meth:`refuse_body` was called before it was complete.
         :raises CallerDisconnectedError: the caller left before sending all of it.
         """
-        with anyio.CancelScope() as self._body_scope:
-            return await self._read_whole_body(max_bytes)
-        raise BodyRefusedError("the body is not waited for", step="read-body")
-
-    def refuse_body(self):
-        """Stop waiting for the rest of the body."""
-        if self._body_scope is not None and not self._is_body_complete:
-            self._body_scope.cancel()
+        try:
+            with anyio.CancelScope() as self._body_scope:
+                return await self._read_whole_body(max_bytes)
+        finally:
+            if self._connection is not None:
+                self._connection.end_body(self._is_body_complete)
+        raise BodyRefusedError(self._refusal_title)
+
+    def refuse_body(self, title):
+        """Stop waiting for the rest of the body.
+
+        :param title: title of the refusal.
+        :return: whether the rest was being waited for.
+        """
+        if self._body_scope is None or self._is_body_complete:
+            return False
+        self._refusal_title = title
+        self._body_scope.cancel()
+        return True
 
     async def _read_whole_body(self, max_bytes):
         body = bytearray()
@@ -126,6 +145,8 @@
             if event["type"] == "http.disconnect":
                 raise CallerDisconnectedError("the caller left", step="read-body")
             body += event.get("body", b"")
+            if self._connection is not None:
+                self._connection.hold_body(len(body))
             if len(body) > max_bytes:
                 raise BodyTooLargeError(
                     f"the body exceeds {max_bytes} bytes", step="read-body"
--- a/banyanshore/http/caller_connection.py
+++ b/banyanshore/http/caller_connection.py
@@ -7,11 +7,14 @@
 import anyio
 import h11
 
+from banyanshore.core.byte_account import Stage
 from banyanshore.core.groups import open_task_group
 from banyanshore.core.sockets import count_unacknowledged_bytes, count_unread_bytes
+from banyanshore.http.caller_stream import StoppedError
 from banyanshore.http.closing import linger
 from banyanshore.http.exchange import (
     Exchange,
+    NoRoomError,
     RequestError,
     check_framing,
     has_body,
@@ -46,12 +49,21 @@
     """Serve one connection of a caller.
 
     :param listener: the :class:`~banyanshore.http.listener.Listener`.
-    :param stream: the anyio byte stream.
+    :param stream: the :class:`~banyanshore.http.caller_stream.CallerStream`.
+    :param share: its :class:`~banyanshore.core.byte_account.Share`.
+    :ivar is_cut_off: whether it was stopped while an answer waited for the caller.
     """
 
-    def __init__(self, listener, stream):
+    def __init__(self, listener, stream, share):
         self._listener = listener
+        self._callers = listener.callers
         self._stream = stream
+        self.share = share
+        self.is_cut_off = False
+        # Bytes that arrived since the parser last had none left.
+        self._unparsed_bytes = 0
+        stream.on_blocked = self._on_blocked
+        share.holder = self
         self._raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self.limits = listener.limits()
         self._phase = Phase.IDLE
@@ -59,6 +71,10 @@
             h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
         )
         self._peer_closed = False
+        # Whether the rest of a request that was refused is not read.
+        self._must_close = False
+        # Stage before the connection waited for its caller to read.
+        self._stage_before = Stage.IDLE
         self._exchange = None
         # Cancel scopes of the waits for a request, and for the rest of its head.
         self._idle_scope = anyio.CancelScope()
@@ -68,11 +84,35 @@
         # Earliest arrival of the oldest bytes that no request has been parsed from.
         self._arrived_after = 0.0
 
+    @property
+    def request_id(self):
+        """Return the id of the last request, empty if none is known."""
+        return self._exchange.request_id if self._exchange else ""
+
+    def count_buffered_bytes(self):
+        """Return the bytes in the buffers of the connection."""
+        return self._stream.count_buffered_bytes()
+
+    def stop(self):
+        """Refuse the request that is being read, or cut the connection off."""
+        self.is_cut_off = self.share.stage in (Stage.SENDING, Stage.LINGERING)
+        self._stream.interrupt()
+
+    def _on_blocked(self, is_blocked):
+        share = self.share
+        if is_blocked:
+            self._stage_before = share.stage
+            share.stage = Stage.SENDING
+            self._callers.look_at(share)
+            self._callers.make_room()
+        elif share.stage is Stage.SENDING:
+            share.stage = self._stage_before
+
     def unfinished(self):
         """Return what a close of the connection now would leave unfinished."""
         return Unfinished(
             self._phase,
-            self._exchange.request_id if self._exchange else "",
+            self.request_id,
             count_unacknowledged_bytes(self._raw),
             count_unread_bytes(self._raw),
         )
@@ -87,6 +127,10 @@
         is_incomplete = exchange and exchange.started and not exchange.finished
         return bool(is_incomplete) and self._h11.their_http_version == b"1.0"
 
+    def must_reset(self):
+        """Return whether the close has to drop what the system has not delivered."""
+        return self.is_cut_off or self.close_ends_incomplete_answer()
+
     async def serve(self):
         """Serve requests until the connection ends."""
         while True:
@@ -97,6 +141,7 @@
             self._listener.active += 1
             self._exchange = exchange
             self._phase = Phase.PROCESSING
+            self.share.stage = Stage.RUNNING
             try:
                 check_framing(exchange)
                 await self._listener.handle(exchange)
@@ -119,18 +164,18 @@
 
     async def deliver(self):
         """Wait until the caller has received the last answer, for a bounded time."""
-        if self._peer_closed or self.close_ends_incomplete_answer():
+        if self._peer_closed or self.must_reset():
             return
         is_recent = time.monotonic() - self._answered_at < DELIVERED_SECONDS
         if not is_recent and not count_unacknowledged_bytes(self._raw):
             return
+        self.share.stage = Stage.LINGERING
         discarded = await linger(self._stream, time.monotonic)
         if discarded:
             # Further requests, which the caller has to send again.
-            request_id = self._exchange.request_id if self._exchange else ""
             logger.info(
                 "bytes discarded after the last answer of a connection",
-                extra={"request_id": request_id, "bytes": discarded},
+                extra={"request_id": self.request_id, "bytes": discarded},
             )
 
     async def refuse(self, error, started=False):
@@ -144,6 +189,7 @@
         if started or self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        headers.extend(error.headers)
         await self.send_head(error.status, headers, h11.EndOfMessage())
         self._answered_at = time.monotonic()
 
@@ -158,7 +204,11 @@
 
     async def _wait_for_bytes(self):
         """Return whether bytes of a request have arrived."""
-        if self._h11.trailing_data[0]:
+        unparsed = self._h11.trailing_data[0]
+        self._unparsed_bytes = len(unparsed)
+        self.share.stage = Stage.READING if unparsed else Stage.IDLE
+        self._callers.hold(self.share, len(unparsed))
+        if unparsed:
             return True
         self._idle_scope = anyio.move_on_after(self.limits.idle_timeout)
         if self._listener.is_closing:
@@ -169,10 +219,20 @@
         if self._idle_scope.cancelled_caught:
             return False
         self._arrived_after = self._listener.earliest_arrival()
-        self._h11.receive_data(data)
+        self.share.stage = Stage.READING
+        self._take(data)
         self._peer_closed = not data
         return bool(data)
 
+    def _take(self, data, body_bytes=0):
+        """Give bytes that arrived to the parser, and count them.
+
+        :param body_bytes: bytes that are held of the body.
+        """
+        self._h11.receive_data(data)
+        self._unparsed_bytes += len(data)
+        self._callers.hold(self.share, self._unparsed_bytes + body_bytes)
+
     async def _read_request(self):
         self._head_scope = anyio.move_on_after(self.limits.header_timeout)
         if self._listener.is_closing:
@@ -187,7 +247,7 @@
             return event
         raise RequestError(408, "the head of the request took too long")
 
-    async def _next_event(self):
+    async def _next_event(self, body_bytes=0):
         while True:
             try:
                 event = self._h11.next_event()
@@ -195,10 +255,31 @@
                 raise RequestError(error.error_status_hint, str(error)) from None
             if event is not h11.NEED_DATA:
                 return event
-            self._h11.receive_data(await receive_bytes(self._stream))
+            self._take(await self._receive_request_bytes(), body_bytes)
+
+    async def _receive_request_bytes(self):
+        try:
+            return await receive_bytes(self._stream)
+        except StoppedError:
+            if self.is_cut_off:
+                raise
+            # The refusal is sent, and what still arrives is discarded.
+            self._stream.resume()
+            self._callers.hold(self.share, 0)
+            self._callers.account.resume(self.share, Stage.LINGERING)
+            self._must_close = True
+            raise NoRoomError() from None
 
     async def read_body(self):
         """Return the complete body of the request."""
+        self.share.stage = Stage.READING
+        try:
+            return await self._read_whole_body()
+        finally:
+            if self.share.stage is Stage.READING:
+                self.share.stage = Stage.RUNNING
+
+    async def _read_whole_body(self):
         if self._h11.they_are_waiting_for_100_continue:
             await self.send_events(
                 h11.InformationalResponse(status_code=100, headers=[])
@@ -208,12 +289,14 @@
         progress_mark = 0
         while True:
             with anyio.CancelScope(deadline=due_at):
-                event = await self._next_event()
+                event = await self._next_event(len(body))
                 if isinstance(event, h11.EndOfMessage):
+                    self._callers.hold(self.share, len(body))
                     return bytes(body)
                 if isinstance(event, h11.ConnectionClosed):
                     raise PeerClosedError("the caller left", step="read-body")
                 body += event.data
+                self._unparsed_bytes = max(0, self._unparsed_bytes - len(event.data))
                 if len(body) - progress_mark >= BODY_PROGRESS_BYTES:
                     progress_mark = len(body)
                     due_at = anyio.current_time() + self.limits.header_timeout
@@ -250,6 +333,7 @@
             if not self._h11.trailing_data[0]:
                 self._arrived_after = self._listener.earliest_arrival()
             self._h11.receive_data(data)
+            self._callers.hold_more(self.share, len(data))
         while not is_closed_by_peer(self._stream):
             await anyio.sleep(HANGUP_CHECK_INTERVAL)
         self._peer_closed = True
@@ -265,7 +349,7 @@
 
     def _announces_close(self):
         """Return whether an answer says that it is the last one of its connection."""
-        if self._listener.is_closing:
+        if self._listener.is_closing or self._must_close:
             return True
         # A further request that has arrived is answered too. Before the end of a
         # request, what has arrived may be its own body.
@@ -286,7 +370,7 @@
 
     async def _next_cycle(self):
         """Prepare for the next request; return whether there can be one."""
-        if self._peer_closed:
+        if self._peer_closed or self._must_close:
             return False
         # Discard the rest of a body that the handler hasn't read.
         while self._h11.their_state is h11.SEND_BODY:
--- a/banyanshore/http/connections.py
+++ b/banyanshore/http/connections.py
@@ -5,12 +5,23 @@
 import time
 
 from hypercorn.asyncio.tcp_server import TCPServer
-from hypercorn.events import Closed, Updated
+from hypercorn.events import Closed, RawData, Updated
 
-from banyanshore.core.sockets import count_unacknowledged_bytes
-from banyanshore.http.lingering import CHECK_SECONDS, Linger
+from banyanshore.core.byte_account import Stage
+from banyanshore.core.sockets import count_unacknowledged_bytes, count_unread_bytes
+from banyanshore.http.lingering import CHECK_SECONDS, PIECE_BYTES, Linger
 from banyanshore.http.unfinished import Phase, Unfinished
 
+# Title of the refusal of a request that isn't read to its end, as others need the
+# memory.
+NO_ROOM = "No room for the request"
+
+# Bytes that the event loop takes from the system at a time, beyond what the reader
+# limits.
+RECEIVED_BYTES = 4 * PIECE_BYTES
+# Bytes that the layers of the web server hold while a large body arrives.
+LAYERS_BYTES = 8 * PIECE_BYTES
+
 
 class WebConnection(TCPServer):
     """Serve the requests of one connection, one after another.
@@ -19,11 +30,12 @@
     has received the answer.
 
     :param server: the :class:`~banyanshore.http.server.WebServer`.
+    :param share: its :class:`~banyanshore.core.byte_account.Share`.
     :ivar request: the :class:`~banyanshore.http.asgi.Request` that was read last, or
         ``None``; set by the application.
     """
 
-    def __init__(self, server, application, config, context, reader, writer):
+    def __init__(self, server, share, application, config, context, reader, writer):
         loop = asyncio.get_running_loop()
         state = {"connection": self}
         super().__init__(application, loop, config, context, state, reader, writer)
@@ -35,6 +47,15 @@
         self._is_cut = False
         # The task that closes the connection, once that has begun.
         self._closing = None
+        self.share = share
+        share.holder = self
+        # Bytes that the event loop takes from the system at a time.
+        writer.transport.max_size = RECEIVED_BYTES
+
+    @property
+    def request_id(self):
+        """Return the id of the last request, empty if none is known."""
+        return self.request.id if self.request is not None else ""
 
     @property
     def is_closing(self):
@@ -63,7 +84,7 @@
         """Return what the end of the connection now would leave unfinished."""
         return Unfinished(
             self.phase,
-            self.request.id if self.request is not None else "",
+            self.request_id,
             self.count_undelivered_bytes(),
             self.reader.discarded_bytes,
         )
@@ -74,6 +95,34 @@
         count = count_unacknowledged_bytes(transport.get_extra_info("socket"))
         return transport.get_write_buffer_size() + (count or 0)
 
+    def count_buffered_bytes(self):
+        """Return the bytes that wait to be sent, acknowledged or read."""
+        raw = self.writer.transport.get_extra_info("socket")
+        unread = self.reader.count_unread_bytes() + (count_unread_bytes(raw) or 0)
+        return self.count_undelivered_bytes() + unread
+
+    def hold_body(self, size):
+        """Count the bytes that are held of the body of the request."""
+        self.share.stage = Stage.READING
+        self._server.callers.hold(self.share, size + min(size, LAYERS_BYTES))
+
+    def end_body(self, is_whole):
+        """Record that the body of the request is whole, or isn't read any further."""
+        if is_whole:
+            self._server.callers.account.resume(self.share, Stage.RUNNING)
+        else:
+            self._server.callers.hold(self.share, LAYERS_BYTES)
+            self._server.callers.account.resume(self.share, Stage.LINGERING)
+
+    def stop(self):
+        """Refuse the request whose body is being read, or cut the connection off."""
+        is_reading = self.share.stage is Stage.READING
+        if is_reading and self.request.refuse_body(NO_ROOM):
+            return
+        # An answer that was begun must not look complete.
+        self.writer.transport.abort()
+        self.cut()
+
     def cut(self):
         """End the connection, whatever it does."""
         self._is_cut = True
@@ -94,7 +143,20 @@
         """Send an event of the protocol to the caller."""
         if isinstance(event, Updated):
             self._is_idle = event.idle
-        await super().protocol_send(event)
+            if event.idle:
+                self.share.stage = Stage.IDLE
+                self._server.callers.hold(self.share, 0)
+            else:
+                self.share.stage = Stage.RUNNING
+        if not isinstance(event, RawData):
+            await super().protocol_send(event)
+            return
+        stage, self.share.stage = self.share.stage, Stage.SENDING
+        try:
+            await super().protocol_send(event)
+        finally:
+            if self.share.stage is Stage.SENDING:
+                self.share.stage = stage
 
     async def _close(self):
         if self._closing is None:
@@ -116,6 +178,7 @@
 
     async def _deliver(self):
         """Wait until the caller has received all answers, and discard what it sends."""
+        self.share.stage = Stage.LINGERING
         with contextlib.suppress(OSError, RuntimeError):
             self.writer.write_eof()
         self.reader.discard()
--- a/banyanshore/http/exchange.py
+++ b/banyanshore/http/exchange.py
@@ -7,18 +7,36 @@
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.http.wire import get_header
 
+# Seconds after which a caller may send a request again that there was no room for.
+NO_ROOM_SECONDS = 1
+
 
 class RequestError(BanyanshoreError):
     """Signal a request that can't be read.
 
     :param status: HTTP status of the answer.
+    :ivar headers: further headers of the answer.
     """
 
+    headers = ()
+
     def __init__(self, status, message):
         super().__init__(message, step="read-request")
         self.status = status
 
 
+class NoRoomError(RequestError):
+    """Signal a request that isn't read to its end, for the sake of other callers.
+
+    It has not run, and never will.
+    """
+
+    headers = ((b"retry-after", b"%d" % NO_ROOM_SECONDS),)
+
+    def __init__(self):
+        super().__init__(503, "no room for the request")
+
+
 class Exchange:
     """One request on a connection, and its answer.
 
--- a/banyanshore/http/lingering.py
+++ b/banyanshore/http/lingering.py
@@ -15,6 +15,9 @@
 DELIVERED_SECONDS = 2.0
 # Seconds without any acknowledgement after which the caller counts as lost.
 STALLED_SECONDS = TCP_USER_TIMEOUT_MS / 1000
+# Bytes that a web server takes at a time of what a caller sends; its layers hold some
+# of these pieces for each connection.
+PIECE_BYTES = 16 * 1024
 
 
 class Linger:
@@ -53,11 +56,19 @@
     """
 
     def __init__(self):
-        super().__init__()
+        super().__init__(limit=PIECE_BYTES)
         self.ended = asyncio.Event()
         self.discarded_bytes = 0
         self._is_discarding = False
 
+    async def read(self, n=-1):
+        """Return the next bytes, at most :data:`PIECE_BYTES`."""
+        return await super().read(min(n, PIECE_BYTES) if n > 0 else PIECE_BYTES)
+
+    def count_unread_bytes(self):
+        """Return the bytes that were received and not read yet."""
+        return len(self._buffer)
+
     def discard(self):
         """Discard all that arrives from now on."""
         self._is_discarding = True
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -11,10 +11,17 @@
 import anyio
 import h11
 
+from banyanshore.core.byte_account import Stage
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.groups import wait_for_first
 from banyanshore.http.accepting import open_acceptor
+from banyanshore.http.caller_account import (
+    LOOK_SECONDS,
+    RECEIVE_BUFFER_BYTES,
+    CallerAccount,
+)
 from banyanshore.http.caller_connection import CallerConnection
+from banyanshore.http.caller_stream import open_caller_stream
 from banyanshore.http.exchange import RequestError
 from banyanshore.http.wire import PeerClosedError, reset_on_close, set_timeouts
 
@@ -43,12 +50,21 @@
     :param limits: callable that returns the current :class:`ListenerLimits`.
     :param earliest_arrival: callable that returns the boot time before which bytes that
         are read now can't have arrived.
+    :param callers: the :class:`~banyanshore.http.caller_account.CallerAccount` that
+        all listeners of the process share, ``None`` for one of its own.
     :ivar active: requests that are being handled.
     :ivar leaving: whether answers announce that the connection will be closed.
     :ivar is_closing: whether :meth:`close` was called.
     """
 
-    def __init__(self, handle, limits=ListenerLimits, earliest_arrival=boottime_now):
+    def __init__(
+        self,
+        handle,
+        limits=ListenerLimits,
+        earliest_arrival=boottime_now,
+        callers=None,
+    ):
+        self.callers = callers or CallerAccount()
         self.handle = handle
         self.limits = limits
         self.earliest_arrival = earliest_arrival
@@ -69,16 +85,29 @@
 
         :raises BindError: the address can't be listened on.
         """
-        self._acceptor = await open_acceptor(address)
+        self._acceptor = await open_acceptor(address, RECEIVE_BUFFER_BYTES)
         task_status.started()
-        async with anyio.create_task_group() as connections:
+        async with anyio.create_task_group() as looking:
+            looking.start_soon(self._look_at_buffers)
+            async with anyio.create_task_group() as connections:
 
-            def start(raw):
-                connections.start_soon(self._serve_accepted, raw)
+                def start(raw):
+                    share = self.callers.open()
+                    connections.start_soon(self._serve_accepted, raw, share)
 
-            await self._acceptor.run(start)
+                await self._acceptor.run(start, self.callers.may_accept)
+            looking.cancel_scope.cancel()
         self._ended.set()
 
+    async def _look_at_buffers(self):
+        while True:
+            await anyio.sleep(LOOK_SECONDS)
+            for connection in self._connections:
+                share = connection.share
+                if share.stage is not Stage.IDLE or share.buffered:
+                    self.callers.look_at(share)
+            self.callers.make_room()
+
     async def close(self, seconds, cut_short=None):
         """Stop accepting connections, and wait until all have ended.
 
@@ -99,21 +128,24 @@
         with anyio.move_on_after(seconds):
             await wait_for_first(self._ended, cut_short or anyio.Event())
 
-    async def _serve_accepted(self, raw):
+    async def _serve_accepted(self, raw, share):
         try:
-            stream = await anyio.abc.SocketStream.from_socket(raw)
-        except (OSError, ValueError) as error:
-            # The caller has closed the connection already.
-            logger.debug("connection ended: %s", error)
-            raw.close()
-            return
-        await self._serve_connection(stream)
+            try:
+                stream = await open_caller_stream(raw)
+            except (OSError, ValueError) as error:
+                # The caller has closed the connection already.
+                logger.debug("connection ended: %s", error)
+                raw.close()
+                return
+            await self._serve_connection(stream, share)
+        finally:
+            self.callers.account.close(share)
 
-    async def _serve_connection(self, stream):
+    async def _serve_connection(self, stream, share):
         connection = None
         try:
             set_timeouts(stream)
-            connection = CallerConnection(self, stream)
+            connection = CallerConnection(self, stream, share)
             self._connections.add(connection)
             try:
                 await connection.serve()
@@ -126,7 +158,7 @@
             logger.exception("connection ended by an internal error")
         finally:
             self._connections.discard(connection)
-            if connection is not None and connection.close_ends_incomplete_answer():
+            if connection is not None and connection.must_reset():
                 reset_on_close(stream)
             with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
                 await stream.aclose()
--- a/banyanshore/http/server.py
+++ b/banyanshore/http/server.py
@@ -1,13 +1,21 @@
 """Run an ASGI application on one address."""
 
 import asyncio
+import socket
 
 import anyio
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
 
+from banyanshore.core.byte_account import Stage
 from banyanshore.core.exceptions import BindError
+from banyanshore.core.groups import open_task_group
+from banyanshore.http.caller_account import (
+    LOOK_SECONDS,
+    RECEIVE_BUFFER_BYTES,
+    CallerAccount,
+)
 from banyanshore.http.connections import WebConnection
 from banyanshore.http.lingering import DiscardingReader
 
@@ -17,18 +25,25 @@
 # Seconds between requests after which a connection is closed.
 KEEP_ALIVE_SECONDS = 60.0
 MAX_HEAD_BYTES = 64 * 1024
+# Pieces of a body, of 64 KiB at most, that wait for the application.
+MAX_QUEUED_PIECES = 4
+# Connections that are accepted before others are served again.
+ACCEPTED_AT_ONCE = 16
 
 
 class WebServer:
     """Serve an ASGI application on one address.
 
+    :param callers: the :class:`~banyanshore.http.caller_account.CallerAccount` that
+        all servers of the process share, ``None`` for one of its own.
     :ivar is_closing: whether answers announce the end of their connections, set by the
         owner.
     :ivar unfinished: the :class:`~banyanshore.http.unfinished.Unfinished` of the
         connections that were open when the server ended.
     """
 
-    def __init__(self, application, address):
+    def __init__(self, application, address, callers=None):
+        self.callers = callers or CallerAccount()
         self.is_closing = False
         self.unfinished = ()
         self._address = address
@@ -47,7 +62,10 @@
         """
         listeners = await self._listen()
         try:
-            await shutdown.wait()
+            async with open_task_group() as looking:
+                looking.start_soon(self._look_at_buffers)
+                await shutdown.wait()
+                looking.cancel_scope.cancel()
             for listener in listeners:
                 listener.close()
             # Ends the connections that are idle, and each other one after its answer.
@@ -65,12 +83,19 @@
         loop = asyncio.get_running_loop()
         try:
             sockets = self._config.create_sockets().insecure_sockets
-            return [
-                await loop.create_server(
-                    self._make_protocol, sock=sock, backlog=self._config.backlog
+            servers = []
+            for item in sockets:
+                # Connections inherit it.
+                item.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
                 )
-                for sock in sockets
-            ]
+                servers.append(
+                    await loop.create_server(
+                        self._make_protocol, sock=item, backlog=ACCEPTED_AT_ONCE
+                    )
+                )
+                item.listen(self._config.backlog)
+            return servers
         except OSError as error:
             raise BindError(self._address, error) from error
 
@@ -78,14 +103,27 @@
         return asyncio.StreamReaderProtocol(DiscardingReader(), self._run_connection)
 
     async def _run_connection(self, reader, writer):
+        # Stops another connection if there are too many.
+        self.callers.may_accept()
+        share = self.callers.open()
         connection = WebConnection(
-            self, self._application, self._config, self._context, reader, writer
+            self, share, self._application, self._config, self._context, reader, writer
         )
         self._connections.add(connection)
         try:
             await connection
         finally:
             self._connections.discard(connection)
+            self.callers.account.close(share)
+
+    async def _look_at_buffers(self):
+        while True:
+            await anyio.sleep(LOOK_SECONDS)
+            for connection in self._connections:
+                share = connection.share
+                if share.stage is not Stage.IDLE or share.buffered:
+                    self.callers.look_at(share)
+            self.callers.make_room()
 
     async def _wait_for_connections(self):
         while self._connections:
@@ -98,13 +136,14 @@
                 yield connection.request
 
 
-async def serve_http(application, address, shutdown=None):
+async def serve_http(application, address, shutdown=None, callers=None):
     """Serve until cancelled, or until an event is set.
 
     :param shutdown: ``anyio.Event`` that stops the server, or ``None``.
+    :param callers: as in :class:`WebServer`.
     :raises BindError: the address can't be listened on.
     """
-    await WebServer(application, address).serve(shutdown or anyio.Event())
+    await WebServer(application, address, callers).serve(shutdown or anyio.Event())
 
 
 def _make_config(address):
@@ -115,4 +154,5 @@
     config.keep_alive_timeout = KEEP_ALIVE_SECONDS
     config.include_server_header = False
     config.h11_max_incomplete_size = MAX_HEAD_BYTES
+    config.max_app_queue_size = MAX_QUEUED_PIECES
     return config
--- a/banyanshore/membership/follower.py
+++ b/banyanshore/membership/follower.py
@@ -17,8 +17,12 @@
     ``metrics``.
 
     :ivar links: the :class:`~banyanshore.transport.LinkPool` to other instances.
+    :ivar callers: the :class:`~banyanshore.http.caller_account.CallerAccount`, ``None``
+        in a process that serves none.
     """
 
+    callers = None
+
     def _open_links(self, tasks):
         self.links = LinkPool(tasks, self, self.settings.instance, self.link_options)
 
@@ -34,7 +38,9 @@
     def _follow(self, tasks, role):
         tasks.start_soon(self.link_options.ticker.run)
         tasks.start_soon(self.feed.run)
-        start_metrics_server(tasks, self.settings.metrics_bind, self.metrics.registry)
+        start_metrics_server(
+            tasks, self.settings.metrics_bind, self.metrics.registry, self.callers
+        )
         logger.info("started", extra={"role": role})
 
     def _record_rollouts(self, desired):
--- a/banyanshore/routing/answer_memory.py
+++ b/banyanshore/routing/answer_memory.py
@@ -14,6 +14,8 @@
     at a time. It exhausts its own share, and the answers of others are held as before.
 
     :param memory_bytes: memory that the process may use.
+    :param on_change: called with the bytes that are held, to count them in the account
+        of the process.
 
     >>> memory = AnswerMemory(1024)
     >>> memory.try_hold("a", 8), memory.try_hold("a", 1), memory.try_hold("b", 8)
@@ -23,7 +25,8 @@
     (True, 9)
     """
 
-    def __init__(self, memory_bytes):
+    def __init__(self, memory_bytes, on_change=lambda held_bytes: None):
+        self._on_change = on_change
         self._budget = int(MEMORY_FRACTION * memory_bytes)
         self._share = int(TARGET_FRACTION * self._budget)
         self._held_by_target = {}
@@ -39,6 +42,7 @@
             return False
         self._held_by_target[target] = held + size
         self.held_bytes += size
+        self._on_change(self.held_bytes)
         return True
 
     def release(self, target, size):
@@ -51,3 +55,4 @@
             self._held_by_target[target] = held
         else:
             del self._held_by_target[target]
+        self._on_change(self.held_bytes)
--- a/banyanshore/telemetry/control.py
+++ b/banyanshore/telemetry/control.py
@@ -1,6 +1,6 @@
 """Metrics of a control instance."""
 
-from banyanshore.telemetry.light import LightRegistry
+from banyanshore.telemetry.light import LightRegistry, add_stopped_callers
 
 
 class ControlMetrics:
@@ -18,6 +18,7 @@
             "Heartbeats of targets by outcome.",
             ["outcome"],
         )
+        self.stopped_callers = add_stopped_callers(self.registry)
         self.state_version = self.registry.gauge(
             "banyanshore_state_version", "Version of the desired state in force."
         )
--- a/banyanshore/telemetry/gateway.py
+++ b/banyanshore/telemetry/gateway.py
@@ -1,6 +1,6 @@
 """Metrics of a gateway."""
 
-from banyanshore.telemetry.light import LightRegistry
+from banyanshore.telemetry.light import LightRegistry, add_stopped_callers
 from banyanshore.telemetry.weights import add_weights_metrics
 
 _LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8)
@@ -22,6 +22,7 @@
             "Requests answered before a target was looked for, by status.",
             ["status"],
         )
+        self.stopped_callers = add_stopped_callers(self.registry)
         self.paused_targets = self.registry.counter(
             "banyanshore_gateway_targets_left_alone",
             "Targets that began to be left alone since an answer said so, by reason.",
--- a/banyanshore/telemetry/light.py
+++ b/banyanshore/telemetry/light.py
@@ -139,3 +139,12 @@
 
         text = exposition.generate_latest(self)
         return exposition.CONTENT_TYPE_LATEST, text
+
+
+def add_stopped_callers(registry):
+    """Create and return the counter of callers that were asked to stop."""
+    return registry.counter(
+        "banyanshore_stopped_callers",
+        "Callers refused or cut off for memory or descriptors, by what they did.",
+        ["stage", "reason"],
+    )
--- a/banyanshore/telemetry/metrics.py
+++ b/banyanshore/telemetry/metrics.py
@@ -32,6 +32,12 @@
             ["service", "outcome"],
             registry=self.registry,
         )
+        self.stopped_callers = Counter(
+            "banyanshore_stopped_callers_total",
+            "Callers refused or cut off for memory or descriptors, by what they did.",
+            ["stage", "reason"],
+            registry=self.registry,
+        )
         self.refusals = Counter(
             "banyanshore_refusals_total",
             "Offers of a request that were refused, by reason.",
--- a/tests/conf/test_templates.py
+++ b/tests/conf/test_templates.py
@@ -35,6 +35,7 @@
     "bounds.configApplyMs": "2000",
     "bounds.graceS": "8",
     "limits.memoryMb": "300",
+    "limits.maxFds": "4100",
     "heartbeatMs": "1200",
     "faultTolerance.machines": "1",
 }
--- a/tests/stopping/process.py
+++ b/tests/stopping/process.py
@@ -100,6 +100,11 @@
         self.stop_seconds = None
         self._process.start()
 
+    @property
+    def process(self):
+        """Return the :class:`~tests.deployment.Process`."""
+        return self._process
+
     def poll(self):
         """Return its exit code, ``None`` while it runs."""
         return self._process.process.poll()
