Run entries and agents on the event loop of asyncio

Change: uvloop runs gateways, control instances and loaders only. make test runs tests/crowds first and alone, apart from other load.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
-# Test processes side by side; each starts deployments of some twenty processes.
+# Test processes side by side; each starts deployments of some twenty processes. Tests of
+# crowds of callers run before all others, one at a time, apart from other load.
 TEST_WORKERS ?= 5
 RUN := $(VENV)/bin/python
 
@@ -11,7 +12,8 @@
 
 test: $(VENV)/ready
 	$(RUN) -m tests.known_red
-	$(RUN) -m pytest -n $(TEST_WORKERS) --dist worksteal
+	$(RUN) -m pytest tests/crowds
+	$(RUN) -m pytest -n $(TEST_WORKERS) --dist worksteal --ignore tests/crowds
 
 lint: $(VENV)/ready
 	$(VENV)/bin/ruff format --check .
--- a/banyanshore/daemon/run.py
+++ b/banyanshore/daemon/run.py
@@ -51,7 +51,7 @@
     gc.set_threshold(GC_THRESHOLD)
     exit_code = 0
     try:
-        options = {"use_uvloop": _has_uvloop()}
+        options = {"use_uvloop": _uses_uvloop(settings.role)}
         anyio.run(_run, settings, path, backend_options=options)
     except* (BanyanshoreError, OSError) as group:
         for error in _iter_errors(group):
@@ -62,9 +62,14 @@
     return exit_code
 
 
-def _has_uvloop():
-    """Return whether the event loop in C is installed."""
-    return importlib.util.find_spec("uvloop") is not None
+def _uses_uvloop(role):
+    """Return whether a process of a role runs on the event loop in C.
+
+    Not if it isn't installed. The web server of entries and agents sets how much the
+    transports of asyncio take at a time, which those of uvloop can't be told.
+    """
+    is_installed = importlib.util.find_spec("uvloop") is not None
+    return is_installed and role not in ("entry", "agent")
 
 
 def _tell_lost_records(count):
