Carry two versions named in a row, the one first that serves more

Cause: a newer version cancelled the transfer of the older one, so of two versions named two seconds apart no target ever had the older one whole, and nothing was served from the end of the grace period of the one before it until the newer one was whole.

A decision core (weights/version_order.py) says which of the two goes first, from their ages, the grace period and the chunks held; relays push the other one over idle links, and the root asks the origin for the preferred one. A loader holds chunks of both, and stages and orders one under a lock.

--- a/banyanshore/gateway/relay.py
+++ b/banyanshore/gateway/relay.py
@@ -5,10 +5,11 @@
 import anyio
 
 from banyanshore.state.views import ModelSpec
+from banyanshore.weights.carried import CarriedVersions, RunningTransfer
 from banyanshore.weights.chunks import MemoryChunkStore
 from banyanshore.weights.desired_versions import (
     FIRST_VERSION,
-    find_desired_versions,
+    find_carried_versions,
     find_origin,
 )
 from banyanshore.weights.messages import (
@@ -41,7 +42,7 @@
         return super()._next_fetches(now)
 
     def _start_planner(self, have):
-        self._store.keep_only(self.manifest.chunk_digests)
+        self._store.keep_only(self._carried.chunk_digests())
         super()._start_planner(have)
 
 
@@ -56,11 +57,7 @@
         self._gateway = gateway
         self._make_origin = make_origin
         self._uploads = Uploads(gateway.settings, gateway.metrics)
-        self._rosters_by_service = {}
-        self._running_by_service = {}
-        # Chunks of the service's version, which outlive a transfer that is started
-        # again after a change of the members.
-        self._store_by_service = {}
+        self._service_by_name = {}
 
     async def run(self):
         """Relay weights until cancelled."""
@@ -71,34 +68,37 @@
 
     def _update_transfers(self, tasks):
         gateway = self._gateway
-        wanted = find_desired_versions(gateway.state.desired, gateway.versions)
+        wanted = find_carried_versions(
+            gateway.state.desired,
+            gateway.versions,
+            gateway.settings.version_switch_seconds,
+        )
         origin = find_origin(gateway.state.desired) or {}
-        for service, row in wanted.items():
-            rosters = self._rosters_by_service.get(service)
-            if rosters is None:
-                rosters = RelayRosters(gateway.registry, service)
-                self._rosters_by_service[service] = rosters
-            rosters.refresh(origin.get("data_centre", ""))
-            is_relay = rosters.tree.is_relay(gateway.settings.instance)
-            running = self._running_by_service.get(service)
-            if running is not None and (running.key != row.key or not is_relay):
-                self._running_by_service.pop(service).stop()
-                running = None
-            if running is None and is_relay:
-                self._start(tasks, row, rosters)
-        for service in self._running_by_service.keys() - wanted.keys():
-            self._running_by_service.pop(service).stop()
-
-    def _start(self, tasks, wanted, rosters):
-        running = RunningTransfer(wanted.key, self._make_transfer(wanted, rosters))
-        self._running_by_service[wanted.service] = running
+        for name, rows in wanted.items():
+            service = self._service_by_name.get(name)
+            if service is None:
+                service = RelayedService(gateway, name)
+                self._service_by_name[name] = service
+            service.rosters.refresh(origin.get("data_centre", ""))
+            for row in service.update(rows):
+                self._start(tasks, row, service)
+        for name in self._service_by_name.keys() - wanted.keys():
+            self._service_by_name.pop(name).update(())
+
+    def _start(self, tasks, wanted, service):
+        running = RunningTransfer(wanted.key, self._make_transfer(wanted, service))
+        service.add(running)
         logger.info(
             "relaying weights",
-            extra={"model": wanted.model, "model_version": wanted.version},
+            extra={
+                "model": wanted.model,
+                "model_version": wanted.version,
+                "stored": len(service.store),
+            },
         )
         tasks.start_soon(running.run)
 
-    def _make_transfer(self, wanted, rosters):
+    def _make_transfer(self, wanted, service):
         gateway = self._gateway
         return GatewayTransfer(
             self._find_origin,
@@ -106,10 +106,10 @@
             wanted.known_since,
             gateway.settings,
             ModelSpec(wanted.model, str(wanted.version), "", "", ""),
-            self._store_by_service.setdefault(wanted.service, MemoryChunkStore()),
+            service.store,
             None,
             gateway.links,
-            rosters,
+            service.rosters,
             gateway.metrics,
             self._uploads,
             lambda service: True,
@@ -121,11 +121,11 @@
 
     def _find_transfer(self, manifest_digest):
         """Return the transfer of a manifest, or ``None``."""
-        for running in self._running_by_service.values():
-            manifest = running.transfer.manifest
-            if manifest is not None and manifest.digest == manifest_digest:
-                return running.transfer
-        return None
+        found = (
+            service.carried.find(manifest_digest)
+            for service in self._service_by_name.values()
+        )
+        return next(filter(None, found), None)
 
     async def on_chunk_request(self, body, responder):
         """Answer a request for a chunk."""
@@ -143,10 +143,10 @@
 
     async def on_manifest(self, body, responder):
         """Answer a request for a manifest."""
-        contents = [
-            running.transfer.manifest_content(body.manifest_digest)
-            for running in self._running_by_service.values()
-        ]
+        contents = (
+            service.carried.manifest_content(body.manifest_digest)
+            for service in self._service_by_name.values()
+        )
         await responder.finish(ManifestReply(next(filter(None, contents), b"")))
 
     async def on_have(self, connection, update):
@@ -160,22 +160,39 @@
         self._uploads.record_received(connection.peer, receipt)
 
 
-class RunningTransfer:
-    """A transfer and its cancel scope.
+class RelayedService:
+    """The transfers of one service, and what outlives them.
 
-    :param key: model and version.
+    :ivar store: chunks, which outlive a transfer that is started again after a change
+        of the members.
+    :ivar carried: the :class:`~banyanshore.weights.carried.CarriedVersions`.
     """
 
-    def __init__(self, key, transfer):
-        self.key = key
-        self.transfer = transfer
-        self._scope = anyio.CancelScope()
-
-    async def run(self):
-        """Run until stopped."""
-        with self._scope:
-            await self.transfer.run()
-
-    def stop(self):
-        """Cancel the transfer."""
-        self._scope.cancel()
+    def __init__(self, gateway, name):
+        switch_seconds = gateway.settings.version_switch_seconds
+        self.rosters = RelayRosters(gateway.registry, name)
+        self.store = MemoryChunkStore()
+        self.carried = CarriedVersions(switch_seconds)
+        self._instance = gateway.settings.instance
+        self._running_by_key = {}
+
+    def update(self, rows):
+        """Stop the transfers that aren't needed, and return those to start.
+
+        :param rows: the :class:`~banyanshore.weights.desired_versions.DesiredVersion`
+            objects that may be carried, the older one first.
+        """
+        versions = ()
+        if self.rosters.tree.is_relay(self._instance):
+            versions = self.carried.decide(rows)
+        needed = [row for row in rows if row.version in versions]
+        for key in self._running_by_key.keys() - {row.key for row in needed}:
+            running = self._running_by_key.pop(key)
+            self.carried.remove(running.transfer)
+            running.stop()
+        return [row for row in needed if row.key not in self._running_by_key]
+
+    def add(self, running):
+        """Add a :class:`RunningTransfer`."""
+        self._running_by_key[running.key] = running
+        running.transfer.join(self.carried)
--- a/banyanshore/loader/driver.py
+++ b/banyanshore/loader/driver.py
@@ -2,6 +2,7 @@
 
 import logging
 import time
+from dataclasses import replace
 
 import anyio
 
@@ -65,9 +66,7 @@
                 layers,
                 desired_version.version,
                 transfer.completed.is_set(),
-                load_time(
-                    wave, transfer.completed_at, self._switch_at(desired_version)
-                ),
+                load_time(wave, transfer.completed_at, self._load_by(desired_version)),
                 transfer.has_first_layer(layers),
                 self._is_outdated(desired_version),
             )
@@ -83,6 +82,21 @@
         seconds_left = self._settings.version_switch_seconds - seconds_known
         return time.monotonic() + seconds_left
 
+    def _load_by(self, desired_version):
+        """Return the monotonic time from which the target's version isn't used.
+
+        The version after the one that it holds may be older than the desired one.
+        """
+        report = self._target.report
+        switch_at = self._switch_at(desired_version)
+        if report is None:
+            return switch_at
+        newer_known_since = self._loader.versions.newer_known_since(
+            report.model, report.model_version
+        )
+        next_version = replace(desired_version, known_since=newer_known_since)
+        return min(switch_at, self._switch_at(next_version))
+
     def _is_outdated(self, desired_version):
         """Return whether requests to the target's version should have arrived."""
         report = self._target.report
@@ -137,7 +151,8 @@
         """Return whether what was staged and verified is still what is to be loaded."""
         # Chunks of a newer version may have been staged meanwhile.
         is_current = self._loader.transfer is transfer
-        return is_current and check.is_valid(boottime_now())
+        is_staged = self._target.staging.version == transfer.version
+        return is_current and is_staged and check.is_valid(boottime_now())
 
     async def _order(self, desired_version, transfer, end_layer, check):
         """Order the load of a version, and wait until it has ended.
@@ -147,12 +162,13 @@
         :raises StagedEngineError: the order was not sent since the check doesn't hold
             any more, or it may or may not have arrived.
         """
-        outcome = await self._target.engine.load(
-            desired_version.model,
-            desired_version.version,
-            end_layer,
-            lambda: self._may_order(transfer, check),
-        )
+        async with self._target.staging.lock:
+            outcome = await self._target.engine.load(
+                desired_version.model,
+                desired_version.version,
+                end_layer,
+                lambda: self._may_order(transfer, check),
+            )
         self._loader.metrics.loads.labels(outcome).inc()
         logger.info(
             "load ordered",
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -1,11 +1,14 @@
 """The loader process, which runs beside one target and outside the request path."""
 
 import logging
+import math
 import time
 from types import MappingProxyType
 
 import anyio
 
+from banyanshore.core.clock import boottime_now
+from banyanshore.loader.decisions import serves
 from banyanshore.loader.driver import LoadDriver
 from banyanshore.loader.target import TargetMonitor
 from banyanshore.loader.transfer import StagedTransfer
@@ -16,8 +19,9 @@
 from banyanshore.state.views import ModelSpec
 from banyanshore.telemetry.weights import LoaderMetrics
 from banyanshore.transport import LinkOptions
+from banyanshore.weights.carried import CarriedVersions, RunningTransfer
 from banyanshore.weights.chunks import MemoryChunkStore
-from banyanshore.weights.desired_versions import find_desired_versions, find_origin
+from banyanshore.weights.desired_versions import find_carried_versions, find_origin
 from banyanshore.weights.messages import (
     Availability,
     ChunkRequest,
@@ -30,9 +34,13 @@
 from banyanshore.weights.relay_messages import ChunkPush, ChunkPushReply
 from banyanshore.weights.relay_rosters import RelayRosters
 from banyanshore.weights.uploads import Uploads
+from banyanshore.weights.version_order import VersionState, version_to_load
 
 logger = logging.getLogger(__name__)
 
+# Seconds between checks of which of two versions are worth carrying.
+PLAN_INTERVAL = 0.25
+
 
 class Loader(Follower):
     """Transfer weights to one target and have it load them.
@@ -53,7 +61,7 @@
         self.versions = VersionSwitch(settings.version_switch_seconds)
         self.uploads = Uploads(settings, self.metrics)
         self.store = MemoryChunkStore()
-        self.transfer = None
+        self.carried = CarriedVersions(settings.version_switch_seconds)
         self._make_origin = make_origin
         # Set when the desired state changes.
         self._desired_changed = anyio.Event()
@@ -104,10 +112,60 @@
         origin = find_origin(self.state.desired) or {}
         self.rosters.refresh(origin.get("data_centre", ""))
 
+    def carried_versions(self):
+        """Return the versions that may be carried, the older one first.
+
+        :return: tuple of :class:`~banyanshore.weights.desired_versions.DesiredVersion`
+            objects, empty if the service has no model.
+        """
+        carried = find_carried_versions(
+            self.state.desired, self.versions, self.settings.version_switch_seconds
+        )
+        return carried.get(self.settings.service, ())
+
     def desired_version(self):
-        """Return the :class:`DesiredVersion` of the service, or ``None``."""
-        desired_versions = find_desired_versions(self.state.desired, self.versions)
-        return desired_versions.get(self.settings.service)
+        """Return the version that the target should load next, or ``None``.
+
+        Of two versions that were named in a row, this is the older one if it bridges
+        the time until the newer one is whole.
+        """
+        rows = self.carried_versions()
+        if len(rows) < 2 or self.carried.get(rows[0].version) is None:
+            return rows[-1] if rows else None
+        older, newer = (
+            VersionState(
+                row.version, row.known_since, self.carried.missing_here(row.version)
+            )
+            for row in rows
+        )
+        version = version_to_load(
+            boottime_now(),
+            older,
+            newer,
+            self.settings.version_switch_seconds,
+            self._served_version(rows[0]),
+            self.carried.preferred,
+        )
+        return rows[0] if version == older.version else rows[1]
+
+    @property
+    def transfer(self):
+        """Return the transfer of the desired version, or ``None``."""
+        desired_version = self.desired_version()
+        return desired_version and self.carried.get(desired_version.version)
+
+    def _served_version(self, older):
+        """Return the version that the target serves, 0 for none.
+
+        A target with a part of a version newer than the older one counts as serving it,
+        since it can't go back.
+        """
+        report = self.target.report
+        if report is None:
+            return 0
+        version = report.model_version
+        is_usable = serves(report, version, older.layers) or version > older.version
+        return version if is_usable else 0
 
     def find_origin(self):
         """Return the origin in the desired state, or ``None`` if none is declared."""
@@ -115,29 +173,37 @@
         return self._make_origin(row["address"]) if row else None
 
     async def _transfer_forever(self):
-        """Run the transfer of the desired version, and a new one when it changes."""
-        while True:
-            changed = self._desired_changed
-            desired_version = self.desired_version()
-            if desired_version is None:
-                await changed.wait()
-                continue
-            if self.transfer is None:
-                await self._wait_for_target()
-            logger.info(
-                "version wanted",
-                extra={
-                    "model": desired_version.model,
-                    "model_version": desired_version.version,
-                },
-            )
-            async with anyio.create_task_group() as tasks:
-                self.transfer = self._make_transfer(desired_version)
-                tasks.start_soon(self.transfer.run)
-                while self._is_current(desired_version):
-                    changed = self._desired_changed
+        """Run the transfers of the versions that are worth carrying."""
+        running_by_version = {}
+        async with anyio.create_task_group() as tasks:
+            while True:
+                changed = self._desired_changed
+                rows = self.carried_versions()
+                if rows and not len(self.carried):
+                    await self._wait_for_target()
+                needed = set(self.carried.decide(rows))
+                for version in running_by_version.keys() - needed:
+                    running = running_by_version.pop(version)
+                    self.carried.remove(running.transfer)
+                    running.stop()
+                for row in rows:
+                    if row.version in needed and row.version not in running_by_version:
+                        running = self._start_transfer(row)
+                        running_by_version[row.version] = running
+                        tasks.start_soon(running.run)
+                # Whether two versions are worth carrying depends on the time.
+                timeout = PLAN_INTERVAL if len(rows) > 1 else math.inf
+                with anyio.move_on_after(timeout):
                     await changed.wait()
-                tasks.cancel_scope.cancel()
+
+    def _start_transfer(self, row):
+        logger.info(
+            "version wanted",
+            extra={"model": row.model, "model_version": row.version},
+        )
+        running = RunningTransfer(row.key, self._make_transfer(row))
+        running.transfer.join(self.carried)
+        return running
 
     async def _wait_for_target(self):
         """Wait a while for the target, at which the chunks may already be staged."""
@@ -145,16 +211,13 @@
             while self.target.report is None:
                 await anyio.sleep(self.settings.report_interval / 3)
 
-    def _is_current(self, desired_version):
-        current = self.desired_version()
-        return current is not None and current.key == desired_version.key
-
     def _make_transfer(self, desired_version):
         spec = ModelSpec(
             desired_version.model, str(desired_version.version), "", "", ""
         )
         return StagedTransfer(
             self.target,
+            lambda transfer: transfer is self.transfer,
             self.find_origin,
             desired_version.chunk_bytes,
             desired_version.known_since,
@@ -170,25 +233,25 @@
         )
 
     async def _on_chunk(self, body, responder):
-        if self.transfer is None:
+        transfer = self.carried.find(body.manifest_digest)
+        if transfer is None:
             await responder.finish(ChunkUnavailable(Availability.QUEUED))
             return
-        await self.transfer.handle_chunk_request(body, responder)
+        await transfer.handle_chunk_request(body, responder)
 
     async def _on_push(self, body, responder):
-        if self.transfer is None:
-            await responder.finish(ChunkPushReply(False))
-            return
-        await responder.finish(await self.transfer.handle_push(body))
+        transfer = self.carried.find(body.manifest_digest)
+        reply = await transfer.handle_push(body) if transfer else ChunkPushReply(False)
+        await responder.finish(reply)
 
     async def _on_manifest(self, body, responder):
-        transfer = self.transfer
-        content = transfer.manifest_content(body.manifest_digest) if transfer else b""
+        content = self.carried.manifest_content(body.manifest_digest)
         await responder.finish(ManifestReply(content))
 
     async def _on_have(self, connection, body):
-        if self.transfer is not None:
-            self.transfer.handle_have(connection.peer, body)
+        transfer = self.carried.find(body.manifest_digest)
+        if transfer is not None:
+            transfer.handle_have(connection.peer, body)
 
     async def _on_piece_received(self, connection, body):
         self.uploads.record_received(connection.peer, body)
--- a/banyanshore/loader/target.py
+++ b/banyanshore/loader/target.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from banyanshore.loader.staging import StagingArea
 from banyanshore.membership.feed import GATEWAY_ROLE
 from banyanshore.membership.hubs import choose_hubs, hubs_for
 from banyanshore.membership.load_reports import LoadReport
@@ -25,12 +26,14 @@
     :param incarnation: incarnation of this loader.
     :ivar report: the last :class:`~banyanshore.weights.staged.EngineReport`, ``None``
         while the target doesn't respond.
+    :ivar staging: the :class:`~banyanshore.loader.staging.StagingArea`.
     :ivar is_loading: whether the target is loading or about to load.
     :ivar links: the :class:`~banyanshore.transport.LinkPool` to the gateways.
     """
 
     def __init__(self, settings, engine, registry, incarnation):
         self.engine = engine
+        self.staging = StagingArea(engine)
         self.report = None
         self.is_loading = False
         self.links = None
--- a/banyanshore/loader/transfer.py
+++ b/banyanshore/loader/transfer.py
@@ -15,11 +15,14 @@
     """Transfer one version and also stage its chunks at the target.
 
     :param target: the :class:`~banyanshore.loader.target.TargetMonitor`.
+    :param loads_next: callable that returns whether the target is to load the version
+        of a transfer next, so that its chunks are staged as they arrive.
     """
 
-    def __init__(self, target, *arguments):
+    def __init__(self, target, loads_next, *arguments):
         super().__init__(*arguments)
         self._target = target
+        self._loads_next = loads_next
         self._engine = target.engine
 
     def has_first_layer(self, layers):
@@ -48,6 +51,13 @@
         return await self._stage(self._first_layer_chunks(layers))
 
     async def _stage(self, chunk_count):
+        async with self._target.staging.lock:
+            return await self._stage_missing(chunk_count)
+
+    async def _stage_missing(self, chunk_count):
+        staging = self._target.staging
+        # Chunks that others have begun to stage before would not hold from here on.
+        staging.version = self.version
         began_at = boottime_now()
         restaged = 0
         for index, digest in enumerate(self.manifest.chunk_digests[:chunk_count]):
@@ -60,7 +70,7 @@
                         f"chunk {index} is of a version that is no longer wanted",
                         step="stage",
                     )
-                await self._engine.stage(self.spec.name, index, data)
+                await staging.stage(self.spec.name, self.version, index, data)
         return StagedCheck(began_at, restaged)
 
     async def _read_staged(self, index):
@@ -72,8 +82,8 @@
         return math.ceil(self.manifest.chunk_count / layers)
 
     def _start_planner(self, have):
-        # No instance needs chunks of an older version any more.
-        self._store.keep_only(self.manifest.chunk_digests)
+        # No instance needs chunks of a version that isn't carried any more.
+        self._store.keep_only(self._carried.chunk_digests())
         super()._start_planner(have)
 
     async def _is_stored(self, index, digest):
@@ -93,10 +103,14 @@
 
     async def _store_chunk(self, index, data):
         await super()._store_chunk(index, data)
-        if self._target.report is None:
+        staging = self._target.staging
+        if self._target.report is None or staging.lock.locked():
+            # stage_all() stages it before the load order.
             return
         try:
-            await self._engine.stage(self.spec.name, index, data)
+            async with staging.lock:
+                if self._loads_next(self):
+                    await staging.stage(self.spec.name, self.version, index, data)
         except StagedEngineError as error:
             # stage_all() stages it again before the load order.
             logger.info("chunk not staged", extra={"why": str(error)})
--- a/banyanshore/routing/version_switch.py
+++ b/banyanshore/routing/version_switch.py
@@ -154,6 +154,16 @@
         """Return the latest version of a model, 0 if there is none."""
         return self._latest_by_model.get(model, 0)
 
+    def version_before(self, model):
+        """Return the version before the latest one, and when it became known.
+
+        :return: version and time, ``None`` if its time isn't known.
+        """
+        latest = self.latest_version(model)
+        times = self._times_by_model.get(model, {})
+        earlier = [version for version in times if version < latest]
+        return (max(earlier), times[max(earlier)]) if earlier else None
+
     def oldest_allowed_version(self, now, model):
         """Return the oldest version that requests may still be sent to."""
         times = self._times_by_model.get(model, {})
--- a/banyanshore/weights/chunks.py
+++ b/banyanshore/weights/chunks.py
@@ -41,6 +41,9 @@
     def __init__(self):
         self._data_by_digest = {}
 
+    def __len__(self):
+        return len(self._data_by_digest)
+
     def put(self, digest, data):
         """Store a chunk."""
         self._data_by_digest[digest] = data
--- a/banyanshore/weights/desired_versions.py
+++ b/banyanshore/weights/desired_versions.py
@@ -1,6 +1,8 @@
 """Find the weights that the desired state asks for, and their origin."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+from banyanshore.weights.version_order import are_in_a_row
 
 # Version of the weights that is served before a rollout names another one.
 FIRST_VERSION = 1
@@ -53,6 +55,24 @@
     return desired_versions
 
 
+def find_carried_versions(desired, versions, switch_seconds):
+    """Return the versions of each service that may be carried, by service name.
+
+    :return: tuples of one or two :class:`DesiredVersion` objects: the latest version,
+        and before it the one that was named so shortly before that it may be late.
+    """
+    carried = {}
+    for name, latest in find_desired_versions(desired, versions).items():
+        carried[name] = (latest,)
+        before = versions.version_before(latest.model)
+        if before is not None and before[0] > FIRST_VERSION:
+            version, known_since = before
+            if are_in_a_row(known_since, latest.known_since, switch_seconds):
+                older = replace(latest, version=version, known_since=known_since)
+                carried[name] = (older, latest)
+    return carried
+
+
 def find_origin(desired):
     """Return the service row of the weights origin, or ``None`` if none is declared."""
     services = desired.document["services"] if desired else {}
--- a/banyanshore/weights/planner.py
+++ b/banyanshore/weights/planner.py
@@ -213,6 +213,15 @@
             self.in_flight[fetch.index] = fetch.source
         return fetches
 
+    def wants_origin_fetch(self):
+        """Return whether chunks are missing that aren't being fetched.
+
+        An origin that doesn't send them counts as one that they aren't wanted from.
+        """
+        if self._failed_origin_fetches:
+            return False
+        return any(index not in self.in_flight for index in self._assignments)
+
     def tick_neighbour_fetches(self, now):
         """Return the fetches from neighbours to start now."""
         fetches = [] if self.is_complete else self._fetch_from_neighbours(now)
--- a/banyanshore/weights/relay.py
+++ b/banyanshore/weights/relay.py
@@ -15,6 +15,7 @@
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.weights.carried import CarriedVersions
 from banyanshore.weights.exceptions import OriginError
 from banyanshore.weights.manifest import Manifest, parse_manifest
 from banyanshore.weights.messages import HaveUpdate, ManifestRequest
@@ -81,9 +82,11 @@
     def __init__(self, find_origin, chunk_bytes, known_since, *arguments):
         super().__init__(*arguments)
         switch_seconds = self._settings.version_switch_seconds
+        self.known_since = known_since
         self.urgent_from = known_since + URGENT_SHARE * switch_seconds
         self._find_origin = find_origin
         self._chunk_bytes = chunk_bytes
+        # Monotonic times of the last new chunk, and of the last pushed one.
         self._progressed_at = self._pushed_at = time.monotonic()
         # Time of the first chunk fetched from the origin since the last pushed one.
         self._fetched_since = None
@@ -93,6 +96,16 @@
         self._tasks = None
         # Parent that last received an update, and the chunks reported in it.
         self._last_parent_update = None
+        self._carried = CarriedVersions(switch_seconds)
+        self._carried.add(self)
+
+    def join(self, carried):
+        """Share the links with the transfers of other versions.
+
+        :param carried: the :class:`~banyanshore.weights.carried.CarriedVersions`.
+        """
+        self._carried = carried
+        carried.add(self)
 
     @property
     def version(self):
@@ -106,6 +119,16 @@
             return 0.0
         return self.planner.have.bit_count() / self.manifest.chunk_count
 
+    @property
+    def progressed_at(self):
+        """Return the monotonic time of the last new chunk, or of the start."""
+        return self._progressed_at
+
+    @property
+    def pushed_at(self):
+        """Return the monotonic time of the last pushed chunk, or of the start."""
+        return self._pushed_at
+
     @property
     def is_urgent(self):
         """Return whether the transfer counts as late."""
@@ -143,6 +166,34 @@
             child.have = int.from_bytes(update.bitmap, "little")
             self._notify_chunks_changed()
 
+    def pushes_to(self, child_name):
+        """Return the number of chunks that are being pushed to a child."""
+        child = self._child_by_instance.get(child_name)
+        return child.in_flight.bit_count() if child else 0
+
+    def has_chunk_for(self, child_name):
+        """Return whether there is a chunk here that a child lacks."""
+        child = self._child_by_instance.get(child_name)
+        if child is None or self.planner is None:
+            return False
+        return bool(self.planner.have & ~child.have & ~child.in_flight)
+
+    def missing_at(self, child_name):
+        """Return the fraction of the chunks that a child lacks."""
+        child = self._child_by_instance.get(child_name)
+        if child is None or self.manifest is None:
+            return 1.0
+        return 1.0 - child.have.bit_count() / self.manifest.chunk_count
+
+    def wants_origin_fetch(self):
+        """Return whether there are chunks that the origin isn't asked for yet."""
+        return self.planner is not None and self.planner.wants_origin_fetch()
+
+    def wake_pushes(self):
+        """Have the pushes to children checked again."""
+        changed, self._chunks_changed = self._chunks_changed, anyio.Event()
+        changed.set()
+
     def manifest_content(self, digest):
         """Return the manifest as bytes, empty if it isn't the requested one.
 
@@ -154,8 +205,8 @@
         return b""
 
     def _notify_chunks_changed(self):
-        changed, self._chunks_changed = self._chunks_changed, anyio.Event()
-        changed.set()
+        for transfer in self._carried:
+            transfer.wake_pushes()
 
     async def _wait_for_rosters(self):
         """Return immediately: members become known together with the version."""
@@ -163,6 +214,8 @@
     def _next_fetches(self, now):
         self._refresh_children()
         is_root = self._rosters.tree.root == self._settings.instance
+        if is_root and self._carried.must_leave_origin(self):
+            return []
         return next_fetches(
             self.planner,
             now,
@@ -175,13 +228,15 @@
         rank = self._rosters.tree.origin_rank(self._settings.instance)
         since = self._fetched_since
         return origin_fetch_limit(
-            now - self._pushed_at, rank, None if since is None else now - since
+            now - self._carried.pushed_at(),
+            rank,
+            None if since is None else now - since,
         )
 
     def _is_stalled(self, now):
         parent = self._rosters.tree.parent(self._settings.instance)
         is_receiving = self._links.is_receiving_frame_from(parent)
-        return is_stalled(self.seconds_without_chunk(now), is_receiving)
+        return is_stalled(now - self._carried.progressed_at(), is_receiving)
 
     def seconds_without_chunk(self, now):
         """Return the seconds since the last new chunk, or since the start if none."""
@@ -241,7 +296,9 @@
             self.is_urgent,
             child.push_times.chunk_seconds,
         )
-        return child.in_flight.bit_count() < limit
+        return self._carried.may_push(
+            self, child.name, limit, child.push_times.chunk_seconds
+        )
 
     async def _push_chunk(self, child, chunk):
         try:
--- a/tests/loader/test_driver.py
+++ b/tests/loader/test_driver.py
@@ -13,6 +13,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.loader import driver as driver_module
 from banyanshore.loader.driver import ARRIVAL_SECONDS, LoadDriver
+from banyanshore.loader.staging import StagingArea
 from banyanshore.loader.transfer import StagedTransfer
 from banyanshore.routing.version_switch import VersionSwitch
 from banyanshore.telemetry.weights import LoaderMetrics
@@ -83,6 +84,7 @@
 
     def __init__(self, engine):
         self.engine = engine
+        self.staging = StagingArea(engine)
         self.is_loading = False
 
     @property
@@ -110,6 +112,7 @@
         completed_at=math.inf,
         _store=chunk_by_digest,
         _engine=target.engine,
+        _target=target,
         _progressed_at=time.monotonic(),
     )
     return transfer
