Ask for the socket of a connection that may have ended in one place

Cause: uvloop closes the socket of a connection as soon as its peer has reset it, and then gives none at all. On asyncio has_unread_bytes failed alike, more rarely.

Change: find_socket returns no socket for a connection that has ended; such a connection counts as closed and readable.

--- a/banyanshore/http/closing.py
+++ b/banyanshore/http/closing.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from banyanshore.core.sockets import count_unacknowledged_bytes
+from banyanshore.core.sockets import count_unacknowledged_bytes, find_socket
 from banyanshore.http.lingering import CHECK_SECONDS, Linger
 from banyanshore.http.wire import PeerClosedError, receive_bytes
 
@@ -16,7 +16,7 @@
     :return: the number of bytes that were discarded.
     """
     discarded = 0
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw = find_socket(stream)
     await stream.send_eof()
     waiting = Linger(clock())
     while not waiting.is_over(clock(), count_unacknowledged_bytes(raw)):
--- a/banyanshore/http/wire.py
+++ b/banyanshore/http/wire.py
@@ -8,6 +8,7 @@
 import anyio
 
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.sockets import find_socket
 
 # Bytes read from a socket at a time.
 READ_SIZE_BYTES = 64 * 1024
@@ -66,7 +67,9 @@
 
 def set_timeouts(stream):
     """Make the kernel close the connection if its peer stops responding."""
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw = find_socket(stream)
+    if raw is None:
+        return
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
@@ -79,7 +82,9 @@
 
     After an orderly close the kernel still delivers what was queued before it.
     """
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw = find_socket(stream)
+    if raw is None:
+        return
     # The peer may have closed the connection already.
     with contextlib.suppress(OSError):
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_WITHOUT_WAIT)
@@ -87,17 +92,21 @@
 
 def is_closed_by_peer(stream):
     """Return whether the peer has closed, even if received bytes are unread."""
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    poll = select.poll()
-    poll.register(raw.fileno(), select.POLLRDHUP)
-    return bool(poll.poll(0))
+    return _has_event(stream, select.POLLRDHUP)
 
 
 def has_unread_bytes(stream):
     """Return whether bytes, or the end of the stream, can be read at once."""
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    return _has_event(stream, select.POLLIN | select.POLLRDHUP)
+
+
+def _has_event(stream, events):
+    """Return whether one of some events has occurred, or the connection has ended."""
+    raw = find_socket(stream)
+    if raw is None:
+        return True
     poll = select.poll()
-    poll.register(raw.fileno(), select.POLLIN | select.POLLRDHUP)
+    poll.register(raw.fileno(), events)
     return bool(poll.poll(0))
 
 
--- a/banyanshore/transport/connection.py
+++ b/banyanshore/transport/connection.py
@@ -12,7 +12,7 @@
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
-from banyanshore.core.sockets import count_unacknowledged_bytes
+from banyanshore.core.sockets import count_unacknowledged_bytes, find_socket
 from banyanshore.core.values import dataclass
 from banyanshore.transport.codec import CodecError, Decoder, encode
 from banyanshore.transport.frames import (
@@ -200,7 +200,7 @@
 
     def count_undelivered_bytes(self):
         """Return the bytes of frames that the peer's system has not acknowledged."""
-        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw = find_socket(self._stream)
         return self.pending_bytes + (count_unacknowledged_bytes(raw) or 0)
 
     async def call(self, body, timeout):
--- /dev/null
+++ b/tests/http/test_wire.py
@@ -0,0 +1,33 @@
+"""Check what is asked of connections that may have ended."""
+
+import anyio
+import pytest
+
+from banyanshore.core.sockets import find_socket
+from banyanshore.http.wire import (
+    has_unread_bytes,
+    is_closed_by_peer,
+    reset_on_close,
+    set_timeouts,
+)
+from tests.http.raw import connect, scripted_server
+
+pytestmark = pytest.mark.anyio
+
+
+async def wait_until_closed(stream):
+    await stream.receive()
+
+
+async def test_connection_that_has_ended_counts_as_closed_and_readable():
+    """An event loop may close the socket as soon as the peer has reset it."""
+    async with scripted_server(wait_until_closed) as server:
+        stream = await connect(server.address)
+        await anyio.aclose_forcefully(stream)
+        with anyio.fail_after(5):
+            while find_socket(stream) is not None:
+                await anyio.lowlevel.checkpoint()
+        assert has_unread_bytes(stream)
+        assert is_closed_by_peer(stream)
+        set_timeouts(stream)
+        reset_on_close(stream)
