Keep the scores by which loaders are ranked into waves

Cause: each loader ranks all loaders of its service 20 times a second, and hashed each name each time.

Change: the scores are kept by name and version.

--- a/banyanshore/loader/decisions.py
+++ b/banyanshore/loader/decisions.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from enum import Enum
+from functools import lru_cache
 
 from banyanshore.core.values import dataclass
 
@@ -189,6 +190,8 @@
     return seconds * (1 - progress) / progress <= DRAIN_SECONDS
 
 
+# A loader asks for its wave at each check, and the loaders rarely change.
+@lru_cache(maxsize=10_000)
 def _score(name, version):
     data = f"{name}\0{version}".encode()
     return hashlib.blake2b(data, digest_size=8).digest()
