Bound the receive buffers of connections to callers and targets

Cause: uvloop reads all that has arrived on a connection before the process can pause it, and the receive buffer grows to megabytes.

Change: these connections get a receive buffer of 128 KB; fetches of chunks keep the system's.

--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -16,7 +16,12 @@
 from banyanshore.http.accepting import open_acceptor
 from banyanshore.http.caller_connection import CallerConnection
 from banyanshore.http.exchange import RequestError
-from banyanshore.http.wire import PeerClosedError, reset_on_close, set_timeouts
+from banyanshore.http.wire import (
+    PeerClosedError,
+    bound_receive_buffer,
+    reset_on_close,
+    set_timeouts,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -113,6 +118,7 @@
         connection = None
         try:
             set_timeouts(stream)
+            bound_receive_buffer(stream)
             connection = CallerConnection(self, stream)
             self._connections.add(connection)
             try:
--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -20,6 +20,7 @@
 from banyanshore.core.values import dataclass
 from banyanshore.http.wire import (
     PeerClosedError,
+    bound_receive_buffer,
     get_header,
     has_unread_bytes,
     receive_bytes,
@@ -254,6 +255,7 @@
     progress_timeout=math.inf,
     may_send=lambda: True,
     head_scope=None,
+    has_bounded_buffer=True,
 ):
     """Send a request, and yield its :class:`UpstreamAnswer` once the head is received.
 
@@ -267,6 +269,7 @@
         to send the request.
     :param head_scope: cancel scope of the wait for the head; the request is withdrawn
         when it is cancelled.
+    :param has_bounded_buffer: see :func:`~banyanshore.http.wire.bound_receive_buffer`.
 
     :raises UnavailableError: no connection; the request was not sent.
     :raises NotSentError: ``may_send`` returned false; the request was not sent.
@@ -275,6 +278,8 @@
     """
     head_scope = head_scope or anyio.CancelScope()
     stream = await _connect(address, connect_timeout)
+    if has_bounded_buffer:
+        bound_receive_buffer(stream)
     answer = UpstreamAnswer(stream, address, progress_timeout)
     try:
         if not may_send():
@@ -385,7 +390,14 @@
     try:
         with anyio.fail_after(timeout):
             connect_timeout = min(timeout, connect_timeout)
-            opening = open_answer(address, request, connect_timeout, may_send=may_send)
+            # The answer is bounded, and large chunks of weights may come from afar.
+            opening = open_answer(
+                address,
+                request,
+                connect_timeout,
+                may_send=may_send,
+                has_bounded_buffer=False,
+            )
             async with opening as answer:
                 body = await answer.read_body(max_bytes)
                 return answer.status, answer.headers, body
--- a/banyanshore/http/wire.py
+++ b/banyanshore/http/wire.py
@@ -12,6 +12,9 @@
 
 # Bytes read from a socket at a time.
 READ_SIZE_BYTES = 64 * 1024
+# Receive buffer of a connection that relays answers or bodies, of which the system uses
+# twice as much; by default it grows to megabytes.
+RECEIVE_BUFFER_BYTES = 128 * 1024
 # Value of SO_LINGER with which a close drops unsent bytes and resets the connection.
 _LINGER_WITHOUT_WAIT = struct.pack("ii", 1, 0)
 # Milliseconds for which sent bytes may stay unacknowledged, to detect a peer that has
@@ -77,6 +80,17 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
 
+def bound_receive_buffer(stream):
+    """Bound the bytes that arrive on a connection before they are asked for.
+
+    Load pattern: many peers send as fast as they can, and an event loop that reads all
+    that has arrived holds it for each of them.
+    """
+    raw = find_socket(stream)
+    if raw is not None:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 def reset_on_close(stream):
     """Make the close of a connection drop unsent bytes and reset it.
 
