--- a/banyanshore/http/caller_account.py
+++ b/banyanshore/http/caller_account.py
@@ -20,9 +20,6 @@
 MAX_LOGGED_IN_SECOND = 20
 # Seconds between looks at the buffers of connections that are in use.
 LOOK_SECONDS = 0.5
-# Bytes that the system keeps for a connection until they are read; it takes twice as
-# much for its own overhead. Bounds what a caller sends ahead.
-RECEIVE_BUFFER_BYTES = 128 * 1024
 
 
 class CallerAccount:
--- a/banyanshore/http/caller_connection.py
+++ b/banyanshore/http/caller_connection.py
@@ -9,7 +9,11 @@
 
 from banyanshore.core.byte_account import Stage
 from banyanshore.core.groups import open_task_group
-from banyanshore.core.sockets import count_unacknowledged_bytes, count_unread_bytes
+from banyanshore.core.sockets import (
+    count_unacknowledged_bytes,
+    count_unread_bytes,
+    find_socket,
+)
 from banyanshore.http.caller_stream import StoppedError
 from banyanshore.http.closing import linger
 from banyanshore.http.exchange import (
@@ -64,7 +68,6 @@
         self._unparsed_bytes = 0
         stream.on_blocked = self._on_blocked
         share.holder = self
-        self._raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self.limits = listener.limits()
         self._phase = Phase.IDLE
         self._h11 = h11.Connection(
@@ -110,11 +113,12 @@
 
     def unfinished(self):
         """Return what a close of the connection now would leave unfinished."""
+        raw = find_socket(self._stream)
         return Unfinished(
             self._phase,
             self.request_id,
-            count_unacknowledged_bytes(self._raw),
-            count_unread_bytes(self._raw),
+            count_unacknowledged_bytes(raw),
+            count_unread_bytes(raw),
         )
 
     def close_ends_incomplete_answer(self):
@@ -167,7 +171,8 @@
         if self._peer_closed or self.must_reset():
             return
         is_recent = time.monotonic() - self._answered_at < DELIVERED_SECONDS
-        if not is_recent and not count_unacknowledged_bytes(self._raw):
+        raw = find_socket(self._stream)
+        if not is_recent and not count_unacknowledged_bytes(raw):
             return
         self.share.stage = Stage.LINGERING
         discarded = await linger(self._stream, time.monotonic)
--- a/banyanshore/http/caller_stream.py
+++ b/banyanshore/http/caller_stream.py
@@ -9,7 +9,11 @@
 
 import anyio
 
-from banyanshore.core.sockets import count_unacknowledged_bytes, count_unread_bytes
+from banyanshore.core.sockets import (
+    count_unacknowledged_bytes,
+    count_unread_bytes,
+    find_socket,
+)
 from banyanshore.http.wire import READ_SIZE_BYTES, PeerClosedError
 
 # Filled by one connection after the other; each takes a copy at once.
@@ -71,21 +75,26 @@
         self.on_blocked = lambda is_blocked: None
         self._transport = transport
         self._protocol = protocol
-        self._raw = transport.get_extra_info("socket")
 
     @property
     def extra_attributes(self):
         """Provide the socket."""
-        return {anyio.abc.SocketAttribute.raw_socket: lambda: self._raw}
+        # Not kept: the event loop may close it, and its number then names another one.
+        return {
+            anyio.abc.SocketAttribute.raw_socket: lambda: (
+                self._transport.get_extra_info("socket")
+            )
+        }
 
     def count_buffered_bytes(self):
         """Return the bytes that wait to be sent, acknowledged or read."""
         if self._transport.is_closing():
             return 0
+        raw = find_socket(self)
         return (
             self._transport.get_write_buffer_size()
-            + (count_unacknowledged_bytes(self._raw) or 0)
-            + (count_unread_bytes(self._raw) or 0)
+            + (count_unacknowledged_bytes(raw) or 0)
+            + (count_unread_bytes(raw) or 0)
             + len(self._protocol.data)
         )
 
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -15,15 +15,16 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.groups import wait_for_first
 from banyanshore.http.accepting import open_acceptor
-from banyanshore.http.caller_account import (
-    LOOK_SECONDS,
-    RECEIVE_BUFFER_BYTES,
-    CallerAccount,
-)
+from banyanshore.http.caller_account import LOOK_SECONDS, CallerAccount
 from banyanshore.http.caller_connection import CallerConnection
 from banyanshore.http.caller_stream import open_caller_stream
 from banyanshore.http.exchange import RequestError
-from banyanshore.http.wire import PeerClosedError, reset_on_close, set_timeouts
+from banyanshore.http.wire import (
+    RECEIVE_BUFFER_BYTES,
+    PeerClosedError,
+    reset_on_close,
+    set_timeouts,
+)
 
 logger = logging.getLogger(__name__)
 
--- a/banyanshore/http/server.py
+++ b/banyanshore/http/server.py
@@ -11,13 +11,10 @@
 from banyanshore.core.byte_account import Stage
 from banyanshore.core.exceptions import BindError
 from banyanshore.core.groups import open_task_group
-from banyanshore.http.caller_account import (
-    LOOK_SECONDS,
-    RECEIVE_BUFFER_BYTES,
-    CallerAccount,
-)
+from banyanshore.http.caller_account import LOOK_SECONDS, CallerAccount
 from banyanshore.http.connections import WebConnection
 from banyanshore.http.lingering import DiscardingReader
+from banyanshore.http.wire import RECEIVE_BUFFER_BYTES
 
 # Seconds that open connections get to close when a server stops; by then, all requests
 # have ended.
--- a/banyanshore/weights/desired_versions.py
+++ b/banyanshore/weights/desired_versions.py
@@ -1,8 +1,8 @@
 """Find the weights that the desired state asks for, and their origin."""
 
-from banyanshore.core.values import dataclass
 from dataclasses import replace
 
+from banyanshore.core.values import dataclass
 from banyanshore.weights.version_order import are_in_a_row
 
 # Version of the weights that is served before a rollout names another one.
