Accept callers of entries and agents one by one, as other processes do

Change: the web server uses the acceptor of the other listeners, which waits while connections that were stopped end, and at a stop accepts those that wait.

--- a/banyanshore/http/server.py
+++ b/banyanshore/http/server.py
@@ -1,7 +1,7 @@
 """Run an ASGI application on one address."""
 
 import asyncio
-import socket
+import logging
 
 import anyio
 from hypercorn.app_wrappers import ASGIWrapper
@@ -9,8 +9,8 @@
 from hypercorn.config import Config
 
 from banyanshore.core.byte_account import Stage
-from banyanshore.core.exceptions import BindError
 from banyanshore.core.groups import open_task_group
+from banyanshore.http.accepting import open_acceptor
 from banyanshore.http.caller_account import (
     LOOK_SECONDS,
     RECEIVE_BUFFER_BYTES,
@@ -19,6 +19,8 @@
 from banyanshore.http.connections import WebConnection
 from banyanshore.http.lingering import DiscardingReader
 
+logger = logging.getLogger(__name__)
+
 # Seconds that open connections get to close when a server stops; by then, all requests
 # have ended.
 GRACEFUL_SECONDS = 1.0
@@ -27,8 +29,6 @@
 MAX_HEAD_BYTES = 64 * 1024
 # Pieces of a body, of 64 KiB at most, that wait for the application.
 MAX_QUEUED_PIECES = 4
-# Connections that are accepted before others are served again.
-ACCEPTED_AT_ONCE = 16
 
 
 class WebServer:
@@ -51,6 +51,8 @@
         self._config = _make_config(address)
         self._context = WorkerContext(None)
         self._connections = set()
+        # One for each connection, so that none is collected while it runs.
+        self._tasks = set()
 
     async def serve(self, shutdown, get_close_seconds=lambda: GRACEFUL_SECONDS):
         """Serve until cancelled, or until an event is set and the connections ended.
@@ -60,52 +62,50 @@
             get to end after that.
         :raises BindError: the address can't be listened on.
         """
-        listeners = await self._listen()
+        acceptor = await open_acceptor(self._address, RECEIVE_BUFFER_BYTES)
         try:
             async with open_task_group() as looking:
                 looking.start_soon(self._look_at_buffers)
-                await shutdown.wait()
+                async with open_task_group() as accepting:
+                    accepting.start_soon(
+                        acceptor.run, self._start, self.callers.may_accept
+                    )
+                    await shutdown.wait()
+                    acceptor.stop()
                 looking.cancel_scope.cancel()
-            for listener in listeners:
-                listener.close()
             # Ends the connections that are idle, and each other one after its answer.
             await self._context.terminated.set()
             with anyio.move_on_after(get_close_seconds()):
                 await self._wait_for_connections()
         finally:
-            for listener in listeners:
-                listener.close()
             self.unfinished = [item.unfinished() for item in self._connections]
             for connection in self._connections:
                 connection.cut()
 
-    async def _listen(self):
+    def _start(self, raw):
+        share = self.callers.open()
+        task = asyncio.create_task(self._serve_accepted(raw, share))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve_accepted(self, raw, share):
         loop = asyncio.get_running_loop()
+        reader = DiscardingReader()
         try:
-            sockets = self._config.create_sockets().insecure_sockets
-            servers = []
-            for item in sockets:
-                # Connections inherit it.
-                item.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-                )
-                servers.append(
-                    await loop.create_server(
-                        self._make_protocol, sock=item, backlog=ACCEPTED_AT_ONCE
-                    )
-                )
-                item.listen(self._config.backlog)
-            return servers
-        except OSError as error:
-            raise BindError(self._address, error) from error
-
-    def _make_protocol(self):
-        return asyncio.StreamReaderProtocol(DiscardingReader(), self._run_connection)
-
-    async def _run_connection(self, reader, writer):
-        # Stops another connection if there are too many.
-        self.callers.may_accept()
-        share = self.callers.open()
+            protocol = asyncio.StreamReaderProtocol(reader)
+            try:
+                transport, _ = await loop.connect_accepted_socket(lambda: protocol, raw)
+            except OSError as error:
+                # The caller has closed the connection already.
+                logger.debug("connection ended: %s", error)
+                raw.close()
+                return
+            writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+            await self._run_connection(reader, writer, share)
+        finally:
+            self.callers.account.close(share)
+
+    async def _run_connection(self, reader, writer, share):
         connection = WebConnection(
             self, share, self._application, self._config, self._context, reader, writer
         )
@@ -114,7 +114,6 @@
             await connection
         finally:
             self._connections.discard(connection)
-            self.callers.account.close(share)
 
     async def _look_at_buffers(self):
         while True:
@@ -126,7 +125,7 @@
             self.callers.make_room()
 
     async def _wait_for_connections(self):
-        while self._connections:
+        while self._tasks:
             await anyio.sleep(0.02)
 
     def iter_active(self):
