Rank requests by the priorities of workspace and route, and tell targets

Cause: priorities of routes and workspaces were decoded and read nowhere on the gateway's path, and no offer told the engine how urgent its request is. Change: routing/ranks.py numbers the priorities that occur among the requests of a service, the workspace's before the route's; screening finds the rank, and the platform's dialect writes it as Request-Priority where a service has several ranks. A caller can't set that header itself. The lines on ended requests carry the rank and how long the caller waits.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -185,6 +185,7 @@
             self._version if self._exchange.started else 0,
             frozenset(self._attempts.excluded),
             self._screened.route.objective_seconds,
+            self._screened.rank,
         )
 
     def _may_send(self, choice):
@@ -226,6 +227,7 @@
             self._seconds_left,
             choice.model_version,
             self._events.last_event_id,
+            self._screened.rank,
         )
         request = self._gateway.dialect.build(self._request, self._body, offer)
         await self._gateway.announce_placement(now, row, self._screened)
@@ -468,6 +470,11 @@
             return None
         return round((time.monotonic() - self._offer_in_flight.offered_at) * 1000)
 
+    def _caller_timeout_ms(self):
+        """Return how long the caller waits in milliseconds, ``None`` if unknown."""
+        seconds = self._request.caller_timeout_seconds
+        return None if seconds == math.inf else round(seconds * 1000)
+
     def _log(self, message, **details):
         logger.info(
             message,
@@ -520,6 +527,8 @@
             model_version=self._version,
             first_ms=None if first is None else round(first * 1000),
             total_ms=round((now - self._arrived_at) * 1000),
+            caller_ms=self._caller_timeout_ms(),
+            rank=self._screened.rank.position,
             **details,
         )
 
--- a/banyanshore/gateway/screening.py
+++ b/banyanshore/gateway/screening.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from banyanshore.routing.caller_requests import CallerRequest
+from banyanshore.routing.ranks import ONLY_RANK, Rank
 from banyanshore.routing.retry_after import Reason
 from banyanshore.state.routes import Route, RouteTable, Workspace
 
@@ -15,12 +16,14 @@
     """A request that may be served.
 
     :param service: name of the service that was selected from those of the route.
+    :param rank: its urgency among the requests of the service.
     """
 
     request: CallerRequest
     route: Route
     workspace: Workspace
     service: str
+    rank: Rank = ONLY_RANK
 
     @property
     def regions(self):
@@ -85,7 +88,9 @@
             if workspace is None:
                 return _reject_missing(401, "unknown key", may_lack_rows)
         service = route.choose_service(_fraction(request.request_id))
-        return Screened(request, route, workspace or _NO_WORKSPACE, service)
+        workspace = workspace or _NO_WORKSPACE
+        rank = self.table.find_rank(service, route, workspace)
+        return Screened(request, route, workspace, service, rank)
 
     def are_keys_valid(self, unconfirmed_seconds):
         """Return whether the keys in this gateway's state still count as valid."""
--- a/banyanshore/platform/caller_dialect.py
+++ b/banyanshore/platform/caller_dialect.py
@@ -19,6 +19,9 @@
 _EXPECT_REPLICA = b"expect-replica"
 _EXPECT_VERSION = b"expect-version"
 _LAST_EVENT_ID = b"last-event-id"
+# Priority of a request at its target, where 0 is first; only the gateway sets it.
+_PRIORITY = b"request-priority"
+_PRIORITIES = 10
 _MODEL = b"model"
 # Prompt tokens and maximum answer tokens; despite the name, not the actual usage.
 _TOKEN_USAGE = b"token-usage"
@@ -47,6 +50,7 @@
         _TENANT,
         _EXPECT_REPLICA,
         _EXPECT_VERSION,
+        _PRIORITY,
         b"content-length",
         b"expect",
     }
@@ -103,6 +107,8 @@
             headers.append((_EXPECT_VERSION, b"%d" % offer.model_version))
         if offer.workspace:
             headers.append((_TENANT, offer.workspace.encode("latin-1")))
+        if offer.rank.count > 1:
+            headers.append((_PRIORITY, b"%d" % _priority(offer.rank)))
         return OutgoingRequest(request.method, request.target, tuple(headers), body)
 
     def is_not_executed(self, answer):
@@ -146,6 +152,18 @@
         return headers
 
 
+def _priority(rank):
+    """Return the priority of a rank, which keeps their order as far as there is room.
+
+    >>> from banyanshore.routing.ranks import Rank
+    >>> _priority(Rank(2, 3)), _priority(Rank(19, 20))
+    (2, 9)
+    """
+    if rank.count <= _PRIORITIES:
+        return rank.position
+    return rank.position * _PRIORITIES // rank.count
+
+
 def _parse_key(value):
     scheme, _, key = value.partition(" ")
     return key.strip() if scheme.lower() == _SCHEME else ""
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -17,6 +17,7 @@
 from banyanshore.membership.registry import TargetState
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.notices import TargetNotices
+from banyanshore.routing.ranks import ONLY_RANK, Rank
 from banyanshore.routing.request_limits import RequestLimits
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.room import RoomRule
@@ -68,7 +69,7 @@
     :param exact_version: the only version that may run it, 0 for any.
     :param excluded: ids of targets that must not be selected.
     :param objective_seconds: objective for the time to the first event, 0 for none.
-    :param rank: urgency, 0 for the most urgent requests.
+    :param rank: urgency among the requests of the service.
     """
 
     service: str
@@ -78,7 +79,7 @@
     exact_version: int = 0
     excluded: frozenset = field(default_factory=frozenset)
     objective_seconds: float = 0.0
-    rank: int = 0
+    rank: Rank = ONLY_RANK
 
 
 def connection_share(service, gateways):
--- a/banyanshore/routing/caller_requests.py
+++ b/banyanshore/routing/caller_requests.py
@@ -3,6 +3,8 @@
 import abc
 from dataclasses import dataclass
 
+from banyanshore.routing.ranks import ONLY_RANK, Rank
+
 
 @dataclass(frozen=True)
 class CallerRequest:
@@ -48,6 +50,7 @@
     :param model_version: the only version of the weights that may run it, 0 for any.
     :param last_event_id: id of the event after which to resume a stream, ``None`` for
         the one in the caller's request.
+    :param rank: urgency of the request, see :mod:`~banyanshore.routing.ranks`.
     """
 
     target_id: str
@@ -55,6 +58,7 @@
     seconds_left: float
     model_version: int = 0
     last_event_id: int | None = None
+    rank: Rank = ONLY_RANK
 
 
 class CallerDialect(abc.ABC):
--- a/banyanshore/state/routes.py
+++ b/banyanshore/state/routes.py
@@ -1,9 +1,11 @@
 """The routes of the desired state, indexed for request lookup."""
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
 
+from banyanshore.routing.ranks import ONLY_RANK, ServiceRanks
 from banyanshore.state.document import changed_rows
 
 
@@ -112,6 +114,8 @@
         self.limits = CallerLimits(**document.get("limits", {}).get("callers", {}))
         self.services = document.get("services", {})
         self._rows = document.get("routes", {})
+        # Number of routes by service, priority and whether they are public.
+        self._route_counts = Counter(previous._route_counts if previous else ())
         self._routes_by_host = self._index_routes(previous)
         # Requests still need a key if all keys of all workspaces were removed.
         self.requires_key = bool(document.get("workspaces"))
@@ -121,6 +125,7 @@
             workspace = Workspace(name, row.get("priority"), regions)
             for key in row.get("keys", ()):
                 self._workspace_by_key[key] = workspace
+        self._ranks_by_service = self._index_ranks(document.get("workspaces", {}))
 
     def _index_routes(self, previous):
         """Return the routes by prefix, by host."""
@@ -137,11 +142,40 @@
         for host in touched:
             routes_by_host[host] = dict(routes_by_host.get(host, {}))
         for row in outdated:
-            del routes_by_host[row["host"]][row["prefix"]]
+            route = routes_by_host[row["host"]].pop(row["prefix"])
+            self._route_counts.subtract(_rank_keys(route))
         for row in changed.values():
-            routes_by_host[row["host"]][row["prefix"]] = Route.from_row(row)
+            route = Route.from_row(row)
+            routes_by_host[row["host"]][row["prefix"]] = route
+            self._route_counts.update(_rank_keys(route))
         return routes_by_host
 
+    def _index_ranks(self, workspaces):
+        """Return the :class:`ServiceRanks` by service."""
+        with_key = {row.get("priority") for row in workspaces.values()}
+        pairs_by_service = {}
+        for (service, priority, is_public), count in self._route_counts.items():
+            if count <= 0:
+                continue
+            # Requests of public routes may come without a workspace.
+            is_open = is_public or not workspaces
+            admitted = with_key | {None} if is_open else with_key
+            pairs = pairs_by_service.setdefault(service, set())
+            pairs.update((priority, workspace) for workspace in admitted)
+        return {
+            service: ServiceRanks(pairs) for service, pairs in pairs_by_service.items()
+        }
+
+    def find_rank(self, service, route, workspace):
+        """Return the :class:`~banyanshore.routing.ranks.Rank` of a request.
+
+        :param service: name of the service that it goes to.
+        """
+        ranks = self._ranks_by_service.get(service)
+        if ranks is None:
+            return ONLY_RANK
+        return ranks.find(route.priority, workspace.priority)
+
     def find_route(self, host, path):
         """Return the route with the longest prefix that matches, or ``None``.
 
@@ -163,3 +197,8 @@
     def find_workspace(self, key):
         """Return the :class:`Workspace` of a key, or ``None``."""
         return self._workspace_by_key.get(key)
+
+
+def _rank_keys(route):
+    """Return what the ranks of the services of a route depend on."""
+    return [(share.service, route.priority, route.public) for share in route.services]
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -8,6 +8,8 @@
 
 from banyanshore.core.stopping import StopPlan
 from banyanshore.membership.registry import Departure, MemberRow
+from banyanshore.state import Fence, PublishedState
+from banyanshore.state.document import to_json
 from tests.gateway.deployment import (
     COMPLETE,
     FAILED,
@@ -18,6 +20,7 @@
     close,
     events,
     hang,
+    make_document,
     make_request,
     running_gateway,
 )
@@ -398,3 +401,25 @@
         load = gateway.board.load(row.address)
         expected = 0.0 if act is NOT_RUN else pytest.approx(100.0, abs=5.0)
         assert load.remaining_prefill_seconds(time.monotonic()) == expected
+
+
+async def test_target_receives_the_priority_of_the_request():
+    """No offer said how urgent its request was, so that the engine couldn't tell."""
+    target = Target(COMPLETE)
+    async with running_gateway(target, priority=3) as (gateway, address):
+        document = make_document(priority=3)
+        document["routes"]["r-2"] = {
+            **document["routes"]["r"],
+            "prefix": "/urgent/",
+            "priority": 0,
+        }
+        gateway.state.apply(PublishedState(2, Fence(1, 2), to_json(document)))
+        await ask(address, make_request(request_priority=0))
+    assert b"request-priority: 1\r\n" in target.requests[0].lower()
+
+
+async def test_service_with_one_rank_gets_no_priority():
+    target = Target(COMPLETE)
+    async with running_gateway(target, priority=3) as (_, address):
+        await ask(address, make_request(request_priority=0))
+    assert b"request-priority" not in target.requests[0].lower()
--- a/tests/state/test_routes.py
+++ b/tests/state/test_routes.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from banyanshore.routing.ranks import Rank
 from banyanshore.state.document import DocumentError, check_document
-from banyanshore.state.routes import RouteTable
+from banyanshore.state.routes import RouteTable, Workspace
 
 
 def route(host="a.example", prefix="/x/", **fields):
@@ -101,3 +102,50 @@
 
 def test_workspace_may_list_a_key_twice():
     check_document(document(workspaces={"w": {"keys": ["k", "k"]}}))
+
+
+def test_priority_of_the_workspace_goes_before_that_of_the_route():
+    """Priorities were read and decided nothing."""
+    workspaces = {
+        "urgent": {"keys": ["u"], "priority": 0},
+        "later": {"keys": ["l"], "priority": 7},
+    }
+    rows = [route(priority=2), route(prefix="/y/", priority=1)]
+    table = RouteTable(document(*rows, workspaces=workspaces))
+    positions = [
+        table.find_rank(
+            "s", table.find_route("a.example", path), table.find_workspace(key)
+        ).position
+        for key in "ul"
+        for path in ("/y/", "/x/")
+    ]
+    assert positions == [0, 1, 2, 3]
+
+
+def test_workspaces_without_priority_take_that_of_the_route():
+    rows = [route(priority=4), route(prefix="/y/", priority=-1)]
+    table = RouteTable(document(*rows, workspaces={"w": {"keys": ["k"]}}))
+    workspace = table.find_workspace("k")
+    for path, rank in (("/x/", Rank(1, 2)), ("/y/", Rank(0, 2))):
+        found = table.find_route("a.example", path)
+        assert table.find_rank("s", found, workspace) == rank
+
+
+def test_ranks_follow_routes_that_are_changed_and_dropped():
+    first = RouteTable(document(route(priority=1), route(prefix="/y/", priority=2)))
+    found = first.find_route("a.example", "/x/")
+    workspace = Workspace("")
+    assert first.find_rank("s", found, workspace) == Rank(0, 2)
+    second = RouteTable(document(route(priority=1)), first)
+    assert second.find_rank("s", found, workspace) == Rank(0, 1)
+    third = RouteTable(document(route(priority=3)), second)
+    found = third.find_route("a.example", "/x/")
+    assert third.find_rank("s", found, workspace) == Rank(0, 1)
+
+
+def test_request_without_a_workspace_has_a_rank_on_a_public_route():
+    workspaces = {"w": {"keys": ["k"], "priority": 0}}
+    rows = [route(priority=1), route(prefix="/y/", priority=3, public=True)]
+    table = RouteTable(document(*rows, workspaces=workspaces))
+    found = table.find_route("a.example", "/y/")
+    assert table.find_rank("s", found, Workspace("")) == Rank(2, 3)
