Let requests that find no room wait in order while they can be in time

Cause: the gateway decided by arrival alone. A request that found no room was refused within 3 ms and returned after 0.8 to 2 s, when its objective of 0.4 s had passed, though a place became free each 40 ms.

--- a/banyanshore/gateway/news.py
+++ b/banyanshore/gateway/news.py
@@ -55,6 +55,8 @@
         self._board = board
         self._suspects = suspects
         self._limits = limits
+        # Called when a target may have got room for a request.
+        self.on_room = lambda: None
         self._links = None
         # Addresses of hubs that this gateway has asked for permits.
         self._requested_addresses = set()
@@ -162,10 +164,13 @@
 
     def _apply_report(self, now, report):
         self._board.record_report(now, report)
+        self.on_room()
         return True
 
     def _apply_placement(self, now, notice):
         self._board.record_placement(now, notice)
+        if notice.seconds < 0:
+            self.on_room()
         return True
 
     def _apply_crash(self, now, notification):
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -17,6 +17,7 @@
 from banyanshore.gateway.screening import Rejection, Screening
 from banyanshore.gateway.suspected_parts import SuspectedParts
 from banyanshore.gateway.suspects import Suspects
+from banyanshore.gateway.turns import TurnExchange
 from banyanshore.gateway.withdrawals import Withdrawals
 from banyanshore.http.listener import Listener, ListenerLimits
 from banyanshore.http.unfinished import log_unfinished
@@ -38,6 +39,7 @@
 from banyanshore.routing.answer_memory import AnswerMemory
 from banyanshore.routing.board import TargetBoard
 from banyanshore.routing.engine_model import EngineModel
+from banyanshore.routing.lateness import TimeBudgets
 from banyanshore.routing.notices import TargetNotices
 from banyanshore.routing.request_limits import RequestLimits
 from banyanshore.routing.retry_after import Reason, retry_after_seconds
@@ -99,6 +101,8 @@
         self.runs = set()
         cold_start = settings.cold_start
         self._random = random.Random()
+        self.turns = TurnExchange(self._random, self.metrics)
+        self.time_budgets = TimeBudgets()
         self.board = TargetBoard(
             settings,
             self.registry.targets,
@@ -126,6 +130,7 @@
         self.updates = UpdateExchange(
             member, self.registry, self.board, self.suspects, self.limits
         )
+        self.updates.on_room = self.turns.record_news
         self.limits.updates = self.updates
         self.permits = PermitExchange(
             member, self.registry, self.limits, self.updates, self.metrics
@@ -164,6 +169,7 @@
             tasks.start_soon(self._upkeep)
             tasks.start_soon(self.suspects.run)
             tasks.start_soon(self.limits.run)
+            tasks.start_soon(self.turns.run)
             tasks.start_soon(self.relay.run)
             tasks.start_soon(self.updates.run, self.link_options, self)
             self._follow(tasks, GATEWAY_ROLE)
@@ -293,6 +299,7 @@
             await self._reject(exchange, request, screened)
             return
         self.retry_share(screened.service).record_request(arrived_at)
+        self.time_budgets.record_request(screened.route, request.caller_timeout_seconds)
         body = await exchange.read_body()
         if not self.stop_plan.accepts(arrived_at, answer_seconds(screened)):
             # The stop began while the body arrived.
@@ -389,6 +396,12 @@
             await anyio.sleep(UPKEEP_INTERVAL)
             self.board.forget_departed(time.monotonic())
             self.updates.forget_departed()
+            self._forget_budgets()
+
+    def _forget_budgets(self):
+        document = self.state.desired.document
+        routes = [(row["host"], row["prefix"]) for row in document["routes"].values()]
+        self.time_budgets.keep_only(routes, document["services"])
 
     async def _leave(self, force_requested):
         """Stop accepting new requests, and wait for those in flight to finish."""
@@ -402,6 +415,7 @@
             now + settings.stop_answer_seconds,
             now + settings.stop_timeout,
         )
+        self.turns.queue.close()
         for run in self.runs:
             run.shorten_deadline(self.stop_plan.answers_due_at)
         while not force_requested.is_set() and now < self.stop_plan.ends_at:
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -12,6 +12,7 @@
 from banyanshore.gateway.held_answer import HeldAnswer
 from banyanshore.gateway.suspects import OfferInFlight
 from banyanshore.gateway.target_notices import NoticeRecorder
+from banyanshore.gateway.turns import WaitingRequest
 from banyanshore.http.upstream import (
     CONNECT_TIMEOUT,
     BrokenAnswerError,
@@ -28,6 +29,7 @@
 from banyanshore.routing.part_evidence import shared_part_digests
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.timeouts import event_timeout, head_timeout
+from banyanshore.routing.turns import Turn
 from banyanshore.state.routes import RouteKind
 
 logger = logging.getLogger("banyanshore.requests")
@@ -84,6 +86,10 @@
         # The permit for a target with a limit, or ``None``, and the log fields on it.
         self._permit = None
         self._limit_details = {}
+        # Seconds for which it has waited for room, and the needs of others for which
+        # none was found when its turn came, or ``None`` if it has not waited.
+        self._waited = 0.0
+        self._full_needs = None
         # The answer to the current offer, or ``None``.
         self._answer = None
 
@@ -122,7 +128,7 @@
 
     async def _offer_until_answered(self):
         while True:
-            choice = self._choose()
+            choice = await self._find_room()
             if isinstance(choice, NoChoice):
                 started = self._exchange.started
                 step = Step.BREAK_OFF if started else self._attempts.refusal()
@@ -143,6 +149,75 @@
                 return
             self._log("offered again", why=outcome.value)
 
+    async def _find_room(self):
+        """Return a choice, after a wait if there is no room or others go before."""
+        if self._exchange.started:
+            # The objective was for the first event; the caller waits for the next.
+            return self._choose()
+        turn, waiting = self._make_turn()
+        queue = self._gateway.turns.queue
+        must_queue = queue.goes_before(turn)
+        choice = NoChoice(Reason.FULL) if must_queue else self._choose()
+        if not _is_full(choice):
+            return choice
+        began_at = time.monotonic()
+        outcome = "caller left"
+        try:
+            if not queue.add(began_at, turn):
+                outcome = "refused at once"
+                return choice
+            if must_queue:
+                queue.wake_next(turn.service)
+            choice = await self._wait_for_room(turn, waiting, choice)
+            outcome = "refused" if _is_full(choice) else "ended"
+            return choice
+        finally:
+            self._waited += time.monotonic() - began_at
+            queue.discard(turn)
+            if waiting.is_woken:
+                # Its turn has come too late.
+                queue.wake_next(turn.service)
+            self._gateway.turns.record_outcome(turn.rank, outcome)
+
+    async def _wait_for_room(self, turn, waiting, choice):
+        """Return a choice other than that all targets are full, or the last one."""
+        queue = self._gateway.turns.queue
+        while await waiting.wait(turn.ends_at - time.monotonic()):
+            choice = self._choose()
+            if not _is_full(choice):
+                self._full_needs = waiting.full_needs
+                break
+            queue.wake_next(turn.service, waiting.full_needs | {turn.needs})
+        return choice
+
+    def _make_turn(self):
+        """Return the :class:`Turn` of this request, and its wait."""
+        route = self._screened.route
+        now = time.monotonic()
+        timeliness = self._gateway.time_budgets.timeliness(
+            route,
+            self._screened.service,
+            self._request.caller_timeout_seconds,
+            now - self._arrived_at,
+        )
+        waiting = WaitingRequest()
+        turn = Turn(
+            self._screened.service,
+            self._screened.rank,
+            self._screened.workspace.name,
+            timeliness.is_late,
+            now + min(timeliness.longest_wait, self._seconds_left - DEADLINE_MARGIN),
+            (
+                self._request.model,
+                self._screened.regions,
+                route.objective_seconds,
+                frozenset(self._attempts.excluded),
+            ),
+            len(self._body),
+            waiting.wake,
+        )
+        return turn, waiting
+
     def _choose(self):
         gateway = self._gateway
         unconfirmed = gateway.feed.confirmed_seconds_ago
@@ -231,6 +306,7 @@
         )
         request = self._gateway.dialect.build(self._request, self._body, offer)
         await self._gateway.announce_placement(now, row, self._screened)
+        turns = self._record_turn_taken()
         self._is_offered = True
         load = board.load(row.address)
         withdrawals = self._gateway.withdrawals
@@ -260,6 +336,7 @@
             has_returned = True
         finally:
             board.end(row)
+            turns.record_end(self._screened.service, self._screened.workspace.name)
             withdrawals.end(waiting_offer)
             load.record_end(time.monotonic(), now)
             suspects.end(offer_in_flight)
@@ -275,6 +352,16 @@
             await suspects.record_answer(offer_in_flight)
         return outcome
 
+    def _record_turn_taken(self):
+        """Count the offer, and let others that wait try again; return the exchange."""
+        turns = self._gateway.turns
+        service = self._screened.service
+        turns.queue.record_begin(service, self._screened.workspace.name)
+        if self._full_needs is not None:
+            turns.queue.wake_next(service, self._full_needs)
+            self._full_needs = None
+        return turns
+
     async def _send(self, choice, request, offer_in_flight, head_scope):
         """Send an offer to its target; return the outcome, ``None`` if answered.
 
@@ -293,10 +380,13 @@
                 self._answer = answer
                 self._gateway.suspects.record_head(offer_in_flight)
                 load = self._gateway.board.load(row.address)
-                load.record_first_byte(time.monotonic(), offer_in_flight.offered_at)
-                await self._notices.record(
-                    row, answer, offer_in_flight.offered_at, self._log
+                begun_at = time.monotonic()
+                offered_at = offer_in_flight.offered_at
+                load.record_first_byte(begun_at, offered_at)
+                self._gateway.time_budgets.record_first_event(
+                    self._screened.service, begun_at - offered_at
                 )
+                await self._notices.record(row, answer, offered_at, self._log)
                 return await self._process_answer(answer)
         except UnavailableError as error:
             self._is_offered = False
@@ -429,7 +519,13 @@
             reason, caller_seconds_left, choice.available_in if choice else 0.0
         )
         headers = self._gateway.dialect.refusal_headers(self._request, retry_after)
-        self._log_end("refused", 503, why=why, retry_after=retry_after)
+        self._log_end(
+            "refused",
+            503,
+            why=why,
+            retry_after=retry_after,
+            report_age_ms=round(choice.report_age * 1000) if choice else None,
+        )
         await self._exchange.respond(503, headers)
 
     async def _pass_failure(self, why, choice):
@@ -529,10 +625,15 @@
             total_ms=round((now - self._arrived_at) * 1000),
             caller_ms=self._caller_timeout_ms(),
             rank=self._screened.rank.position,
+            waited_ms=round(self._waited * 1000),
             **details,
         )
 
 
+def _is_full(choice):
+    return isinstance(choice, NoChoice) and choice.reason is Reason.FULL
+
+
 _ACTION_BY_STEP = {
     Step.REFUSE: RequestRun._refuse,
     Step.PASS_FAILURE: RequestRun._pass_failure,
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -52,10 +52,13 @@
 
     :param available_in: seconds until the first target accepts requests again, if all
         have asked for a pause or are at their limits.
+    :param report_age: seconds since the oldest of the reports that it is based on, 0
+        without any.
     """
 
     reason: Reason
     available_in: float = 0.0
+    report_age: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -246,7 +249,8 @@
             and self.load(candidate.row.address).own_in_flight < connections
         ]
         if not free:
-            return NoChoice(Reason.FULL)
+            age = self._oldest_report_age(now, unsuspended)
+            return NoChoice(Reason.FULL, report_age=age)
         eligible = [
             candidate
             for candidate in free
@@ -292,6 +296,11 @@
             and self.limits.may_send(boottime, row, permit)
         )
 
+    def _oldest_report_age(self, now, candidates):
+        loads = [self.load(candidate.row.address) for candidate in candidates]
+        reported = [load.reported_at for load in loads if load.report is not None]
+        return now - min(reported, default=now)
+
     def _no_choice_while_paused(self, now, serving):
         resumes_at = self.notices.first_pause_end(
             [candidate.row for candidate in serving]
--- a/banyanshore/telemetry/gateway.py
+++ b/banyanshore/telemetry/gateway.py
@@ -47,6 +47,11 @@
             "Verdicts on parts of prompts that crash targets, by verdict.",
             ["verdict"],
         )
+        self.waits = self.registry.counter(
+            "banyanshore_gateway_waits",
+            "Requests that found no room at a target, by rank and outcome of the wait.",
+            ["rank", "outcome"],
+        )
         self.withdrawn_offers = self.registry.counter(
             "banyanshore_gateway_withdrawn_offers",
             "Requests withdrawn from targets with older weights, by service.",
