Keep the last places of a target for more urgent requests

Cause: a burst of the least urgent requests filled all targets, and the most urgent ones that came seconds later were served no more often. A service with one rank keeps none.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -298,14 +298,13 @@
         if isinstance(screened, Rejection):
             await self._reject(exchange, request, screened)
             return
-        self.retry_share(screened.service).record_request(arrived_at)
-        self.time_budgets.record_request(screened.route, request.caller_timeout_seconds)
+        timeliness = self._record_request(arrived_at, screened)
         body = await exchange.read_body()
         if not self.stop_plan.accepts(arrived_at, answer_seconds(screened)):
             # The stop began while the body arrived.
             await self._reject(exchange, request, LEAVING)
             return
-        run = RequestRun(self, exchange, screened, body, arrived_at)
+        run = RequestRun(self, exchange, screened, body, arrived_at, timeliness)
         try:
             ended = await exchange.run_while_connected(run.run)
         except PeerClosedError:
@@ -313,6 +312,16 @@
         if not ended:
             run.log_caller_left()
 
+    def _record_request(self, now, screened):
+        """Count a request, and return its timeliness."""
+        service = screened.service
+        seconds = screened.request.caller_timeout_seconds
+        self.retry_share(service).record_request(now)
+        self.time_budgets.record_request(screened.route, seconds)
+        timeliness = self.time_budgets.timeliness(screened.route, service, seconds)
+        self.board.record_request(now, service, screened.rank, timeliness.is_late)
+        return timeliness
+
     def _screen(self, request, arrived_at):
         """Return the :class:`Screened` request, or the :class:`Rejection` of it."""
         screened = self.screening.screen(
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -56,9 +56,10 @@
     :param exchange: the caller's :class:`~banyanshore.http.exchange.Exchange`.
     :param screened: the :class:`~banyanshore.gateway.screening.Screened` request.
     :param arrived_at: monotonic time at which its head had arrived.
+    :param timeliness: the :class:`~banyanshore.routing.lateness.Timeliness`.
     """
 
-    def __init__(self, gateway, exchange, screened, body, arrived_at):
+    def __init__(self, gateway, exchange, screened, body, arrived_at, timeliness):
         route = screened.route
         self._gateway = gateway
         self._exchange = exchange
@@ -67,6 +68,7 @@
         self._body = body
         self._parts = shared_part_digests(screened.request)
         self._arrived_at = arrived_at
+        self._timeliness = timeliness
         self._deadline = arrived_at + answer_seconds(screened)
         # Whether the answer to the caller has begun.
         self._has_begun = False
@@ -192,25 +194,20 @@
 
     def _make_turn(self):
         """Return the :class:`Turn` of this request, and its wait."""
-        route = self._screened.route
-        now = time.monotonic()
-        timeliness = self._gateway.time_budgets.timeliness(
-            route,
-            self._screened.service,
-            self._request.caller_timeout_seconds,
-            now - self._arrived_at,
-        )
         waiting = WaitingRequest()
         turn = Turn(
             self._screened.service,
             self._screened.rank,
             self._screened.workspace.name,
-            timeliness.is_late,
-            now + min(timeliness.longest_wait, self._seconds_left - DEADLINE_MARGIN),
+            self._timeliness.is_late,
+            min(
+                self._arrived_at + self._timeliness.longest_wait,
+                self._deadline - DEADLINE_MARGIN,
+            ),
             (
                 self._request.model,
                 self._screened.regions,
-                route.objective_seconds,
+                self._screened.route.objective_seconds,
                 frozenset(self._attempts.excluded),
             ),
             len(self._body),
@@ -261,6 +258,7 @@
             frozenset(self._attempts.excluded),
             self._screened.route.objective_seconds,
             self._screened.rank,
+            self._timeliness.is_late,
         )
 
     def _may_send(self, choice):
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -73,6 +73,7 @@
     :param excluded: ids of targets that must not be selected.
     :param objective_seconds: objective for the time to the first event, 0 for none.
     :param rank: urgency among the requests of the service.
+    :param is_late: whether its objective has passed with an earlier attempt.
     """
 
     service: str
@@ -83,6 +84,7 @@
     excluded: frozenset = field(default_factory=frozenset)
     objective_seconds: float = 0.0
     rank: Rank = ONLY_RANK
+    is_late: bool = False
 
 
 def connection_share(service, gateways):
@@ -134,6 +136,10 @@
             return
         load.record_report(now, report)
 
+    def record_request(self, now, service, rank, is_late):
+        """Record a request before it is looked for a target."""
+        self._room.record_request(now, service, rank, is_late)
+
     def begin(self, now, row, prefill_seconds):
         """Count a request that is sent to a target.
 
@@ -242,10 +248,13 @@
         ]
         connections = connection_share(service, len(gateways))
         remote_part = self._room.remote_capacity_part(serving, len(gateways))
+        kept = self._room.reserved_places(now, requirements)
         free = [
             candidate
             for candidate in unsuspended
-            if self._has_room(now, candidate.row, service, requirements, remote_part)
+            if self._has_room(
+                now, candidate.row, service, requirements, remote_part, kept
+            )
             and self.load(candidate.row.address).own_in_flight < connections
         ]
         if not free:
@@ -269,6 +278,7 @@
             for k in within_limit
         ]
         best = self._spread.select(now, candidates, model)
+        self._room.record_found(now, requirements)
         return Choice(best.row, self.version_at(best.row) if requirements.model else 0)
 
     def may_send(self, now, boottime, choice, requirements, desired, permit):
@@ -361,9 +371,11 @@
             return False
         return version >= max(1, self._oldest_version(now, row, requirements))
 
-    def _has_room(self, now, row, service, requirements, remote_part):
+    def _has_room(self, now, row, service, requirements, remote_part, kept):
         load = self.load(row.address)
-        return self._room.has_room(now, load, row, service, requirements, remote_part)
+        return self._room.has_room(
+            now, load, row, service, requirements, remote_part, kept
+        )
 
     def _is_within_cold_rate(self, now, candidate, service, gateways):
         per_second = service.get("cold_per_second", 0)
--- a/banyanshore/routing/lateness.py
+++ b/banyanshore/routing/lateness.py
@@ -34,7 +34,8 @@
     """What is left of the objective of a request.
 
     :param is_late: whether its objective has passed with an earlier attempt.
-    :param longest_wait: seconds for which it may wait for room at a target.
+    :param longest_wait: seconds after its arrival until which it may wait for room at a
+        target; 0 or less if it may not.
     """
 
     is_late: bool
@@ -95,7 +96,7 @@
         seconds = min(seconds, route.timeout_seconds)
         return usual - seconds if seconds < LATER_ATTEMPT_PART * usual else 0.0
 
-    def timeliness(self, route, service, seconds, waited):
+    def timeliness(self, route, service, seconds):
         """Return the :class:`Timeliness` of a request.
 
         A request may wait as long as its answer can still begin in time. One that has
@@ -103,19 +104,17 @@
         of the time that its caller has left, though no longer than others.
 
         :param seconds: time for which the caller waits, ``inf`` if unknown.
-        :param waited: seconds since this attempt arrived.
         """
         objective = route.objective_seconds
         if objective == math.inf:
             return Timeliness(False, 0.0)
         passed = self.passed_seconds(route, seconds)
         if passed >= objective:
-            seconds_left = min(seconds, route.timeout_seconds) - waited
-            longest = min(objective - waited, LATE_WAIT_PART * seconds_left)
-            return Timeliness(True, longest)
+            seconds = min(seconds, route.timeout_seconds)
+            return Timeliness(True, min(objective, LATE_WAIT_PART * seconds))
         times = self._first_events_by_service.get(service)
         first_event = median(times) if times else 0.0
-        return Timeliness(False, objective - passed - waited - first_event)
+        return Timeliness(False, objective - passed - first_event)
 
     def _usual_seconds(self, key):
         usual = self._usual_by_route.get(key)
--- a/banyanshore/routing/room.py
+++ b/banyanshore/routing/room.py
@@ -1,11 +1,20 @@
 """Decide which targets have room for a request, free of I/O.
 
 Load pattern: for some seconds there are more requests than the targets can serve, and
-information about targets in other data centres is older than that about local ones.
+information about targets in other data centres is older than that about local ones. A
+burst of the least urgent requests fills all targets, some seconds before one of the
+most urgent requests; some that were refused return too late to be in time.
+
+The last places of a target are kept for more urgent requests than the one at hand, as
+trunks are reserved in telephone networks: gateways need no message for it, and less
+urgent requests get all other places. Nothing is kept from requests that have lately
+found room much less often than all of their service.
 """
 
 import math
 
+from banyanshore.routing.rank_shares import RankShares
+
 # Maximum prefill backlog of an engine, as a fraction of the request's objective. The
 # rest is for the request's own prefill, the pass in progress and load not yet reported.
 MAX_BACKLOG_PART = 0.25
@@ -20,6 +29,13 @@
 # proportion. Each gateway may send one request before the others learn of it, and a few
 # gateways can't overload the free capacity.
 REMOTE_RESERVE_GATEWAYS = 40
+# Places of a target that are kept from a request for each rank above its own, and for
+# those of its own rank if it is late.
+RESERVED_PLACES = 1
+# Maximum fraction of a target's places that are kept from any request.
+MAX_RESERVED_PART = 0.25
+# Seconds for which places are kept for a rank after its last request at this gateway.
+RANK_SECONDS = 10.0
 
 
 class RoomRule:
@@ -30,6 +46,46 @@
 
     def __init__(self, data_centre):
         self._data_centre = data_centre
+        # Time of the last request that could be in time, by service and rank.
+        self._last_request = {}
+        self._shares = RankShares()
+
+    def record_request(self, now, service, rank, is_late):
+        """Record a request, for whose rank places are kept for some time.
+
+        :param rank: the :class:`~banyanshore.routing.ranks.Rank`.
+        """
+        if rank.count == 1:
+            return
+        if not is_late:
+            self._last_request[service, rank.position] = now
+        self._shares.record(now, service, (rank.position, is_late), asked=1)
+
+    def record_found(self, now, requirements):
+        """Record that a request has found room."""
+        rank = requirements.rank
+        if rank.count > 1:
+            urgency = rank.position, requirements.is_late
+            self._shares.record(now, requirements.service, urgency, found=1)
+
+    def reserved_places(self, now, requirements):
+        """Return how many places of each target are kept from a request.
+
+        None are if all requests of the service are equally urgent.
+        """
+        rank = requirements.rank
+        if rank.count == 1:
+            return 0
+        urgency = rank.position, requirements.is_late
+        if self._shares.is_starved(requirements.service, urgency):
+            return 0
+        steps = range(rank.position + requirements.is_late)
+        seen_after = now - RANK_SECONDS
+        kept = sum(
+            self._last_request.get((requirements.service, step), -math.inf) > seen_after
+            for step in steps
+        )
+        return RESERVED_PLACES * kept
 
     def remote_capacity_part(self, serving, gateways):
         """Return the fraction of a remote target's capacity that may be used.
@@ -48,17 +104,26 @@
         reserve = REMOTE_RESERVE * min(1.0, gateways / REMOTE_RESERVE_GATEWAYS)
         return 1 - reserve * min(1.0, local_count / fair_share)
 
-    def has_room(self, now, load, row, service, requirements, remote_part):
+    def has_room(self, now, load, row, service, requirements, remote_part, reserved):
         """Return whether a target can start another request in time.
 
         Load pattern: for some seconds there are more requests than the targets can
         serve. Requests queued in an engine delay all later ones, so that even a short
         queue there makes more requests miss their objective than it serves.
+
+        :param remote_part: result of :meth:`remote_capacity_part`.
+        :param reserved: result of :meth:`reserved_places`.
         """
+        in_flight = load.estimated_in_flight(now)
         if not service.get("engine"):
-            return load.estimated_in_flight(now) < row.slots * (1 + PLAIN_QUEUE_FACTOR)
+            places = row.slots * (1 + PLAIN_QUEUE_FACTOR)
+            return in_flight < places - min(reserved, MAX_RESERVED_PART * places)
         is_local = row.data_centre == self._data_centre
         part = 1.0 if is_local else remote_part
+        kept = min(reserved, MAX_RESERVED_PART * row.slots)
+        if in_flight >= part * row.slots - kept:
+            return False
+        part *= 1 - kept / row.slots
         backlog = load.remaining_prefill_seconds(now)
         longest = part * MAX_BACKLOG_PART * requirements.objective_seconds or math.inf
-        return load.estimated_in_flight(now) < part * row.slots and backlog <= longest
+        return backlog <= longest
--- a/tests/routing/test_lateness.py
+++ b/tests/routing/test_lateness.py
@@ -38,7 +38,7 @@
         budgets.record_request(ROUTE, seconds)
         if number < BUDGETS_KEPT:
             continue
-        is_late = budgets.timeliness(ROUTE, "s", seconds, 0.0).is_late
+        is_late = budgets.timeliness(ROUTE, "s", seconds).is_late
         mistaken += is_late and not is_returned
         if is_returned:
             found.append(is_late)
@@ -57,27 +57,27 @@
 def test_request_waits_only_while_its_answer_can_begin_in_time():
     budgets = make_budgets()
     budgets.record_first_event("s", 0.15)
-    fresh = budgets.timeliness(ROUTE, "s", 6.0, 0.01)
+    fresh = budgets.timeliness(ROUTE, "s", 6.0)
     assert not fresh.is_late
-    assert fresh.longest_wait == pytest.approx(0.4 - 0.15 - 0.01)
+    assert fresh.longest_wait == pytest.approx(0.4 - 0.15)
     budgets = make_budgets()
     budgets.record_first_event("s", 0.6)
-    assert budgets.timeliness(ROUTE, "s", 6.0, 0.01).longest_wait < 0
+    assert budgets.timeliness(ROUTE, "s", 6.0).longest_wait < 0
 
 
 def test_late_request_waits_no_longer_than_others_and_well_before_its_deadline():
     budgets = make_budgets()
-    late = budgets.timeliness(ROUTE, "s", 4.0, 0.01)
+    late = budgets.timeliness(ROUTE, "s", 4.0)
     assert late.is_late
-    assert late.longest_wait == pytest.approx(0.39)
-    assert budgets.timeliness(ROUTE, "s", 0.5, 0.0).longest_wait == pytest.approx(0.1)
+    assert late.longest_wait == pytest.approx(0.4)
+    assert budgets.timeliness(ROUTE, "s", 0.5).longest_wait == pytest.approx(0.1)
 
 
 def test_request_without_an_objective_does_not_wait():
     route = Route("a", "/", RouteKind.STREAMING, ())
     budgets = TimeBudgets()
     budgets.record_request(route, math.inf)
-    found = budgets.timeliness(route, "s", math.inf, 0.0)
+    found = budgets.timeliness(route, "s", math.inf)
     assert (found.is_late, found.longest_wait) == (False, 0.0)
 
 
@@ -86,4 +86,4 @@
     budgets.record_first_event("s", 0.3)
     budgets.keep_only([], [])
     assert budgets.passed_seconds(ROUTE, 4.5) == 0.0
-    assert budgets.timeliness(ROUTE, "s", 6.0, 0.0).longest_wait == pytest.approx(0.4)
+    assert budgets.timeliness(ROUTE, "s", 6.0).longest_wait == pytest.approx(0.4)
