Tell refused callers of higher rank to return earlier, and late ones to yield

Cause: Retry-After didn't depend on the rank, and requests that returned late took all places of a target from those that could be in time. Change: callers that found no room are spread over half of the range, an earlier one for more urgent ranks. Late requests leave a quarter of the places of a target, unless they find room less than half as often as all of their service. A request waits only while three quarters of the answers would begin in time. Late requests' places: not measured yet.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -41,6 +41,7 @@
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.lateness import TimeBudgets
 from banyanshore.routing.notices import TargetNotices
+from banyanshore.routing.ranks import ONLY_RANK
 from banyanshore.routing.request_limits import RequestLimits
 from banyanshore.routing.retry_after import Reason, retry_after_seconds
 from banyanshore.routing.roster import GatewayRoster
@@ -248,13 +249,16 @@
         tokens = screened.request.prompt_tokens or model.usual_prompt_tokens
         return model.prefill_seconds(tokens)
 
-    def retry_after_seconds(self, reason, seconds_left, available_in=0.0):
+    def retry_after_seconds(
+        self, reason, seconds_left, available_in=0.0, rank=ONLY_RANK
+    ):
         """Return the Retry-After seconds of a refusal, ``None`` without a reason."""
         if reason is None:
             return None
-        return round(
-            retry_after_seconds(reason, seconds_left, self._random, available_in), 2
+        seconds = retry_after_seconds(
+            reason, seconds_left, self._random, available_in, rank
         )
+        return round(seconds, 2)
 
     def is_ready(self):
         """Return whether callers should be sent to this gateway."""
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -514,7 +514,10 @@
         waited = time.monotonic() - self._arrived_at
         caller_seconds_left = self._request.caller_timeout_seconds - waited
         retry_after = self._gateway.retry_after_seconds(
-            reason, caller_seconds_left, choice.available_in if choice else 0.0
+            reason,
+            caller_seconds_left,
+            choice.available_in if choice else 0.0,
+            self._screened.rank,
         )
         headers = self._gateway.dialect.refusal_headers(self._request, retry_after)
         self._log_end(
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -248,12 +248,12 @@
         ]
         connections = connection_share(service, len(gateways))
         remote_part = self._room.remote_capacity_part(serving, len(gateways))
-        kept = self._room.reserved_places(now, requirements)
+        reserve = self._room.reserve(now, requirements)
         free = [
             candidate
             for candidate in unsuspended
             if self._has_room(
-                now, candidate.row, service, requirements, remote_part, kept
+                now, candidate.row, service, requirements, remote_part, reserve
             )
             and self.load(candidate.row.address).own_in_flight < connections
         ]
@@ -371,10 +371,10 @@
             return False
         return version >= max(1, self._oldest_version(now, row, requirements))
 
-    def _has_room(self, now, row, service, requirements, remote_part, kept):
+    def _has_room(self, now, row, service, requirements, remote_part, reserve):
         load = self.load(row.address)
         return self._room.has_room(
-            now, load, row, service, requirements, remote_part, kept
+            now, load, row, service, requirements, remote_part, reserve
         )
 
     def _is_within_cold_rate(self, now, candidate, service, gateways):
--- a/banyanshore/routing/lateness.py
+++ b/banyanshore/routing/lateness.py
@@ -12,7 +12,6 @@
 import math
 from collections import deque
 from dataclasses import dataclass
-from statistics import median
 
 # Number of requests of a route from which its usual time budget is determined.
 BUDGETS_KEPT = 64
@@ -24,9 +23,11 @@
 LATER_ATTEMPT_PART = 0.85
 # Maximum wait of a late request, as a fraction of the time that its caller has left.
 LATE_WAIT_PART = 0.2
-# Number of answers of a service from which its usual time to the first event, the
-# median, is determined; a few targets that hang don't raise it.
-FIRST_EVENTS_KEPT = 31
+# Number of answers of a service from which its time to the first event is determined,
+# and the part of them that begin within it: a request that has waited should still be
+# in time at most targets.
+FIRST_EVENTS_KEPT = 32
+FIRST_EVENT_QUANTILE = 0.75
 
 
 @dataclass(frozen=True)
@@ -112,14 +113,28 @@
         if passed >= objective:
             seconds = min(seconds, route.timeout_seconds)
             return Timeliness(True, min(objective, LATE_WAIT_PART * seconds))
-        times = self._first_events_by_service.get(service)
-        first_event = median(times) if times else 0.0
+        first_event = self._first_event_seconds(service)
         return Timeliness(False, objective - passed - first_event)
 
+    def _first_event_seconds(self, service):
+        """Return the time within which most answers of a service begin."""
+        return _quantile(
+            self._first_events_by_service.get(service, ()), FIRST_EVENT_QUANTILE
+        )
+
     def _usual_seconds(self, key):
         usual = self._usual_by_route.get(key)
         if usual is None:
-            budgets = sorted(self._budgets_by_route.get(key, ()))
-            usual = budgets[int(USUAL_QUANTILE * len(budgets))] if budgets else 0.0
-            self._usual_by_route[key] = usual
+            budgets = self._budgets_by_route.get(key, ())
+            usual = self._usual_by_route[key] = _quantile(budgets, USUAL_QUANTILE)
         return usual
+
+
+def _quantile(values, part):
+    """Return the value that a part of the values stays below, 0 without any.
+
+    >>> _quantile([3.0, 1.0, 2.0, 9.0], 0.75), _quantile([], 0.5)
+    (9.0, 0.0)
+    """
+    ordered = sorted(values)
+    return ordered[int(part * len(ordered))] if ordered else 0.0
--- a/banyanshore/routing/retry_after.py
+++ b/banyanshore/routing/retry_after.py
@@ -4,7 +4,8 @@
 retry once. A retry after some tenths of a second falls into the same burst, fails for
 good and takes capacity from others; a retry after seconds succeeds. The times are
 jittered, so that callers refused together don't retry together, and are short enough
-for the answer to arrive in time.
+for the answer to arrive in time. More urgent callers that found no room are told to
+retry earlier, when there are fewer others.
 """
 
 import math
@@ -12,9 +13,13 @@
 from enum import StrEnum
 from types import MappingProxyType
 
+from banyanshore.routing.ranks import ONLY_RANK
+
 # Maximum delay of a retry as a fraction of the caller's remaining time; the rest is for
 # the answer.
 MAX_DELAY_PART = 0.33
+# Part of the range of delays over which the callers of one rank are spread.
+RANK_PART = 0.5
 
 
 class Reason(StrEnum):
@@ -40,6 +45,20 @@
     earliest: float
     latest: float
 
+    def of_rank(self, rank):
+        """Return the part of the range for callers of a rank.
+
+        >>> from banyanshore.routing.ranks import Rank
+        >>> Span(0.8, 2.0).of_rank(Rank(2, 3)), Span(0.8, 2.0).of_rank(Rank())
+        (Span(earliest=1.4, latest=2.0), Span(earliest=0.8, latest=2.0))
+        """
+        if rank.count == 1:
+            return self
+        width = RANK_PART * (self.latest - self.earliest)
+        first = self.latest - width - self.earliest
+        earliest = self.earliest + first * rank.position / (rank.count - 1)
+        return Span(earliest, earliest + width)
+
 
 SPAN_BY_REASON = MappingProxyType(
     {
@@ -68,15 +87,18 @@
 )
 
 
-def retry_after_seconds(reason, seconds_left, rng, available_in=0.0):
+def retry_after_seconds(reason, seconds_left, rng, available_in=0.0, rank=ONLY_RANK):
     """Return the seconds after which a refused caller should retry.
 
     :param seconds_left: time for which the caller still waits, ``inf`` if unknown.
     :param rng: random source of the jitter.
     :param available_in: seconds until any target accepts requests; earlier retries
         would fail.
+    :param rank: the :class:`~banyanshore.routing.ranks.Rank` of the request.
     """
     span = SPAN_BY_REASON[reason]
+    if reason is Reason.FULL:
+        span = span.of_rank(rank)
     seconds = rng.uniform(span.earliest, span.latest)
     if available_in:
         return available_in + seconds
--- a/banyanshore/routing/room.py
+++ b/banyanshore/routing/room.py
@@ -12,6 +12,7 @@
 """
 
 import math
+from dataclasses import dataclass
 
 from banyanshore.routing.rank_shares import RankShares
 
@@ -29,15 +30,40 @@
 # proportion. Each gateway may send one request before the others learn of it, and a few
 # gateways can't overload the free capacity.
 REMOTE_RESERVE_GATEWAYS = 40
-# Places of a target that are kept from a request for each rank above its own, and for
-# those of its own rank if it is late.
+# Places of a target that are kept from a request for each rank above its own, and the
+# fraction of its places that are at most kept for these.
 RESERVED_PLACES = 1
-# Maximum fraction of a target's places that are kept from any request.
 MAX_RESERVED_PART = 0.25
+# Fraction of a target's places that is kept from late requests for those of their rank
+# that can be in time. After an outage, most requests are late.
+LATE_RESERVED_PART = 0.25
 # Seconds for which places are kept for a rank after its last request at this gateway.
 RANK_SECONDS = 10.0
 
 
+@dataclass(frozen=True)
+class Reserve:
+    """What is kept from a request at each target.
+
+    :param places: places for more urgent requests.
+    :param part: fraction of the places for requests that can be in time.
+    """
+
+    places: int = 0
+    part: float = 0.0
+
+    def kept_places(self, places):
+        """Return how many of a target's places are kept.
+
+        >>> Reserve(2).kept_places(12), Reserve(9, 0.25).kept_places(12)
+        (2.0, 6.0)
+        """
+        return min(self.places, MAX_RESERVED_PART * places) + self.part * places
+
+
+NO_RESERVE = Reserve()
+
+
 class RoomRule:
     """Decide for one gateway whether a target has room for another request.
 
@@ -55,37 +81,36 @@
 
         :param rank: the :class:`~banyanshore.routing.ranks.Rank`.
         """
-        if rank.count == 1:
-            return
         if not is_late:
             self._last_request[service, rank.position] = now
         self._shares.record(now, service, (rank.position, is_late), asked=1)
 
     def record_found(self, now, requirements):
         """Record that a request has found room."""
-        rank = requirements.rank
-        if rank.count > 1:
-            urgency = rank.position, requirements.is_late
-            self._shares.record(now, requirements.service, urgency, found=1)
+        urgency = requirements.rank.position, requirements.is_late
+        self._shares.record(now, requirements.service, urgency, found=1)
 
-    def reserved_places(self, now, requirements):
-        """Return how many places of each target are kept from a request.
+    def reserve(self, now, requirements):
+        """Return the :class:`Reserve` that a request has to leave.
 
-        None are if all requests of the service are equally urgent.
+        None is left by requests that can be in time in a service all of whose requests
+        are equally urgent.
         """
-        rank = requirements.rank
-        if rank.count == 1:
-            return 0
-        urgency = rank.position, requirements.is_late
-        if self._shares.is_starved(requirements.service, urgency):
-            return 0
-        steps = range(rank.position + requirements.is_late)
-        seen_after = now - RANK_SECONDS
-        kept = sum(
-            self._last_request.get((requirements.service, step), -math.inf) > seen_after
-            for step in steps
+        service = requirements.service
+        position = requirements.rank.position
+        if not position and not requirements.is_late:
+            return NO_RESERVE
+        if self._shares.is_starved(service, (position, requirements.is_late)):
+            return NO_RESERVE
+        ranks = sum(
+            self._is_asked_for(now, service, above) for above in range(position)
         )
-        return RESERVED_PLACES * kept
+        late = requirements.is_late and self._is_asked_for(now, service, position)
+        return Reserve(RESERVED_PLACES * ranks, LATE_RESERVED_PART * late)
+
+    def _is_asked_for(self, now, service, position):
+        last = self._last_request.get((service, position), -math.inf)
+        return last > now - RANK_SECONDS
 
     def remote_capacity_part(self, serving, gateways):
         """Return the fraction of a remote target's capacity that may be used.
@@ -104,7 +129,7 @@
         reserve = REMOTE_RESERVE * min(1.0, gateways / REMOTE_RESERVE_GATEWAYS)
         return 1 - reserve * min(1.0, local_count / fair_share)
 
-    def has_room(self, now, load, row, service, requirements, remote_part, reserved):
+    def has_room(self, now, load, row, service, requirements, remote_part, reserve):
         """Return whether a target can start another request in time.
 
         Load pattern: for some seconds there are more requests than the targets can
@@ -112,15 +137,15 @@
         queue there makes more requests miss their objective than it serves.
 
         :param remote_part: result of :meth:`remote_capacity_part`.
-        :param reserved: result of :meth:`reserved_places`.
+        :param reserve: the :class:`Reserve` that the request has to leave.
         """
         in_flight = load.estimated_in_flight(now)
         if not service.get("engine"):
             places = row.slots * (1 + PLAIN_QUEUE_FACTOR)
-            return in_flight < places - min(reserved, MAX_RESERVED_PART * places)
+            return in_flight < places - reserve.kept_places(places)
         is_local = row.data_centre == self._data_centre
         part = 1.0 if is_local else remote_part
-        kept = min(reserved, MAX_RESERVED_PART * row.slots)
+        kept = reserve.kept_places(row.slots)
         if in_flight >= part * row.slots - kept:
             return False
         part *= 1 - kept / row.slots
