--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -226,3 +226,47 @@
         with anyio.fail_after(2.0):
             await woken.wait()
         tasks.cancel_scope.cancel()
+
+
+async def test_request_that_returns_late_gets_the_place_after_one_that_can_be_in_time():
+    """It took the place of one that could be in time, and was late all the same."""
+    async with full_gateway() as full:
+        for _ in range(20):
+            full.queue.record_begin("s", "w")
+            full.queue.record_end(time.monotonic(), "s", "w")
+        for _ in range(8):
+            full.gateway.time_budgets.record_request(
+                full.gateway.screening.table.find_route("a.example", "/p"), 5.0
+            )
+        await full.ask("returned", deadline_ms=3500)
+        await full.ask("fresh", deadline_ms=5000)
+        assert len(full.queue) == 2
+        full.target.release()
+        await until(lambda: len(full.target.marks()) == PLACES + 1)
+        assert full.target.marks()[PLACES] == "fresh"
+
+
+async def test_new_request_does_not_pass_one_that_waits():
+    async with full_gateway() as full:
+        for _ in range(20):
+            full.queue.record_begin("s", "w")
+            full.queue.record_end(time.monotonic(), "s", "w")
+        await full.ask("early")
+        full.gateway.board.load(
+            next(iter(full.gateway.registry.targets.rows())).address
+        ).own_in_flight -= 1
+        full._tasks.start_soon(full._ask, "later", {})
+        await until(lambda: len(full.target.marks()) == PLACES + 1)
+        assert full.target.marks()[PLACES] == "early"
+        full.gateway.board.load(
+            next(iter(full.gateway.registry.targets.rows())).address
+        ).own_in_flight += 1
+
+
+async def test_outcomes_of_waits_are_counted_by_rank():
+    async with full_gateway(objective_seconds=0.2) as full:
+        await full.ask("later", key="later-key")
+        await full.ask("second", key="later-key")
+        await until(lambda: len(full.status_by_mark) == 2)
+        # The urgent workspace has rank 0, and that of the plain key the route's.
+        assert full.outcomes() == {("1", "refused"): 1, ("1", "refused at once"): 1}
