Turn requests away at once while most of their kind wait in vain

Change: routing/turns.py counts the waits of each kind with a half-life of 4 s, and lets none begin while less than half of them find room.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -171,7 +171,9 @@
             if must_queue:
                 queue.wake_next(turn.service)
             choice = await self._wait_for_room(turn, waiting, choice)
-            outcome = "refused" if _is_full(choice) else "ended"
+            has_found = not _is_full(choice)
+            queue.record_wait(time.monotonic(), turn, has_found)
+            outcome = "ended" if has_found else "refused"
             return choice
         finally:
             self._waited += time.monotonic() - began_at
--- a/banyanshore/routing/rank_shares.py
+++ b/banyanshore/routing/rank_shares.py
@@ -16,7 +16,7 @@
 
 
 @dataclass
-class _Count:
+class FadingCount:
     """Requests, and those that have found room; older ones count for less."""
 
     asked: float = 0.0
@@ -51,9 +51,9 @@
 
         :param urgency: hashable value that is equal for equally urgent requests.
         """
-        own = self._count_by_key.setdefault((service, urgency), _Count())
+        own = self._count_by_key.setdefault((service, urgency), FadingCount())
         own.add(now, asked, found)
-        total = self._count_by_service.setdefault(service, _Count())
+        total = self._count_by_service.setdefault(service, FadingCount())
         total.add(now, asked, found)
 
     def is_starved(self, service, urgency):
--- a/banyanshore/routing/turns.py
+++ b/banyanshore/routing/turns.py
@@ -8,7 +8,8 @@
 A request waits while it can be in time. A place that becomes free goes to the most
 urgent request, among equals to one that can still be in time, then to the workspace
 with the fewest requests in progress, then to the one that has to start first. A request
-is turned away at once if more go before it than places are expected to become free.
+is turned away at once if more go before it than places are expected to become free, or
+if most of its kind have lately waited in vain.
 """
 
 import math
@@ -16,12 +17,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from banyanshore.routing.rank_shares import FadingCount
+
 # Maximum number of requests that wait at a gateway.
 MAX_WAITING = 256
 # Maximum size of the bodies of requests that wait at a gateway, in bytes.
 MAX_WAITING_BYTES = 8 * 1024 * 1024
 # Seconds over which the places that became free are counted.
 RATE_SECONDS = 2.0
+# Fraction of the requests of a kind that have to find room while they wait, or others
+# of that kind are turned away at once, until the number of those that have waited has
+# faded to the minimum.
+MIN_FOUND_PART = 0.5
+MIN_COUNTED = 2.0
 
 
 @dataclass(frozen=True, eq=False)
@@ -58,6 +66,8 @@
         # Requests of this gateway in progress at targets, by service and workspace.
         self._in_progress = Counter()
         self._freed_by_service = {}
+        # Waits that have ended, by service, rank and whether the request was late.
+        self._waits_by_kind = {}
         self.waiting_bytes = 0
 
     def __len__(self):
@@ -82,6 +92,8 @@
         # Another gateway's request may free a place as well, which isn't counted.
         if ahead and ahead > self._expected_places(now, turn):
             return False
+        if self._is_vain(now, turn):
+            return False
         if not self._make_space(turn):
             return False
         self._turns_by_service.setdefault(turn.service, []).append(turn)
@@ -89,6 +101,10 @@
         self.waiting_bytes += turn.body_bytes
         return True
 
+    def record_wait(self, now, turn, has_found):
+        """Record the end of a wait, and whether the request has found room."""
+        self._waits(turn).add(now, 1, int(has_found))
+
     def discard(self, turn):
         """Remove a request that no longer waits."""
         turns = self._turns_by_service.get(turn.service, [])
@@ -146,6 +162,16 @@
         in_progress = self._in_progress[turn.service, turn.workspace]
         return turn.rank.position, turn.is_late, in_progress, turn.ends_at
 
+    def _waits(self, turn):
+        kind = turn.service, turn.rank.position, turn.is_late
+        return self._waits_by_kind.setdefault(kind, FadingCount())
+
+    def _is_vain(self, now, turn):
+        """Return whether most requests of a kind have lately waited in vain."""
+        waits = self._waits(turn)
+        waits.add(now, 0, 0)
+        return waits.asked >= MIN_COUNTED and waits.part < MIN_FOUND_PART
+
     def _make_space(self, turn):
         """Return whether a request fits, after ending the wait of less urgent ones."""
         fits = turn.body_bytes <= MAX_WAITING_BYTES
--- a/tests/routing/test_turns.py
+++ b/tests/routing/test_turns.py
@@ -1,6 +1,7 @@
 """Order and bounds of requests that wait for room, under replayed contention."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -174,3 +175,23 @@
         assert share[workspace, 0] >= share[workspace, 1] - 0.05
     for workspace in "abc":
         assert share[workspace, 1] > share["large", 1]
+
+
+def test_requests_do_not_wait_while_most_of_their_kind_wait_in_vain():
+    """Others took all places, and every request was held for nothing."""
+    queue = make_queue()
+    waiters = [Waiter(queue, 1) for _ in range(3)]
+    for waiter in waiters:
+        queue.discard(waiter.turn)
+        queue.record_wait(10.2, waiter.turn, has_found=False)
+    assert not Waiter(queue, 1).is_waiting
+    urgent = Waiter(queue, 0)
+    assert urgent.is_waiting
+    queue.discard(urgent.turn)
+    # The count fades, so that one tries again.
+    turn = replace(waiters[0].turn, ends_at=20.3)
+    assert queue.add(20.0, turn)
+    for _ in range(2):
+        queue.record_wait(20.1, turn, has_found=True)
+    queue.discard(turn)
+    assert queue.add(20.1, turn)
