Keep one place instead of a quarter from late requests

Change: a late request leaves one place more than others of its rank, and none where all requests of the service are equally urgent. The time budgets of 1,000 routes at most are kept.

--- a/banyanshore/routing/lateness.py
+++ b/banyanshore/routing/lateness.py
@@ -15,6 +15,8 @@
 
 # Number of requests of a route from which its usual time budget is determined.
 BUDGETS_KEPT = 64
+# Maximum number of routes whose time budgets are kept.
+MAX_ROUTES = 1000
 # The usual time budget is the one that this part of the requests stays below. A few
 # callers that wait for much longer than others don't raise it.
 USUAL_QUANTILE = 0.9
@@ -65,7 +67,10 @@
         key = route.host, route.prefix
         budgets = self._budgets_by_route.get(key)
         if budgets is None:
-            budgets = self._budgets_by_route[key] = deque(maxlen=BUDGETS_KEPT)
+            budgets = deque(maxlen=BUDGETS_KEPT)
+            if len(self._budgets_by_route) >= MAX_ROUTES:
+                self._forget(next(iter(self._budgets_by_route)))
+            self._budgets_by_route[key] = budgets
         budgets.append(seconds)
         self._usual_by_route.pop(key, None)
 
@@ -83,11 +88,14 @@
         :param routes: pairs of host and prefix.
         """
         for key in self._budgets_by_route.keys() - set(routes):
-            del self._budgets_by_route[key]
-            self._usual_by_route.pop(key, None)
+            self._forget(key)
         for service in self._first_events_by_service.keys() - set(services):
             del self._first_events_by_service[service]
 
+    def _forget(self, key):
+        del self._budgets_by_route[key]
+        self._usual_by_route.pop(key, None)
+
     def passed_seconds(self, route, seconds):
         """Return the seconds since the first attempt of a request, 0 for the first one.
 
--- a/banyanshore/routing/room.py
+++ b/banyanshore/routing/room.py
@@ -30,13 +30,11 @@
 # proportion. Each gateway may send one request before the others learn of it, and a few
 # gateways can't overload the free capacity.
 REMOTE_RESERVE_GATEWAYS = 40
-# Places of a target that are kept from a request for each rank above its own, and the
-# fraction of its places that are at most kept for these.
+# Places of a target that are kept from a request for each rank above its own, and for
+# those of its own rank if it is late; and the fraction of its places that are at most
+# kept.
 RESERVED_PLACES = 1
 MAX_RESERVED_PART = 0.25
-# Fraction of a target's places that is kept from late requests for those of their rank
-# that can be in time. After an outage, most requests are late.
-LATE_RESERVED_PART = 0.25
 # Seconds for which places are kept for a rank after its last request at this gateway.
 RANK_SECONDS = 10.0
 
@@ -45,20 +43,18 @@
 class Reserve:
     """What is kept from a request at each target.
 
-    :param places: places for more urgent requests.
-    :param part: fraction of the places for requests that can be in time.
+    :param places: places for others.
     """
 
     places: int = 0
-    part: float = 0.0
 
     def kept_places(self, places):
         """Return how many of a target's places are kept.
 
-        >>> Reserve(2).kept_places(12), Reserve(9, 0.25).kept_places(12)
-        (2.0, 6.0)
+        >>> Reserve(2).kept_places(12), Reserve(9).kept_places(12)
+        (2, 3.0)
         """
-        return min(self.places, MAX_RESERVED_PART * places) + self.part * places
+        return min(self.places, MAX_RESERVED_PART * places)
 
 
 NO_RESERVE = Reserve()
@@ -93,20 +89,17 @@
     def reserve(self, now, requirements):
         """Return the :class:`Reserve` that a request has to leave.
 
-        None is left by requests that can be in time in a service all of whose requests
-        are equally urgent.
+        None is left in a service all of whose requests are equally urgent.
         """
-        service = requirements.service
-        position = requirements.rank.position
-        if not position and not requirements.is_late:
+        service, rank = requirements.service, requirements.rank
+        urgency = rank.position, requirements.is_late
+        if rank.count == 1 or urgency == (0, False):
             return NO_RESERVE
-        if self._shares.is_starved(service, (position, requirements.is_late)):
+        if self._shares.is_starved(service, urgency):
             return NO_RESERVE
-        ranks = sum(
-            self._is_asked_for(now, service, above) for above in range(position)
-        )
-        late = requirements.is_late and self._is_asked_for(now, service, position)
-        return Reserve(RESERVED_PLACES * ranks, LATE_RESERVED_PART * late)
+        others = range(rank.position + requirements.is_late)
+        asking = sum(self._is_asked_for(now, service, other) for other in others)
+        return Reserve(RESERVED_PLACES * asking)
 
     def _is_asked_for(self, now, service, position):
         last = self._last_request.get((service, position), -math.inf)
--- a/tests/routing/test_lateness.py
+++ b/tests/routing/test_lateness.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -87,3 +88,13 @@
     budgets.keep_only([], [])
     assert budgets.passed_seconds(ROUTE, 4.5) == 0.0
     assert budgets.timeliness(ROUTE, "s", 6.0).longest_wait == pytest.approx(0.4)
+
+
+def test_number_of_routes_is_bounded(monkeypatch):
+    monkeypatch.setattr("banyanshore.routing.lateness.MAX_ROUTES", 2)
+    budgets = TimeBudgets()
+    routes = [replace(ROUTE, prefix=f"/{number}/") for number in range(3)]
+    for route in routes:
+        budgets.record_request(route, 6.0)
+    found = [budgets.passed_seconds(route, 4.5) for route in routes]
+    assert found == [0.0, 1.5, 1.5]
