--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -18,6 +18,7 @@
 from banyanshore.gateway.screening import Rejection, Screening
 from banyanshore.gateway.suspected_parts import SuspectedParts
 from banyanshore.gateway.suspects import Suspects
+from banyanshore.gateway.turns import TurnExchange
 from banyanshore.gateway.withdrawals import Withdrawals
 from banyanshore.http.caller_account import CallerAccount
 from banyanshore.http.exchange import NoRoomError
@@ -41,7 +42,9 @@
 from banyanshore.routing.answer_memory import AnswerMemory
 from banyanshore.routing.board import TargetBoard
 from banyanshore.routing.engine_model import EngineModel
+from banyanshore.routing.lateness import TimeBudgets
 from banyanshore.routing.notices import TargetNotices
+from banyanshore.routing.ranks import ONLY_RANK
 from banyanshore.routing.request_limits import RequestLimits
 from banyanshore.routing.retry_after import Reason, retry_after_seconds
 from banyanshore.routing.roster import GatewayRoster
@@ -111,6 +114,8 @@
         self.runs = set()
         cold_start = settings.cold_start
         self._random = random.Random()
+        self.turns = TurnExchange(self._random, self.metrics)
+        self.time_budgets = TimeBudgets()
         self.board = TargetBoard(
             settings,
             self.registry.targets,
@@ -138,6 +143,7 @@
         self.updates = UpdateExchange(
             member, self.registry, self.board, self.suspects, self.limits
         )
+        self.updates.on_room = self.turns.record_news
         self.limits.updates = self.updates
         self.permits = PermitExchange(
             member, self.registry, self.limits, self.updates, self.metrics
@@ -178,6 +184,7 @@
             tasks.start_soon(self._upkeep)
             tasks.start_soon(self.suspects.run)
             tasks.start_soon(self.limits.run)
+            tasks.start_soon(self.turns.run)
             tasks.start_soon(self.relay.run)
             tasks.start_soon(self.updates.run, self.link_options, self)
             self._follow(tasks, GATEWAY_ROLE)
@@ -256,13 +263,16 @@
         tokens = screened.request.prompt_tokens or model.usual_prompt_tokens
         return model.prefill_seconds(tokens)
 
-    def retry_after_seconds(self, reason, seconds_left, available_in=0.0):
+    def retry_after_seconds(
+        self, reason, seconds_left, available_in=0.0, rank=ONLY_RANK
+    ):
         """Return the Retry-After seconds of a refusal, ``None`` without a reason."""
         if reason is None:
             return None
-        return round(
-            retry_after_seconds(reason, seconds_left, self._random, available_in), 2
+        seconds = retry_after_seconds(
+            reason, seconds_left, self._random, available_in, rank
         )
+        return round(seconds, 2)
 
     def is_ready(self):
         """Return whether callers should be sent to this gateway."""
@@ -306,7 +316,7 @@
         if isinstance(screened, Rejection):
             await self._reject(exchange, request, screened)
             return
-        self.retry_share(screened.service).record_request(arrived_at)
+        timeliness = self._record_request(arrived_at, screened)
         try:
             body = await exchange.read_body()
         except NoRoomError:
@@ -316,7 +326,7 @@
             # The stop began while the body arrived.
             await self._reject(exchange, request, LEAVING)
             return
-        run = RequestRun(self, exchange, screened, body, arrived_at)
+        run = RequestRun(self, exchange, screened, body, arrived_at, timeliness)
         try:
             ended = await exchange.run_while_connected(run.run)
         except PeerClosedError:
@@ -324,6 +334,16 @@
         if not ended:
             run.log_caller_left()
 
+    def _record_request(self, now, screened):
+        """Count a request, and return its timeliness."""
+        service = screened.service
+        seconds = screened.request.caller_timeout_seconds
+        self.retry_share(service).record_request(now)
+        self.time_budgets.record_request(screened.route, seconds)
+        timeliness = self.time_budgets.timeliness(screened.route, service, seconds)
+        self.board.record_request(now, service, screened.rank, timeliness.is_late)
+        return timeliness
+
     def _screen(self, request, arrived_at):
         """Return the :class:`Screened` request, or the :class:`Rejection` of it."""
         screened = self.screening.screen(
@@ -407,6 +427,12 @@
             await anyio.sleep(UPKEEP_INTERVAL)
             self.board.forget_departed(time.monotonic())
             self.updates.forget_departed()
+            self._forget_budgets()
+
+    def _forget_budgets(self):
+        document = self.state.desired.document
+        routes = [(row["host"], row["prefix"]) for row in document["routes"].values()]
+        self.time_budgets.keep_only(routes, document["services"])
 
     async def _leave(self, force_requested):
         """Stop accepting new requests, and wait for those in flight to finish."""
@@ -420,6 +446,7 @@
             now + settings.stop_answer_seconds,
             now + settings.stop_timeout,
         )
+        self.turns.queue.close()
         for run in self.runs:
             run.shorten_deadline(self.stop_plan.answers_due_at)
         while not force_requested.is_set() and now < self.stop_plan.ends_at:
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -17,6 +17,7 @@
 from banyanshore.membership.registry import TargetState
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.notices import TargetNotices
+from banyanshore.routing.ranks import ONLY_RANK, Rank
 from banyanshore.routing.request_limits import RequestLimits
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.room import RoomRule
@@ -51,10 +52,13 @@
 
     :param available_in: seconds until the first target accepts requests again, if all
         have asked for a pause or are at their limits.
+    :param report_age: seconds since the oldest of the reports that it is based on, 0
+        without any.
     """
 
     reason: Reason
     available_in: float = 0.0
+    report_age: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -68,7 +72,8 @@
     :param exact_version: the only version that may run it, 0 for any.
     :param excluded: ids of targets that must not be selected.
     :param objective_seconds: objective for the time to the first event, 0 for none.
-    :param rank: urgency, 0 for the most urgent requests.
+    :param rank: urgency among the requests of the service.
+    :param is_late: whether its objective has passed with an earlier attempt.
     """
 
     service: str
@@ -78,7 +83,8 @@
     exact_version: int = 0
     excluded: frozenset = field(default_factory=frozenset)
     objective_seconds: float = 0.0
-    rank: int = 0
+    rank: Rank = ONLY_RANK
+    is_late: bool = False
 
 
 def connection_share(service, gateways):
@@ -130,6 +136,10 @@
             return
         load.record_report(now, report)
 
+    def record_request(self, now, service, rank, is_late):
+        """Record a request before it is looked for a target."""
+        self._room.record_request(now, service, rank, is_late)
+
     def begin(self, now, row, prefill_seconds):
         """Count a request that is sent to a target.
 
@@ -238,14 +248,18 @@
         ]
         connections = connection_share(service, len(gateways))
         remote_part = self._room.remote_capacity_part(serving, len(gateways))
+        reserve = self._room.reserve(now, requirements)
         free = [
             candidate
             for candidate in unsuspended
-            if self._has_room(now, candidate.row, service, requirements, remote_part)
+            if self._has_room(
+                now, candidate.row, service, requirements, remote_part, reserve
+            )
             and self.load(candidate.row.address).own_in_flight < connections
         ]
         if not free:
-            return NoChoice(Reason.FULL)
+            age = self._oldest_report_age(now, unsuspended)
+            return NoChoice(Reason.FULL, report_age=age)
         eligible = [
             candidate
             for candidate in free
@@ -264,6 +278,7 @@
             for k in within_limit
         ]
         best = self._spread.select(now, candidates, model)
+        self._room.record_found(now, requirements)
         return Choice(best.row, self.version_at(best.row) if requirements.model else 0)
 
     def may_send(self, now, boottime, choice, requirements, desired, permit):
@@ -291,6 +306,11 @@
             and self.limits.may_send(boottime, row, permit)
         )
 
+    def _oldest_report_age(self, now, candidates):
+        loads = [self.load(candidate.row.address) for candidate in candidates]
+        reported = [load.reported_at for load in loads if load.report is not None]
+        return now - min(reported, default=now)
+
     def _no_choice_while_paused(self, now, serving):
         resumes_at = self.notices.first_pause_end(
             [candidate.row for candidate in serving]
@@ -351,9 +371,11 @@
             return False
         return version >= max(1, self._oldest_version(now, row, requirements))
 
-    def _has_room(self, now, row, service, requirements, remote_part):
+    def _has_room(self, now, row, service, requirements, remote_part, reserve):
         load = self.load(row.address)
-        return self._room.has_room(now, load, row, service, requirements, remote_part)
+        return self._room.has_room(
+            now, load, row, service, requirements, remote_part, reserve
+        )
 
     def _is_within_cold_rate(self, now, candidate, service, gateways):
         per_second = service.get("cold_per_second", 0)
