Spread requests by what is unseen of others, not to the best target alone

Cause: all gateways chose the least start time by the same news, with 10 ms of noise. Requests in flight hardly counted, and the pace of a slow target only multiplied its backlog, so that idle slow targets looked as good as others.

Change: a gateway expects as many unseen requests as notices come in the time that its own need to come back, spreads them evenly over the targets, draws two targets by their parts and takes the better.

The simulation delays reports, loses news, and tells a gateway of its own notices.

--- a/banyanshore/gateway/news.py
+++ b/banyanshore/gateway/news.py
@@ -120,12 +120,21 @@
         """Send an update of this gateway to the others."""
         if isinstance(item, PlacementNotice):
             item = self._numbering.number(item)
+            self._record_sent(item)
         if self._is_hub():
             self._gather(item)
         for row in self._own_hubs():
             link = self._links.get(row.address, row.instance)
             await link.notify_or_drop(item)
 
+    def _record_sent(self, notice):
+        unseen = self._board.unseen
+        if self._is_hub():
+            # Gateways send their notices to this one, which waits for no batch.
+            unseen.record_age(0.0)
+        else:
+            unseen.record_sent(time.monotonic(), notice.sequence)
+
     def forward_again(self, items):
         """Forward updates again if this gateway is a hub.
 
@@ -157,9 +166,16 @@
     def _apply(self, item):
         """Apply an update; return whether it was new."""
         if not self._filter.is_new(item):
+            if isinstance(item, PlacementNotice):
+                self._record_known_placement(item)
             return False
         return _APPLY_BY_TYPE[type(item)](self, time.monotonic(), item)
 
+    def _record_known_placement(self, notice):
+        own = self._member
+        if notice.sender == own.instance and notice.incarnation == own.incarnation:
+            self._board.unseen.record_returned(time.monotonic(), notice.sequence)
+
     def _apply_report(self, now, report):
         self._board.record_report(now, report)
         return True
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -17,6 +17,7 @@
 from banyanshore.membership.registry import TargetState
 from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.notices import TargetNotices
+from banyanshore.routing.old_news import UnseenRequests
 from banyanshore.routing.request_limits import RequestLimits
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.room import RoomRule
@@ -113,7 +114,9 @@
         self._cold_shares = cold_shares
         self._room = RoomRule(settings.data_centre)
         self._spread = TargetSpread(settings.data_centre, rng)
+        self.unseen = UnseenRequests()
         self._load_by_address = {}
+        self._service_by_address = {}
         self._expected_cold_until = {}
 
     def load(self, address):
@@ -147,6 +150,19 @@
     def record_placement(self, now, notice):
         """Record a :class:`~banyanshore.membership.load_reports.PlacementNotice`."""
         self.load(notice.address).record_placement(now, notice.seconds)
+        if notice.seconds > 0:
+            service = self._service_at(notice.address)
+            self.unseen.record_notice(now, service)
+
+    def _service_at(self, address):
+        """Return the name of the service of the target at an address."""
+        service = self._service_by_address.get(address)
+        if service is None:
+            self._service_by_address = {
+                row.address: row.service for row in self._table.rows()
+            }
+            service = self._service_by_address.setdefault(address, "")
+        return service
 
     def end(self, row):
         """Count the end of a request that was sent to a target."""
@@ -263,7 +279,8 @@
             Candidate(k.row, self.load(k.row.address), self.cold_until(k) > now)
             for k in within_limit
         ]
-        best = self._spread.select(now, candidates, model)
+        unseen = self.unseen.expected(now, requirements.service)
+        best = self._spread.select(now, candidates, model, unseen)
         return Choice(best.row, self.version_at(best.row) if requirements.model else 0)
 
     def may_send(self, now, boottime, choice, requirements, desired, permit):
--- a/banyanshore/simulation/engine.py
+++ b/banyanshore/simulation/engine.py
@@ -1,5 +1,7 @@
 """Simulate a target that runs passes timed by its published cost model."""
 
+import copy
+
 
 class SimulatedEngine:
     """One simulated target.
@@ -52,6 +54,13 @@
         self.decoding = [row for row in self.decoding if row.steps_left > 0]
         return seconds * self.pace, prefilled, completed
 
+    def snapshot(self):
+        """Return a copy that keeps its load while this target goes on."""
+        snapshot = copy.copy(self)
+        snapshot.waiting = list(self.waiting)
+        snapshot.decoding = list(self.decoding)
+        return snapshot
+
     def crash(self):
         """Go down and drop all requests; return them."""
         lost = self.waiting + self.decoding
--- a/banyanshore/simulation/plan.py
+++ b/banyanshore/simulation/plan.py
@@ -100,3 +100,11 @@
         0.003,
         minimum=0.0,
     )
+    report_seconds: float = setting(
+        "Time that a report takes to the gateways.", 0.0, minimum=0.0
+    )
+    news_loss: float = setting(
+        "Part of the reports and notices that each gateway doesn't receive.",
+        0.0,
+        minimum=0.0,
+    )
--- a/banyanshore/simulation/policies.py
+++ b/banyanshore/simulation/policies.py
@@ -52,6 +52,9 @@
     def record_placement(self, now, row):
         """Record a request that another gateway has sent to its target."""
 
+    def record_own_notice(self, now, row):
+        """Record that the notice of a request of this gateway came back to it."""
+
     def record_report(self, now, engine):
         """Record a load report of a target."""
 
@@ -114,6 +117,10 @@
         seconds = self._model.prefill_seconds(row.prompt)
         self._board.record_placement(now, PlacementNotice(row.target, seconds))
 
+    def record_own_notice(self, now, row):
+        """Record how long the notice took to come back."""
+        self._board.unseen.record_age(now - row.arrived_at)
+
     def record_report(self, now, engine):
         """Record a load report as a loader sends it."""
         self._sequence += 1
--- a/banyanshore/simulation/run.py
+++ b/banyanshore/simulation/run.py
@@ -79,11 +79,9 @@
             return
         row.target, row.steps_left = target, row.answer
         policy.begin(now, row)
-        for other in self._policy_by_gateway.values():
-            if other is not policy:
-                self._schedule(
-                    now + self.plan.notice_seconds, self._notify_placement, other, row
-                )
+        self._schedule(
+            now + self.plan.notice_seconds, self._notify_placement, policy, row
+        )
         self._start(now, engine, row)
 
     def _start(self, now, engine, row):
@@ -100,8 +98,15 @@
         seconds = retry_after_seconds(reason, seconds_left, self._rng)
         self._schedule(now + seconds, self._arrive, row)
 
-    def _notify_placement(self, now, policy, row):
-        policy.record_placement(now, row)
+    def _notify_placement(self, now, sender, row):
+        for policy in self._policy_by_gateway.values():
+            if policy is sender:
+                policy.record_own_notice(now, row)
+            elif not self._is_news_lost():
+                policy.record_placement(now, row)
+
+    def _is_news_lost(self):
+        return self.plan.news_loss and self._rng.random() < self.plan.news_loss
 
     def _begin_pass(self, now, engine, incarnation):
         if incarnation != engine.incarnation:
@@ -127,8 +132,16 @@
     def _send_reports(self, now):
         for engine in self._engine_by_address.values():
             if not engine.is_down:
-                for policy in self._policy_by_gateway.values():
-                    policy.record_report(now, engine)
+                self._schedule(
+                    now + self.plan.report_seconds,
+                    self._deliver_report,
+                    engine.snapshot(),
+                )
+
+    def _deliver_report(self, now, snapshot):
+        for policy in self._policy_by_gateway.values():
+            if not self._is_news_lost():
+                policy.record_report(now, snapshot)
 
     def _inject_fault(self, now, fault):
         engines = list(self._engine_by_address.values())
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -76,6 +76,28 @@
         assert [load.announced_since_report for load in loads] == [0, 1, 1, 1]
 
 
+async def test_gateway_learns_how_old_notices_are_from_its_own():
+    async with fleet("a", "a", "a", "a") as gateways:
+        plain = [g for g in gateways if not g.updates._is_hub()]
+        unseen = plain[0].board.unseen
+        unseen.age_seconds = 2.0
+        await plain[0].updates.send(PlacementNotice(REPORT.address, 0.2, "a"))
+        await wait_until(lambda: unseen.age_seconds < 2.0)
+        # The second hub sends it again, later.
+        first_age = unseen.age_seconds
+        await anyio.sleep(0.2)
+        assert unseen.age_seconds == first_age
+
+
+async def test_hub_counts_notices_as_fresh():
+    async with fleet("a", "a", "a", "a") as gateways:
+        hub = next(g for g in gateways if g.updates._is_hub())
+        hub.board.unseen.age_seconds = 2.0
+        await hub.updates.send(PlacementNotice(REPORT.address, 0.2, "a"))
+        await anyio.sleep(0.2)
+        assert hub.board.unseen.age_seconds == pytest.approx(1.8)
+
+
 async def test_crash_found_by_one_gateway_reaches_the_others():
     async with fleet("a", "b", "b", "b") as gateways:
         await gateways[0].suspects.send(CrashNotice(b"f", "10.0.0.9:1", 1, 1.0, 0.5))
--- a/tests/simulation/data_centres.py
+++ b/tests/simulation/data_centres.py
@@ -1,7 +1,5 @@
 """Simulate targets in several data centres, with delayed updates between them."""
 
-import copy
-
 from banyanshore.routing.retry_after import Reason
 from banyanshore.simulation.policies import BoardPolicy
 from banyanshore.simulation.run import Simulation
@@ -52,29 +50,25 @@
             if other is policy:
                 continue
             if other.data_centre == policy.data_centre:
-                self._schedule(
-                    now + LOCAL_DELAY_SECONDS, self._notify_placement, other, row
-                )
+                self._schedule(now + LOCAL_DELAY_SECONDS, self._notify_one, other, row)
             elif other.data_centre == data_centre_of(target):
-                self._schedule(
-                    now + REMOTE_DELAY_SECONDS, self._notify_placement, other, row
-                )
+                self._schedule(now + REMOTE_DELAY_SECONDS, self._notify_one, other, row)
         self._start(now, engine, row)
 
     def _send_reports(self, now):
         for engine in self._engine_by_address.values():
-            snapshot = copy.copy(engine)
-            for name, value in vars(engine).items():
-                if isinstance(value, list):
-                    setattr(snapshot, name, list(value))
+            snapshot = engine.snapshot()
             data_centre = data_centre_of(engine.address)
             for policy in self._policy_by_gateway.values():
                 delay_seconds = (
                     0.0 if policy.data_centre == data_centre else REMOTE_DELAY_SECONDS
                 )
                 self._schedule(
-                    now + delay_seconds, self._deliver_report, policy, snapshot
+                    now + delay_seconds, self._report_to_one, policy, snapshot
                 )
 
-    def _deliver_report(self, now, policy, snapshot):
+    def _notify_one(self, now, policy, row):
+        policy.record_placement(now, row)
+
+    def _report_to_one(self, now, policy, snapshot):
         policy.record_report(now, snapshot)
