Look at fewer targets in a choice, and show the age of news

Change: at most 24 local targets and 8 of others are compared; the wait for slots is computed only where slots are full.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -222,6 +222,11 @@
         seconds = self._prefill_seconds(screened)
         self.board.begin(now, row, seconds)
         if seconds:
+            unseen = self.board.unseen
+            self.metrics.news_age.labels().set(unseen.age_seconds)
+            self.metrics.unseen_requests.labels(row.service).set(
+                unseen.expected(now, row.service)
+            )
             notice = PlacementNotice(row.address, seconds, row.data_centre)
             await self.updates.send(notice)
 
--- a/banyanshore/routing/spread.py
+++ b/banyanshore/routing/spread.py
@@ -27,8 +27,10 @@
 # Delay caused by a request that is past its prefill, as a fraction of a usual prefill:
 # it delays others only if the slots run out.
 DECODE_PART = 0.05
-# Targets that a choice looks at; of more, that many are drawn at random.
-MAX_COMPARED = 32
+# Targets of this data centre, and of others, that a choice looks at; of more, that many
+# are drawn at random.
+MAX_LOCAL = 24
+MAX_REMOTE = 8
 # Targets that are drawn for a choice, of which the better one is taken. Since that
 # prefers the best ones again, as many times the unseen requests are assumed.
 DRAWS = 2
@@ -110,15 +112,17 @@
         return compared[min(drawn, key=lambda number: levels[number][0])]
 
     def _sample(self, candidates):
-        """Return the candidates to look at, and the part that they are of all."""
-        if len(candidates) <= MAX_COMPARED:
-            return candidates, 1.0
+        """Return the candidates to look at, and the part of the local ones in them."""
         own = self._data_centre
         local = [k for k in candidates if k.row.data_centre == own]
-        if len(local) >= MAX_COMPARED:
-            return self._rng.sample(local, MAX_COMPARED), MAX_COMPARED / len(local)
         remote = [k for k in candidates if k.row.data_centre != own]
-        return local + self._rng.sample(remote, MAX_COMPARED - len(local)), 1.0
+        part = 1.0
+        if len(local) > MAX_LOCAL:
+            part = MAX_LOCAL / len(local)
+            local = self._rng.sample(local, MAX_LOCAL)
+        if len(remote) > MAX_REMOTE:
+            remote = self._rng.sample(remote, MAX_REMOTE)
+        return local + remote, part
 
     def _level(self, now, candidate, model, prefill):
         """Return when a target starts a request, and how long each delays the next.
@@ -136,11 +140,11 @@
             pace = max(1.0, load.pace)
             delay = pace * (1 + DECODE_PART) * prefill
             step = model.step_seconds + count * model.request_seconds
-            waiting = max(0, count + 1 - slots)
             start = prefill + load.remaining_prefill_seconds(now)
             start += PASSES_TO_FIRST_EVENT * model.steps_per_pass * step
             start += count * DECODE_PART * prefill
-            start += waiting * model.slot_seconds(slots)
+            if count >= slots:
+                start += (count + 1 - slots) * model.slot_seconds(slots)
             start *= pace
         start += load.failure_rate * FAILURE_PENALTY_SECONDS
         if candidate.row.data_centre != self._data_centre:
--- a/banyanshore/telemetry/gateway.py
+++ b/banyanshore/telemetry/gateway.py
@@ -52,6 +52,15 @@
             "Requests withdrawn from targets with older weights, by service.",
             ["service"],
         )
+        self.news_age = self.registry.gauge(
+            "banyanshore_gateway_news_age_seconds",
+            "Mean age of the notices of other gateways as they arrive.",
+        )
+        self.unseen_requests = self.registry.gauge(
+            "banyanshore_gateway_unseen_requests",
+            "Requests of other gateways expected to be placed without being known.",
+            ["service"],
+        )
         self.first_byte = self.registry.histogram(
             "banyanshore_gateway_first_byte_seconds",
             "Time to the first byte of an answer.",
