Refuse a caller whose last bytes found no room, and stop idle ones only if another waits

Cause: a request whose last bytes exceeded the account went on with its connection marked as stopped, so that it ended as if its caller had left; and once as many connections were open as may be, one was stopped before another one waited.

Change: such a request is refused with 503 before anything runs; a connection is stopped only when another one can be accepted. Tests of what callers get.

--- a/banyanshore/http/accepting.py
+++ b/banyanshore/http/accepting.py
@@ -33,12 +33,12 @@
         self._listener = listener
         self._waiting = anyio.CancelScope()
 
-    async def run(self, start, may_accept):
+    async def run(self, start, callers):
         """Accept connections until :meth:`stop`, then those that still wait.
 
         :param start: function that is called with each accepted socket.
-        :param may_accept: function that returns whether there is a descriptor for one
-            more; it is asked again after :data:`FULL_SECONDS`.
+        :param callers: the :class:`~banyanshore.http.caller_account.CallerAccount`; if
+            it has no room for one more, it is asked again after :data:`FULL_SECONDS`.
         """
         attribute = anyio.abc.SocketAttribute.raw_socket
         sockets = [item.extra(attribute) for item in self._listener.listeners]
@@ -46,7 +46,7 @@
             with self._waiting:
                 async with anyio.create_task_group() as tasks:
                     for item in sockets:
-                        tasks.start_soon(self._accept_forever, item, start, may_accept)
+                        tasks.start_soon(self._accept_forever, item, start, callers)
             for item in sockets:
                 _accept_all(item, start)
 
@@ -54,12 +54,12 @@
         """Accept no connections but those that already wait."""
         self._waiting.cancel()
 
-    async def _accept_forever(self, listening, start, may_accept):
+    async def _accept_forever(self, listening, start, callers):
         while True:
             await anyio.wait_readable(listening)
-            if not may_accept():
+            if not callers.make_way():
                 await anyio.sleep(FULL_SECONDS)
-            elif not _accept_all(listening, start, may_accept):
+            elif not _accept_all(listening, start, callers.has_way):
                 await anyio.sleep(RETRY_SECONDS)
 
 
@@ -85,9 +85,9 @@
     return Acceptor(listener)
 
 
-def _accept_all(listening, start, may_accept=lambda: True):
+def _accept_all(listening, start, may_accept_more=lambda: True):
     """Accept the connections that wait; return whether the system allowed it."""
-    while may_accept():
+    while True:
         try:
             raw, _ = listening.accept()
         except BlockingIOError:
@@ -99,4 +99,5 @@
             return False
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         start(raw)
-    return True
+        if not may_accept_more():
+            return True
--- a/banyanshore/http/asgi.py
+++ b/banyanshore/http/asgi.py
@@ -145,7 +145,7 @@
             if event["type"] == "http.disconnect":
                 raise CallerDisconnectedError("the caller left", step="read-body")
             body += event.get("body", b"")
-            if self._connection is not None:
+            if self._connection is not None and not self._is_body_complete:
                 self._connection.hold_body(len(body))
             if len(body) > max_bytes:
                 raise BodyTooLargeError(
--- a/banyanshore/http/caller_account.py
+++ b/banyanshore/http/caller_account.py
@@ -50,8 +50,15 @@
         self._logged = 0
         self._unlogged = 0
 
-    def may_accept(self):
-        """Return whether a connection may be accepted; make room if need be."""
+    def has_way(self):
+        """Return whether a connection may be accepted without stopping another."""
+        return not self.account.needs_descriptor
+
+    def make_way(self):
+        """Stop a connection for one that waits, if there are as many as may be.
+
+        :return: whether one may be accepted now.
+        """
         account = self.account
         if account.needs_descriptor:
             share = account.choose_connection()
--- a/banyanshore/http/caller_connection.py
+++ b/banyanshore/http/caller_connection.py
@@ -241,6 +241,8 @@
             event = await self._next_event()
             if not isinstance(event, h11.Request):
                 return None
+            if self.share.is_stopped:
+                self._refuse_for_room()
             # The parser limits only the size of incomplete heads.
             if head_size(event) > self.limits.max_header_bytes:
                 raise RequestError(431, "the head of the request is too long")
@@ -263,21 +265,29 @@
         except StoppedError:
             if self.is_cut_off:
                 raise
-            # The refusal is sent, and what still arrives is discarded.
-            self._stream.resume()
-            self._callers.hold(self.share, 0)
-            self._callers.account.resume(self.share, Stage.LINGERING)
-            self._must_close = True
-            raise NoRoomError() from None
+            self._refuse_for_room()
+
+    def _refuse_for_room(self):
+        """Go on with a connection that was stopped, to refuse its request.
+
+        :raises NoRoomError: always.
+        """
+        # What still arrives is discarded after the refusal.
+        self._stream.resume()
+        self._callers.hold(self.share, 0)
+        self._callers.account.resume(self.share, Stage.LINGERING)
+        self._must_close = True
+        raise NoRoomError() from None
 
     async def read_body(self):
         """Return the complete body of the request."""
         self.share.stage = Stage.READING
-        try:
-            return await self._read_whole_body()
-        finally:
-            if self.share.stage is Stage.READING:
-                self.share.stage = Stage.RUNNING
+        body = await self._read_whole_body()
+        if self.share.is_stopped:
+            # Its last bytes were those that there was no room for.
+            self._refuse_for_room()
+        self.share.stage = Stage.RUNNING
+        return body
 
     async def _read_whole_body(self):
         if self._h11.they_are_waiting_for_100_continue:
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -95,7 +95,7 @@
                     share = self.callers.open()
                     connections.start_soon(self._serve_accepted, raw, share)
 
-                await self._acceptor.run(start, self.callers.may_accept)
+                await self._acceptor.run(start, self.callers)
             looking.cancel_scope.cancel()
         self._ended.set()
 
--- a/banyanshore/http/server.py
+++ b/banyanshore/http/server.py
@@ -67,9 +67,7 @@
             async with open_task_group() as looking:
                 looking.start_soon(self._look_at_buffers)
                 async with open_task_group() as accepting:
-                    accepting.start_soon(
-                        acceptor.run, self._start, self.callers.may_accept
-                    )
+                    accepting.start_soon(acceptor.run, self._start, self.callers)
                     await shutdown.wait()
                     acceptor.stop()
                 looking.cancel_scope.cancel()
--- /dev/null
+++ b/tests/http/test_caller_account.py
@@ -0,0 +1,135 @@
+"""What callers get when a process needs the memory or descriptors that they take."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from banyanshore.core.byte_account import MEMORY_FRACTION, Stage
+from banyanshore.http.caller_account import MAX_LOGGED_IN_SECOND, CallerAccount
+from banyanshore.http.exchange import NO_ROOM_SECONDS
+from banyanshore.http.listener import Listener
+from banyanshore.http.wire import has_unread_bytes
+from banyanshore.telemetry.light import LightRegistry, add_stopped_callers
+from tests.http.raw import connect, read_all, running_listener
+
+pytestmark = pytest.mark.anyio
+
+BUDGET = 1_000_000
+MEMORY_BYTES = int(BUDGET / MEMORY_FRACTION)
+BODY_BYTES = 900_000
+GET = b"GET / HTTP/1.1\r\nhost: x\r\n"
+LAST = b"connection: close\r\n\r\n"
+POST = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n" % BODY_BYTES
+
+
+class Handler:
+    """Answer with the length of the body, or with a long answer at ``/long``."""
+
+    def __init__(self):
+        self.run = 0
+
+    async def __call__(self, exchange):
+        body = await exchange.read_body()
+        self.run += 1
+        size = 20_000_000 if exchange.path == "/long" else len(body)
+        await exchange.respond(200, (), b"x" * size)
+
+
+@contextlib.asynccontextmanager
+async def serving(handler, max_descriptors=4096, stopped=None):
+    """Run a listener with a small account; yield its address and the account."""
+    callers = CallerAccount(MEMORY_BYTES, max_descriptors, stopped)
+    async with running_listener(Listener(handler, callers=callers)) as address:
+        yield address, callers.account
+
+
+async def wait_until(check):
+    with anyio.fail_after(5):
+        while not check():
+            await anyio.sleep(0.01)
+
+
+async def test_body_that_there_is_no_room_for_is_refused_and_never_runs():
+    handler = Handler()
+    async with (
+        serving(handler) as (address, _),
+        await connect(address) as stream,
+    ):
+        await stream.send(POST + bytes(BODY_BYTES))
+        answer = await read_all(stream)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: %d\r\n" % NO_ROOM_SECONDS in answer.lower()
+    assert b"connection: close\r\n" in answer.lower()
+    assert handler.run == 0
+
+
+async def test_body_within_the_account_is_served():
+    async with serving(Handler()) as (address, _), await connect(address) as stream:
+        body = bytes(BUDGET // 2)
+        head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n" % len(body)
+        await stream.send(head + LAST + body)
+        answer = await read_all(stream)
+    assert answer.startswith(b"HTTP/1.1 200 ")
+
+
+async def test_answer_that_is_not_read_is_cut_off_recognizably():
+    """A caller that reads nothing kept its whole answer in the process."""
+    async with serving(Handler()) as (address, account):
+        stream = await connect(address)
+        async with stream:
+            await stream.send(b"GET /long HTTP/1.1\r\nhost: x\r\n\r\n")
+            await wait_until(lambda: not account.total)
+            with pytest.raises(anyio.BrokenResourceError):
+                while True:
+                    await stream.receive()
+        async with await connect(address) as other:
+            await other.send(GET + LAST)
+            assert (await read_all(other)).startswith(b"HTTP/1.1 200 ")
+
+
+async def test_idle_connection_is_closed_for_another():
+    async with (
+        serving(Handler(), max_descriptors=4) as (address, account),
+        contextlib.AsyncExitStack() as stack,
+    ):
+        idle = [
+            await stack.enter_async_context(await connect(address)) for _ in range(2)
+        ]
+        await wait_until(lambda: account.is_full)
+        assert not any(has_unread_bytes(stream) for stream in idle)
+        other = await stack.enter_async_context(await connect(address))
+        await other.send(GET + LAST)
+        assert (await read_all(other)).startswith(b"HTTP/1.1 200 ")
+        assert [has_unread_bytes(stream) for stream in idle] == [True, False]
+
+
+async def test_account_is_empty_once_all_connections_have_ended():
+    async with serving(Handler()) as (address, account):
+        for _ in range(3):
+            async with await connect(address) as stream:
+                await stream.send(GET + b"\r\n" + GET + LAST)
+                assert (await read_all(stream)).count(b"HTTP/1.1 200 ") == 2
+        await wait_until(lambda: not account.total)
+
+
+class Holder:
+    """A connection that ends as soon as it is asked to stop."""
+
+    request_id = "id-1"
+
+    def stop(self):
+        pass
+
+
+async def test_stopped_callers_are_counted_and_few_are_logged(caplog):
+    stopped = add_stopped_callers(LightRegistry())
+    callers = CallerAccount(MEMORY_BYTES, 4096, stopped)
+    count = 3 * MAX_LOGGED_IN_SECOND
+    for _ in range(count):
+        share = callers.open()
+        share.holder, share.stage = Holder(), Stage.READING
+        callers.hold(share, 2 * BUDGET)
+    assert sum(stopped._values.values()) == count
+    assert stopped._values["reading", "memory"] == count
+    assert 0 < len(caplog.records) <= 2 * MAX_LOGGED_IN_SECOND
