Move the wait for room out of the run of a request

Change: RoomWait in gateway/turns.py finds room for one request, after a wait if need be; behaviour is unchanged.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -12,7 +12,7 @@
 from banyanshore.gateway.held_answer import HeldAnswer
 from banyanshore.gateway.suspects import OfferInFlight
 from banyanshore.gateway.target_notices import NoticeRecorder
-from banyanshore.gateway.turns import WaitingRequest
+from banyanshore.gateway.turns import RoomWait, WaitingRequest
 from banyanshore.http.upstream import (
     CONNECT_TIMEOUT,
     BrokenAnswerError,
@@ -88,10 +88,7 @@
         # The permit for a target with a limit, or ``None``, and the log fields on it.
         self._permit = None
         self._limit_details = {}
-        # Seconds for which it has waited for room, and the needs of others for which
-        # none was found when its turn came, or ``None`` if it has not waited.
-        self._waited = 0.0
-        self._full_needs = None
+        self._room_wait = RoomWait(gateway.turns, self._choose)
         # The answer to the current offer, or ``None``.
         self._answer = None
 
@@ -156,43 +153,7 @@
         if self._exchange.started:
             # The objective was for the first event; the caller waits for the next.
             return self._choose()
-        turn, waiting = self._make_turn()
-        queue = self._gateway.turns.queue
-        must_queue = queue.goes_before(turn)
-        choice = NoChoice(Reason.FULL) if must_queue else self._choose()
-        if not _is_full(choice):
-            return choice
-        began_at = time.monotonic()
-        outcome = "caller left"
-        try:
-            if not queue.add(began_at, turn):
-                outcome = "refused at once"
-                return choice
-            if must_queue:
-                queue.wake_next(turn.service)
-            choice = await self._wait_for_room(turn, waiting, choice)
-            has_found = not _is_full(choice)
-            queue.record_wait(time.monotonic(), turn, has_found)
-            outcome = "ended" if has_found else "refused"
-            return choice
-        finally:
-            self._waited += time.monotonic() - began_at
-            queue.discard(turn)
-            if waiting.is_woken:
-                # Its turn has come too late.
-                queue.wake_next(turn.service)
-            self._gateway.turns.record_outcome(turn.rank, outcome)
-
-    async def _wait_for_room(self, turn, waiting, choice):
-        """Return a choice other than that all targets are full, or the last one."""
-        queue = self._gateway.turns.queue
-        while await waiting.wait(turn.ends_at - time.monotonic()):
-            choice = self._choose()
-            if not _is_full(choice):
-                self._full_needs = waiting.full_needs
-                break
-            queue.wake_next(turn.service, waiting.full_needs | {turn.needs})
-        return choice
+        return await self._room_wait.find(*self._make_turn())
 
     def _make_turn(self):
         """Return the :class:`Turn` of this request, and its wait."""
@@ -306,7 +267,8 @@
         )
         request = self._gateway.dialect.build(self._request, self._body, offer)
         await self._gateway.announce_placement(now, row, self._screened)
-        turns = self._record_turn_taken()
+        workspace = self._screened.workspace.name
+        self._room_wait.record_begin(self._screened.service, workspace)
         self._is_offered = True
         load = board.load(row.address)
         withdrawals = self._gateway.withdrawals
@@ -336,7 +298,7 @@
             has_returned = True
         finally:
             board.end(row)
-            turns.record_end(self._screened.service, self._screened.workspace.name)
+            self._gateway.turns.record_end(self._screened.service, workspace)
             withdrawals.end(waiting_offer)
             load.record_end(time.monotonic(), now)
             suspects.end(offer_in_flight)
@@ -352,16 +314,6 @@
             await suspects.record_answer(offer_in_flight)
         return outcome
 
-    def _record_turn_taken(self):
-        """Count the offer, and let others that wait try again; return the exchange."""
-        turns = self._gateway.turns
-        service = self._screened.service
-        turns.queue.record_begin(service, self._screened.workspace.name)
-        if self._full_needs is not None:
-            turns.queue.wake_next(service, self._full_needs)
-            self._full_needs = None
-        return turns
-
     async def _send(self, choice, request, offer_in_flight, head_scope):
         """Send an offer to its target; return the outcome, ``None`` if answered.
 
@@ -628,15 +580,11 @@
             total_ms=round((now - self._arrived_at) * 1000),
             caller_ms=self._caller_timeout_ms(),
             rank=self._screened.rank.position,
-            waited_ms=round(self._waited * 1000),
+            waited_ms=round(self._room_wait.seconds * 1000),
             **details,
         )
 
 
-def _is_full(choice):
-    return isinstance(choice, NoChoice) and choice.reason is Reason.FULL
-
-
 _ACTION_BY_STEP = {
     Step.REFUSE: RequestRun._refuse,
     Step.PASS_FAILURE: RequestRun._pass_failure,
--- a/banyanshore/gateway/turns.py
+++ b/banyanshore/gateway/turns.py
@@ -4,6 +4,8 @@
 
 import anyio
 
+from banyanshore.routing.board import NoChoice
+from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.turns import TurnQueue
 
 # Seconds after a report or a taken-back placement within which a request that waits
@@ -78,3 +80,75 @@
             self._has_news = anyio.Event()
             for service in self.queue.services():
                 self.queue.wake_next(service)
+
+
+class RoomWait:
+    """Find room for one request, after a wait if need be.
+
+    :param turns: the :class:`TurnExchange`.
+    :param choose: callable that returns a :class:`~banyanshore.routing.board.Choice` or
+        :class:`~banyanshore.routing.board.NoChoice`.
+    :ivar seconds: seconds for which the request has waited.
+    """
+
+    def __init__(self, turns, choose):
+        self.seconds = 0.0
+        self._turns = turns
+        self._queue = turns.queue
+        self._choose = choose
+        # Needs of others for which no room was found when its turn came, ``None`` if
+        # it has not waited.
+        self._full_needs = None
+
+    async def find(self, turn, waiting):
+        """Return a choice, after a wait if there is no room or others go before.
+
+        :param turn: the :class:`~banyanshore.routing.turns.Turn` of the request.
+        :param waiting: the :class:`WaitingRequest` that the turn wakes.
+        """
+        queue = self._queue
+        must_queue = queue.goes_before(turn)
+        choice = NoChoice(Reason.FULL) if must_queue else self._choose()
+        if not _is_full(choice):
+            return choice
+        began_at = time.monotonic()
+        outcome = "caller left"
+        try:
+            if not queue.add(began_at, turn):
+                outcome = "refused at once"
+                return choice
+            if must_queue:
+                queue.wake_next(turn.service)
+            choice = await self._wait(turn, waiting, choice)
+            has_found = not _is_full(choice)
+            queue.record_wait(time.monotonic(), turn, has_found)
+            outcome = "ended" if has_found else "refused"
+            return choice
+        finally:
+            self.seconds += time.monotonic() - began_at
+            queue.discard(turn)
+            if waiting.is_woken:
+                # Its turn has come too late.
+                queue.wake_next(turn.service)
+            self._turns.record_outcome(turn.rank, outcome)
+
+    async def _wait(self, turn, waiting, choice):
+        """Return a choice other than that all targets are full, or the last one."""
+        while await waiting.wait(turn.ends_at - time.monotonic()):
+            choice = self._choose()
+            if not _is_full(choice):
+                self._full_needs = waiting.full_needs
+                break
+            self._queue.wake_next(turn.service, waiting.full_needs | {turn.needs})
+        return choice
+
+    def record_begin(self, service, workspace):
+        """Count an offer of the request, and let others that wait try again."""
+        self._queue.record_begin(service, workspace)
+        if self._full_needs is not None:
+            self._queue.wake_next(service, self._full_needs)
+            self._full_needs = None
+
+
+def _is_full(choice):
+    return isinstance(choice, NoChoice) and choice.reason is Reason.FULL
