--- a/banyanshore/gateway/screening.py
+++ b/banyanshore/gateway/screening.py
@@ -1,8 +1,8 @@
 """Routing and authorization of a request, before a target is selected."""
 
 import hashlib
-from dataclasses import dataclass
 
+from banyanshore.core.values import dataclass
 from banyanshore.routing.caller_requests import CallerRequest
 from banyanshore.routing.ranks import ONLY_RANK, Rank
 from banyanshore.routing.retry_after import Reason
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-from dataclasses import dataclass
 
 import anyio
 import h11
@@ -14,6 +13,7 @@
 from banyanshore.core.byte_account import Stage
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.groups import wait_for_first
+from banyanshore.core.values import dataclass
 from banyanshore.http.accepting import open_acceptor
 from banyanshore.http.caller_account import LOOK_SECONDS, CallerAccount
 from banyanshore.http.caller_connection import CallerConnection
--- a/banyanshore/management/declaration_files.py
+++ b/banyanshore/management/declaration_files.py
@@ -4,10 +4,10 @@
 """
 
 import json
-from dataclasses import dataclass
 from pathlib import Path
 
 from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.values import dataclass
 from banyanshore.http.operators import MAX_PATCH_BYTES
 from banyanshore.management.base import CommandError, ExitCode
 from banyanshore.platform.declaration import decode_declaration
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -11,8 +11,9 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from banyanshore.core.values import dataclass
 from banyanshore.membership.load_reports import supersedes
 from banyanshore.membership.registry import TargetState
 from banyanshore.routing.engine_model import EngineModel
--- a/banyanshore/routing/caller_requests.py
+++ b/banyanshore/routing/caller_requests.py
@@ -1,8 +1,8 @@
 """A caller's request, an offer to a target, and their translation from and to HTTP."""
 
 import abc
-from dataclasses import dataclass
 
+from banyanshore.core.values import dataclass
 from banyanshore.routing.ranks import ONLY_RANK, Rank
 
 
--- a/banyanshore/routing/lateness.py
+++ b/banyanshore/routing/lateness.py
@@ -11,7 +11,8 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 # Number of requests of a route from which its usual time budget is determined.
 BUDGETS_KEPT = 64
--- a/banyanshore/routing/rank_shares.py
+++ b/banyanshore/routing/rank_shares.py
@@ -5,7 +5,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 # Half-life of the counts, in seconds: several bursts of arrivals at one gateway, though
 # shorter than most bursts of load.
--- a/banyanshore/routing/ranks.py
+++ b/banyanshore/routing/ranks.py
@@ -8,7 +8,7 @@
 apart an operator has put them, and a service whose requests are all alike has only one.
 """
 
-from dataclasses import dataclass
+from banyanshore.core.values import dataclass
 
 
 @dataclass(frozen=True)
--- a/banyanshore/routing/room.py
+++ b/banyanshore/routing/room.py
@@ -12,8 +12,8 @@
 """
 
 import math
-from dataclasses import dataclass
 
+from banyanshore.core.values import dataclass
 from banyanshore.routing.rank_shares import RankShares
 
 # Maximum prefill backlog of an engine, as a fraction of the request's objective. The
--- a/banyanshore/routing/spread.py
+++ b/banyanshore/routing/spread.py
@@ -9,7 +9,7 @@
 without other gateways, only the best target has a part.
 """
 
-from dataclasses import dataclass
+from banyanshore.core.values import dataclass
 
 # Penalty of a target in another data centre, in seconds: the network latency and the
 # cost of traffic between regions.
--- a/banyanshore/routing/target_load.py
+++ b/banyanshore/routing/target_load.py
@@ -1,7 +1,9 @@
 """The load of a target as estimated by one gateway."""
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import field
+
+from banyanshore.core.values import dataclass
 
 # Seconds after which a report is too old to estimate the load: several report
 # intervals.
--- a/banyanshore/simulation/arrivals.py
+++ b/banyanshore/simulation/arrivals.py
@@ -2,7 +2,8 @@
 
 import math
 import random
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 
 @dataclass
--- a/banyanshore/simulation/plan.py
+++ b/banyanshore/simulation/plan.py
@@ -3,9 +3,8 @@
 Times are in seconds, lengths of prompts and answers in tokens.
 """
 
-from dataclasses import dataclass
-
 from banyanshore.conf.fields import setting
+from banyanshore.core.values import dataclass
 
 POLICIES = ("board", "least-in-flight", "two-choices", "round-robin")
 FAULTS = ("down", "slow")
--- a/banyanshore/simulation/report.py
+++ b/banyanshore/simulation/report.py
@@ -1,6 +1,8 @@
 """Summarize the outcomes of a simulation by kind of request and over time."""
 
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
+
+from banyanshore.core.values import dataclass
 
 # Length of a window in the figures over time.
 WINDOW_SECONDS = 1.0
--- a/banyanshore/state/declaration_checks.py
+++ b/banyanshore/state/declaration_checks.py
@@ -8,8 +8,9 @@
 """
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from banyanshore.core.values import dataclass
 from banyanshore.state.findings import Finding, Level
 from banyanshore.state.routes import CallerLimits
 
--- a/banyanshore/state/declaration_diff.py
+++ b/banyanshore/state/declaration_diff.py
@@ -5,9 +5,9 @@
 """
 
 import hashlib
-from dataclasses import dataclass
 from enum import StrEnum
 
+from banyanshore.core.values import dataclass
 from banyanshore.state.document import diff_documents
 from banyanshore.state.routes import RouteTable
 
--- a/banyanshore/state/findings.py
+++ b/banyanshore/state/findings.py
@@ -1,8 +1,9 @@
 """Findings of a check of the desired state before it is sent."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from banyanshore.core.values import dataclass
+
 
 class Level(StrEnum):
     """What a finding means for the document."""
--- a/banyanshore/weights/tree.py
+++ b/banyanshore/weights/tree.py
@@ -10,7 +10,8 @@
 
 import hashlib
 import math
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 # Loaders per relay. A relay receives one copy and sends one to each loader and to the
 # next relay. With two loaders, that takes a gateway link of 20 Mbit/s less time than a
--- a/banyanshore/weights/version_order.py
+++ b/banyanshore/weights/version_order.py
@@ -13,7 +13,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+from banyanshore.core.values import dataclass
 
 # Expected time for one copy over the slowest link, as a fraction of the grace period.
 COPY_SHARE = 0.5
