Keep a gateway without a state from ending at its upkeep

What operators would have seen: a gateway that got no state within five seconds of its start, cut off from control, ended with exit code 1; all its callers' connections were reset. Cause: the upkeep that forgets the time budgets of old routes read the document of a state that was not there (AttributeError), which ended the task group. Why it holds: without a state there are no budgets of old routes to forget.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -435,6 +435,8 @@
             self._forget_budgets()
 
     def _forget_budgets(self):
+        if self.state.desired is None:
+            return
         document = self.state.desired.document
         routes = [(row["host"], row["prefix"]) for row in document["routes"].values()]
         self.time_budgets.keep_only(routes, document["services"])
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -7,12 +7,17 @@
 import anyio
 import pytest
 
+from banyanshore.conf.loader import parse_settings
+from banyanshore.gateway.process import Gateway
 from banyanshore.gateway.turns import TurnExchange
+from banyanshore.platform.caller_dialect import PlatformDialect
 from banyanshore.state import Fence, PublishedState
 from banyanshore.state.document import to_json
+from banyanshore.state.routes import Route, RouteKind
 from banyanshore.telemetry.gateway import GatewayMetrics
 from tests.gateway.deployment import (
     COMPLETE,
+    SETTINGS,
     Target,
     ask,
     keep_confirmed,
@@ -270,3 +275,12 @@
         await until(lambda: len(full.status_by_mark) == 2)
         # The urgent workspace has rank 0, and that of the plain key the route's.
         assert full.outcomes() == {("1", "refused"): 1, ("1", "refused at once"): 1}
+
+
+def test_gateway_without_a_state_goes_on_after_its_upkeep():
+    """A gateway that had no state for five seconds ended with an AttributeError."""
+    gateway = Gateway(parse_settings(SETTINGS), PlatformDialect(), None)
+    route = Route("a.example", "/", RouteKind.STREAMING, (), 6.0, 0.4)
+    gateway.time_budgets.record_request(route, 6.0)
+    gateway._forget_budgets()
+    assert gateway.time_budgets.passed_seconds(route, 3.0) > 0
