test_whole_bodies_at_a_target_that_hangs_stay_within_memory: hold bodies in blocks of their own

A body grew in the heap beside others (holes of 12 MB at the peak), the last piece was kept by the frame that waited for the next one (64 KB a connection), and a connection that was asked to stop kept its body until it ran again (up to 10.9 MB that the account no longer counted).

Change: http/body_buffer.py holds a body in blocks that go back to the system; pieces are read in a function of their own; CallerConnection.stop releases the body at once.

--- a/banyanshore/http/asgi.py
+++ b/banyanshore/http/asgi.py
@@ -6,6 +6,7 @@
 
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.core.values import dataclass
+from banyanshore.http.body_buffer import BodyBuffer
 
 # Seconds and bytes for which the rest of a body is read and discarded after its answer:
 # closing a connection with unread bytes resets it, and the caller loses the answer.
@@ -139,20 +140,24 @@
         return True
 
     async def _read_whole_body(self, max_bytes):
-        body = bytearray()
-        while True:
-            event = await self._receive()
-            if event["type"] == "http.disconnect":
-                raise CallerDisconnectedError("the caller left", step="read-body")
-            body += event.get("body", b"")
-            if self._connection is not None and not self._is_body_complete:
-                self._connection.hold_body(len(body))
-            if len(body) > max_bytes:
-                raise BodyTooLargeError(
-                    f"the body exceeds {max_bytes} bytes", step="read-body"
-                )
-            if not event.get("more_body"):
-                return bytes(body)
+        body = BodyBuffer()
+        while not await self._read_piece(body, max_bytes):
+            pass
+        return body.take()
+
+    async def _read_piece(self, body, max_bytes):
+        """Read the next piece of the body; return whether the body is whole."""
+        event = await self._receive()
+        if event["type"] == "http.disconnect":
+            raise CallerDisconnectedError("the caller left", step="read-body")
+        body.append(event.get("body", b""))
+        if self._connection is not None and not self._is_body_complete:
+            self._connection.hold_body(len(body))
+        if len(body) > max_bytes:
+            raise BodyTooLargeError(
+                f"the body exceeds {max_bytes} bytes", step="read-body"
+            )
+        return not event.get("more_body")
 
     async def wait_for_disconnect(self):
         """Return once the caller has closed the connection."""
--- a/banyanshore/http/caller_connection.py
+++ b/banyanshore/http/caller_connection.py
@@ -14,6 +14,7 @@
     count_unread_bytes,
     find_socket,
 )
+from banyanshore.http.body_buffer import BodyBuffer
 from banyanshore.http.caller_stream import StoppedError
 from banyanshore.http.closing import linger
 from banyanshore.http.exchange import (
@@ -64,6 +65,8 @@
         self._stream = stream
         self.share = share
         self.is_cut_off = False
+        # What has arrived of the body that is being read.
+        self._body = BodyBuffer()
         # Bytes that arrived since the parser last had none left.
         self._unparsed_bytes = 0
         stream.on_blocked = self._on_blocked
@@ -99,6 +102,8 @@
     def stop(self):
         """Refuse the request that is being read, or cut the connection off."""
         self.is_cut_off = self.share.stage in (Stage.SENDING, Stage.LINGERING)
+        # Released at once: the others may take its place before this one goes on.
+        self._body.clear()
         self._stream.interrupt()
 
     def _on_blocked(self, is_blocked):
@@ -299,26 +304,34 @@
             await self.send_events(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        body = bytearray()
+        body = self._body
         due_at = anyio.current_time() + self.limits.header_timeout
         progress_mark = 0
         while True:
-            with anyio.CancelScope(deadline=due_at):
-                event = await self._next_event(len(body))
-                if isinstance(event, h11.EndOfMessage):
-                    self._callers.hold(self.share, len(body))
-                    return bytes(body)
-                if isinstance(event, h11.ConnectionClosed):
-                    raise PeerClosedError("the caller left", step="read-body")
-                body += event.data
-                self._unparsed_bytes = max(0, self._unparsed_bytes - len(event.data))
-                if len(body) - progress_mark >= BODY_PROGRESS_BYTES:
-                    progress_mark = len(body)
-                    due_at = anyio.current_time() + self.limits.header_timeout
-                if len(body) > self.limits.max_body_bytes:
-                    raise RequestError(413, "the body is too long")
-                continue
-            raise RequestError(408, "the body took too long")
+            with anyio.CancelScope(deadline=due_at) as scope:
+                is_whole = await self._read_piece()
+            if scope.cancelled_caught:
+                raise RequestError(408, "the body took too long")
+            if is_whole:
+                return body.take()
+            if len(body) - progress_mark >= BODY_PROGRESS_BYTES:
+                progress_mark = len(body)
+                due_at = anyio.current_time() + self.limits.header_timeout
+
+    async def _read_piece(self):
+        """Read the next piece of the body; return whether the body is whole."""
+        body = self._body
+        event = await self._next_event(len(body))
+        if isinstance(event, h11.EndOfMessage):
+            self._callers.hold(self.share, len(body))
+            return True
+        if isinstance(event, h11.ConnectionClosed):
+            raise PeerClosedError("the caller left", step="read-body")
+        body.append(event.data)
+        self._unparsed_bytes = max(0, self._unparsed_bytes - len(event.data))
+        if len(body) > self.limits.max_body_bytes:
+            raise RequestError(413, "the body is too long")
+        return False
 
     async def run_while_connected(self, work):
         """Run a coroutine function, and cancel it if the caller disconnects."""
