Send the body of a request to a target in pieces

Cause: each request that runs held its body three times: as it was read, joined with its head, and what the transport copied of that. The account of callers' bytes counts it once.

Change: the head is sent first, then 64 KiB of the body at a time. Small requests are sent with one write, as before.

--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -5,6 +5,7 @@
 reached the target.
 """
 
+import contextlib
 import math
 import time
 from contextlib import asynccontextmanager
@@ -35,6 +36,9 @@
 # Requests up to this size in bytes are sent before the answer is read; larger ones are
 # sent while it is read.
 MAX_INLINE_BYTES = 8 * 1024
+# Bytes of a long body that are handed to the transport at a time: it copies what the
+# target doesn't take at once.
+SENT_BYTES = 64 * 1024
 # Timeout in seconds of connecting, within a region or across regions.
 CONNECT_TIMEOUT = 0.5
 # Seconds by which a timer is late if the process stood still.
@@ -98,7 +102,7 @@
         self._late_reads = 0
 
     def encode(self, request):
-        """Return the bytes of a request."""
+        """Return the parts of a request, whose body isn't copied."""
         self._method = request.method.decode("latin-1")
         headers = list(request.headers)
         if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
@@ -108,9 +112,9 @@
         )
         parts = [self._h11.send(head)]
         if request.body:
-            parts.append(self._h11.send(h11.Data(data=request.body)))
+            parts += self._h11.send_with_data_passthrough(h11.Data(data=request.body))
         parts.append(self._h11.send(h11.EndOfMessage()))
-        return b"".join(parts)
+        return parts
 
     async def read_head(self):
         """Receive the status and headers.
@@ -286,14 +290,14 @@
             raise NotSentError(
                 "withdrawn before it was sent", step="send", peer=address
             )
-        data = answer.encode(request)
+        parts = answer.encode(request)
         async with open_task_group() as tasks:
             with head_scope:
-                if len(data) <= MAX_INLINE_BYTES:
-                    await _send(stream, data)
+                if _count_bytes(parts) <= MAX_INLINE_BYTES:
+                    await _send(stream, parts)
                 else:
                     # A target may answer before it has read all of a long body.
-                    tasks.start_soon(_send, stream, data)
+                    tasks.start_soon(_send, stream, parts)
                 await answer.read_head()
             if not answer.has_head:
                 raise WithdrawnError("withdrawn", step="read-head", peer=address)
@@ -310,12 +314,18 @@
         await anyio.aclose_forcefully(stream)
 
 
-async def _send(stream, data):
+def _count_bytes(parts):
+    return sum(len(part) for part in parts)
+
+
+async def _send(stream, parts):
+    if _count_bytes(parts) <= MAX_INLINE_BYTES:
+        parts = [b"".join(parts)]
     # Ignore the error, since a target may answer and close before it has read all.
-    try:
-        await send_bytes(stream, data)
-    except PeerClosedError:
-        return
+    with contextlib.suppress(PeerClosedError):
+        for part in parts:
+            for start in range(0, len(part), SENT_BYTES):
+                await send_bytes(stream, part[start : start + SENT_BYTES])
 
 
 class Reachability(Enum):
