Split the processing of a request at a gateway by role

Gateway keeps the wiring and the stop; request_handler accepts and rejects requests, and placements announces those that are sent.

Behaviour is unchanged.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -12,19 +12,18 @@
 from banyanshore.core.stopping import NOT_STOPPING, StopPlan
 from banyanshore.gateway.news import UpdateExchange
 from banyanshore.gateway.permits import PermitExchange
+from banyanshore.gateway.placements import PlacementExchange
 from banyanshore.gateway.relay import WeightsRelay
+from banyanshore.gateway.request_handler import RequestHandler
 from banyanshore.gateway.request_limits import LimitExchange
-from banyanshore.gateway.run import RequestRun, answer_seconds
-from banyanshore.gateway.screening import Rejection, Screening
+from banyanshore.gateway.screening import Screening
 from banyanshore.gateway.suspected_parts import SuspectedParts
 from banyanshore.gateway.suspects import Suspects
 from banyanshore.gateway.turns import TurnExchange
 from banyanshore.gateway.withdrawals import Withdrawals
 from banyanshore.http.caller_account import CallerAccount
-from banyanshore.http.exchange import NoRoomError
 from banyanshore.http.listener import Listener, ListenerLimits
 from banyanshore.http.unfinished import log_unfinished
-from banyanshore.http.wire import PeerClosedError
 from banyanshore.membership.feed import GATEWAY_ROLE, FeedClient, MemberRow, Registry
 from banyanshore.membership.follower import Follower
 from banyanshore.membership.load_reports import (
@@ -41,12 +40,11 @@
 from banyanshore.membership.permits import PermitRequest
 from banyanshore.routing.answer_memory import AnswerMemory
 from banyanshore.routing.board import TargetBoard
-from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.lateness import TimeBudgets
 from banyanshore.routing.notices import TargetNotices
 from banyanshore.routing.ranks import ONLY_RANK
 from banyanshore.routing.request_limits import RequestLimits
-from banyanshore.routing.retry_after import Reason, retry_after_seconds
+from banyanshore.routing.retry_after import retry_after_seconds
 from banyanshore.routing.roster import GatewayRoster
 from banyanshore.routing.shares import ColdShares, RetryShare
 from banyanshore.routing.version_switch import VersionSwitch
@@ -72,10 +70,6 @@
 LEAVE_SECONDS = 2.6
 # Seconds for which a stop that was cut short still delivers answers.
 CUT_SHORT_SECONDS = 1.0
-# Rejection of a request that this gateway can't answer before it stops.
-LEAVING = Rejection(503, "leaving", Reason.LEAVING)
-# Rejection of a request that is not read to its end, as others need the memory.
-NO_ROOM = Rejection(503, "no room for the request", Reason.FULL)
 # Seconds between clean-ups of state that is no longer needed.
 UPKEEP_INTERVAL = 5.0
 
@@ -144,6 +138,10 @@
             member, self.registry, self.board, self.suspects, self.limits
         )
         self.updates.on_room = self.turns.record_news
+        self.placements = PlacementExchange(
+            self.state, self.board, self.updates, self.metrics
+        )
+        self.request_handler = RequestHandler(self)
         self.limits.updates = self.updates
         self.permits = PermitExchange(
             member, self.registry, self.limits, self.updates, self.metrics
@@ -173,7 +171,7 @@
         :param force_requested: event that cuts a graceful stop short.
         """
         self.caller_listener = Listener(
-            self._handle, self._limits, callers=self.callers
+            self.request_handler.handle, self._limits, callers=self.callers
         )
         self.readiness_listener = Listener(self._handle_ready, callers=self.callers)
         async with anyio.create_task_group() as tasks:
@@ -234,40 +232,6 @@
             self._retry_share_by_service[service] = share
         return share
 
-    async def announce_placement(self, now, row, screened):
-        """Count a request that is sent to a target, and announce it to other gateways.
-
-        :param row: row of the target.
-        :param screened: the :class:`~banyanshore.gateway.screening.Screened` request.
-        """
-        seconds = self._prefill_seconds(screened)
-        self.board.begin(now, row, seconds)
-        if seconds:
-            unseen = self.board.unseen
-            self.metrics.news_age.labels().set(unseen.age_seconds)
-            self.metrics.unseen_requests.labels(row.service).set(
-                unseen.expected(now, row.service)
-            )
-            notice = PlacementNotice(row.address, seconds, row.data_centre)
-            await self.updates.send(notice)
-
-    async def take_back_placement(self, row, screened):
-        """Take back the announcement of a request that a target did not run."""
-        seconds = self._prefill_seconds(screened)
-        if seconds:
-            self.board.take_back(row, seconds)
-            notice = PlacementNotice(row.address, -seconds, row.data_centre)
-            await self.updates.send(notice)
-
-    def _prefill_seconds(self, screened):
-        service = self.state.desired.service(screened.service) or {}
-        engine = service.get("engine")
-        if not engine:
-            return 0.0
-        model = EngineModel.from_row(engine)
-        tokens = screened.request.prompt_tokens or model.usual_prompt_tokens
-        return model.prefill_seconds(tokens)
-
     def retry_after_seconds(
         self, reason, seconds_left, available_in=0.0, rank=ONLY_RANK
     ):
@@ -313,72 +277,6 @@
     async def _handle_ready(self, exchange):
         await exchange.respond(200 if self.is_ready() else 503)
 
-    async def _handle(self, exchange):
-        arrived_at = time.monotonic()
-        request = self.dialect.parse(exchange)
-        exchange.request_id = request.request_id
-        screened = self._screen(request, arrived_at)
-        if isinstance(screened, Rejection):
-            await self._reject(exchange, request, screened)
-            return
-        timeliness = self._record_request(arrived_at, screened)
-        try:
-            body = await exchange.read_body()
-        except NoRoomError:
-            await self._reject(exchange, request, NO_ROOM)
-            return
-        if not self.stop_plan.accepts(arrived_at, answer_seconds(screened)):
-            # The stop began while the body arrived.
-            await self._reject(exchange, request, LEAVING)
-            return
-        run = RequestRun(self, exchange, screened, body, arrived_at, timeliness)
-        try:
-            ended = await exchange.run_while_connected(run.run)
-        except PeerClosedError:
-            ended = False
-        if not ended:
-            run.log_caller_left()
-
-    def _record_request(self, now, screened):
-        """Count a request, and return its timeliness."""
-        service = screened.service
-        seconds = screened.request.caller_timeout_seconds
-        self.retry_share(service).record_request(now)
-        self.time_budgets.record_request(screened.route, seconds)
-        timeliness = self.time_budgets.timeliness(screened.route, service, seconds)
-        self.board.record_request(now, service, screened.rank, timeliness.is_late)
-        return timeliness
-
-    def _screen(self, request, arrived_at):
-        """Return the :class:`Screened` request, or the :class:`Rejection` of it."""
-        screened = self.screening.screen(
-            request, self.feed.confirmed_seconds_ago, self.feed.is_behind
-        )
-        if isinstance(screened, Rejection):
-            return screened
-        seconds = answer_seconds(screened)
-        return screened if self.stop_plan.accepts(arrived_at, seconds) else LEAVING
-
-    async def _reject(self, exchange, request, rejection):
-        retry_after = self.retry_after_seconds(
-            rejection.reason, request.caller_timeout_seconds
-        )
-        logger.info(
-            "rejected",
-            extra={
-                "request_id": request.request_id,
-                "status": rejection.status,
-                "why": rejection.why,
-                "state_version": self.state.version,
-                "confirmed_ago": round(self.feed.confirmed_seconds_ago, 2),
-                "latest_version": self.feed.lease.latest_version,
-                "retry_after": retry_after,
-            },
-        )
-        self.metrics.rejections.labels(rejection.status).inc()
-        headers = self.dialect.refusal_headers(request, retry_after)
-        await exchange.respond(rejection.status, headers)
-
     async def _on_update(self, connection, item):
         await self.updates.on_item(connection, item)
 
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -122,7 +122,9 @@
                 1,
             )
             gateway.registry.record(time.monotonic(), row)
-        gateway.caller_listener = Listener(gateway._handle, gateway._limits)
+        gateway.caller_listener = Listener(
+            gateway.request_handler.handle, gateway._limits
+        )
         address = await stack.enter_async_context(
             running_listener(gateway.caller_listener)
         )
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -79,7 +79,9 @@
         tasks.start_soon(gateway.updates.run, gateway.link_options, gateway)
         tasks.start_soon(gateway.suspects.run)
         tasks.start_soon(gateway.limits.run)
-        gateway.caller_listener = Listener(gateway._handle, gateway._limits)
+        gateway.caller_listener = Listener(
+            gateway.request_handler.handle, gateway._limits
+        )
         self.caller_addresses.append(
             await self._stack.enter_async_context(
                 running_listener(gateway.caller_listener)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -394,7 +394,9 @@
     """One request larger than any target's memory kept others away for minutes."""
     target = Target(act)
     async with running_gateway(target, kind="non_idempotent") as (gateway, address):
-        monkeypatch.setattr(gateway, "_prefill_seconds", lambda screened: 100.0)
+        monkeypatch.setattr(
+            gateway.placements, "_prefill_seconds", lambda screened: 100.0
+        )
         await ask(address)
         assert target.requests
         (row,) = gateway.registry.targets.rows()
