End a process without the interpreter's clean-up

After "stopped" was logged, the interpreter still took its modules apart, joined threads and freed the heap.

Nothing depends on this clean-up: connections, links and the log are ended before it. So main() flushes the standard streams and ends the process at once, with the same exit code. The gateway of the tests ends through main(), too, as the product does.

The new test fails before: a process whose clean-up takes 60 s had not ended after 30 s.

--- a/banyanshore/daemon/run.py
+++ b/banyanshore/daemon/run.py
@@ -1,8 +1,10 @@
 """Start a process of any role from a settings file."""
 
+import contextlib
 import gc
 import importlib.util
 import logging
+import os
 import sys
 import time
 
@@ -28,7 +30,19 @@
 
 def main(argv=None):
     """Run the daemon and exit with its exit code."""
-    sys.exit(run(argv or sys.argv))
+    end_process(run(argv or sys.argv))
+
+
+def end_process(exit_code):
+    """End the process without the interpreter's own clean-up.
+
+    That takes longer than what is left of a short grace on a busy machine, and nothing
+    depends on it.
+    """
+    for stream in (sys.stdout, sys.stderr):
+        with contextlib.suppress(AttributeError, OSError, ValueError):
+            stream.flush()
+    os._exit(exit_code)
 
 
 def run(argv):
--- a/tests/stopping/ready_gateway.py
+++ b/tests/stopping/ready_gateway.py
@@ -40,7 +40,7 @@
         return gateway
 
     run._FACTORY_BY_ROLE["gateway"] = make_ready_gateway
-    sys.exit(run.run(["banyanshored", "--settings", settings_path]))
+    run.main(["banyanshored", "--settings", settings_path])
 
 
 if __name__ == "__main__":
--- a/tests/stopping/test_end_of_stop.py
+++ b/tests/stopping/test_end_of_stop.py
@@ -1,4 +1,4 @@
-"""Signals that reach a process while it ends."""
+"""Signals that reach a process while it ends, and how long its end takes."""
 
 import subprocess
 import sys
@@ -53,3 +53,32 @@
         timeout=30,
     )
     assert (result.returncode, result.stdout) == (0, "stopped\n"), result.stderr
+
+
+# A process whose interpreter takes long to clean up, as on a busy machine.
+SLOW_CLEAN_UP = textwrap.dedent(
+    """
+    import atexit, time
+    from banyanshore.daemon import run
+
+    def run_shortly(argv):
+        print("stopped")
+        return 3
+
+    run.run = run_shortly
+    atexit.register(time.sleep, 60)
+    run.main(["banyanshored"])
+    """
+)
+
+
+def test_end_of_a_process_does_not_wait_for_the_interpreter_to_clean_up():
+    """It took more than what was left of a grace of 2 s, and the process was killed."""
+    result = subprocess.run(
+        [sys.executable, "-c", SLOW_CLEAN_UP],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert (result.returncode, result.stdout) == (3, "stopped\n"), result.stderr
