Read a stream of events ahead of a slow caller

Callers saw streams end early that their target had ready: the gateway read no more of a stream than its caller had taken, and targets cut off an answer that stays unread for some seconds.

A stream is still read and passed on in turn while its caller keeps up. An answer may be read ahead while it holds no more than what is free beside it, so the answers that hold most are held up first, and go on last when room returns. Without room, an answer goes on at the pace of its caller. What arrived before an answer broke off is passed on before the request is offered again.

Cost for callers that keep up: a task group for each stream.

--- a/banyanshore/gateway/offers.py
+++ b/banyanshore/gateway/offers.py
@@ -267,6 +267,8 @@
             self._on_begun()
             await self._gateway.suspects.record_begun(offer)
 
-        await self._events.relay(answer, self._event_timeout, on_begun)
+        await self._events.relay(
+            answer, self._state.target, self._event_timeout, on_begun
+        )
         self._log.log_end("answered", answer.status, **self._log.body_details())
         return None
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -33,7 +33,7 @@
         self._has_begun = False
         # Cancels the request at its deadline.
         self._scope = anyio.CancelScope()
-        self._events = EventRelay(exchange, gateway.dialect)
+        self._events = EventRelay(exchange, gateway.dialect, gateway.answer_memory)
         self._log = RequestLog(state, self._events)
         self._finder = TargetFinder(state)
         self._offers = OfferSender(
--- a/banyanshore/http/caller_connection.py
+++ b/banyanshore/http/caller_connection.py
@@ -113,6 +113,8 @@
             share.stage = Stage.SENDING
             self._callers.look_at(share)
             self._callers.make_room()
+            if self._exchange is not None:
+                self._exchange.tell_blocked()
         elif share.stage is Stage.SENDING:
             share.stage = self._stage_before
 
@@ -142,10 +144,7 @@
 
     async def serve(self):
         """Serve requests until the connection ends."""
-        while True:
-            request = await self._read_head()
-            if request is None:
-                return
+        while (request := await self._read_head()) is not None:
             exchange = Exchange(self, request, self._arrived_after)
             self._listener.active += 1
             self._exchange = exchange
--- a/banyanshore/http/exchange.py
+++ b/banyanshore/http/exchange.py
@@ -46,6 +46,8 @@
     :ivar started_at: monotonic time at which the answer was begun, or ``None``.
     :ivar arrived_after: boot time before which the request can't have arrived.
     :ivar request_id: id of the request for logs, set by its handler.
+    :ivar on_blocked: called when a part of the answer has to wait for the caller, or
+        ``None``.
     """
 
     def __init__(self, connection, request, arrived_after):
@@ -57,6 +59,7 @@
         self.finished = False
         self.arrived_after = arrived_after
         self.request_id = ""
+        self.on_blocked = None
         self._connection = connection
 
     @property
@@ -83,6 +86,11 @@
         """
         return await self._connection.run_while_connected(work)
 
+    def tell_blocked(self):
+        """Tell whoever passes the answer on that it has to wait for the caller."""
+        if self.on_blocked is not None:
+            self.on_blocked()
+
     async def respond(self, status, headers=(), body=b""):
         """Send a complete answer."""
         length = (b"content-length", str(len(body)).encode())
