Count an answer once while its caller is slow

A whole answer was counted as held until its caller had taken it, and at the same time as waiting to be written on the caller's connection: an answer of 1.5 MB took 3,027,216 bytes of the account of the process, so that others were held up or stopped for bytes that weren't there.

What is held is now passed on in blocks of 64 KiB (gateway/read_ahead.py), and each block leaves the memory for answers when it is given to the connection. An answer that isn't held whole is read ahead of a slow caller in the same way.

test_answer_of_a_slow_caller_counts_once fails before with the figure above, and passes now: less than 1.5 times the answer.

--- a/banyanshore/gateway/held_answer.py
+++ b/banyanshore/gateway/held_answer.py
@@ -1,6 +1,7 @@
 """Answers that aren't streams of events: held whole, or passed on as they arrive."""
 
 from banyanshore.core.framing import Framing
+from banyanshore.gateway.read_ahead import BLOCK_BYTES, ReadAhead
 from banyanshore.http.upstream import BrokenAnswerError
 
 # Largest body of an answer that isn't a stream of events, in bytes.
@@ -22,13 +23,10 @@
     def __init__(self, answer, memory, target):
         self.is_complete = False
         self._answer = answer
-        self._memory = memory
+        self._share = memory.open(target)
         self._target = target
         self._pieces = answer.iter_body(MAX_BODY_BYTES)
         self._held = []
-        self._held_bytes = 0
-        # The piece that there was no room for.
-        self._rest = b""
 
     @property
     def body(self):
@@ -41,11 +39,11 @@
         :raises BrokenAnswerError: the answer broke off, or is too long.
         """
         async for piece in self._pieces:
-            if not self._memory.try_hold(self._target, len(piece)):
-                self._rest = piece
-                return
             self._held.append(piece)
-            self._held_bytes += len(piece)
+            if not self._share.try_hold(len(piece)):
+                # It is passed on next, with what is held.
+                self._share.hold(len(piece))
+                return
         self.is_complete = True
 
     async def relay(self, exchange, headers):
@@ -53,23 +51,42 @@
 
         :raises BrokenAnswerError: the answer broke off, or is too long.
         """
-        if self._answer.framing is not Framing.LENGTH:
+        status = self._answer.status
+        if self.is_complete or self._answer.framing is not Framing.LENGTH:
             headers = [pair for pair in headers if pair[0] != b"content-length"]
-        await exchange.start(self._answer.status, headers)
-        for piece in self._held:
-            await exchange.send(piece)
-        self.release()
-        await exchange.send(self._rest)
-        self._rest = b""
-        async for piece in self._pieces:
-            await exchange.send(piece)
+        if self.is_complete:
+            size = sum(map(len, self._held))
+            if size <= BLOCK_BYTES:
+                body = self.body
+                self.release()
+                await exchange.respond(status, headers, body)
+                return
+            headers = [(b"content-length", b"%d" % size), *headers]
+        await exchange.start(status, headers)
+        reading = ReadAhead(
+            self._answer,
+            self._share,
+            exchange,
+            ((piece, None) for piece in self._held),
+            self.is_complete,
+        )
+        # The pieces are dropped one after the other as they are passed on.
+        self._held = []
+
+        async def send(data, mark):
+            await exchange.send(data)
+
+        await reading.relay(self._iter_rest(), send)
         await exchange.finish()
 
+    async def _iter_rest(self):
+        async for piece in self._pieces:
+            yield piece, None
+
     def release(self):
         """Release the memory of what is held."""
         self._held = []
-        held_bytes, self._held_bytes = self._held_bytes, 0
-        self._memory.release(self._target, held_bytes)
+        self._share.close()
 
     def require_complete(self):
         """Check that the whole body is held.
--- a/banyanshore/gateway/offers.py
+++ b/banyanshore/gateway/offers.py
@@ -4,7 +4,6 @@
 import time
 
 from banyanshore.core.exceptions import UnavailableError
-from banyanshore.gateway.endings import respond_whole
 from banyanshore.gateway.held_answer import HeldAnswer
 from banyanshore.gateway.suspects import OfferInFlight
 from banyanshore.gateway.target_notices import NoticeRecorder
@@ -235,10 +234,7 @@
                 self._state.failure = (answer.status, headers, held.body)
                 return Outcome.FAILED
             self._on_begun()
-            if held.is_complete:
-                await respond_whole(self._exchange, answer.status, headers, held.body)
-            else:
-                await held.relay(self._exchange, headers)
+            await held.relay(self._exchange, headers)
         finally:
             held.release()
         self._log.log_end(
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -10,11 +10,13 @@
 import anyio
 import pytest
 
+from banyanshore.core.byte_account import Stage
 from banyanshore.core.sockets import count_unacknowledged_bytes, find_socket
+from banyanshore.http.listener import Listener
 from banyanshore.state.routes import RouteKind
 from tests.crowds.observed import ObservedProcess
-from tests.gateway.deployment import Target, make_request
-from tests.http.raw import scripted_server
+from tests.gateway.deployment import Target, make_request, running_gateway
+from tests.http.raw import running_listener, scripted_server
 from tests.stopping.process import running_gateway_process
 
 pytestmark = pytest.mark.anyio
@@ -202,3 +204,24 @@
             looking.cancel_scope.cancel()
     assert [caller.body == body for caller in callers] == [True] * count
     assert observed.most_bytes <= memory_mb * 1_000_000
+
+
+async def test_answer_of_a_slow_caller_counts_once():
+    """It counted as held, and again as waiting to be sent."""
+    body = b"x" * 1_500_000
+    head = HEAD + b"content-length: %d\r\n\r\n" % len(body)
+    async with running_gateway(Target(head + body), **ROUTE) as (gateway, _):
+        listener = Listener(gateway._handle, gateway._limits, callers=gateway.callers)
+        account = gateway.callers.account
+        async with (
+            running_listener(listener) as address,
+            SlowCaller(address).asking(make_request()) as caller,
+        ):
+            with anyio.fail_after(TIMEOUT):
+                # Until the caller's connection has taken what it takes.
+                while not any(s.stage is Stage.SENDING for s in account._shares):
+                    await caller.read_slowly()
+            assert account.total < 1.5 * len(body)
+            await caller.read_rest()
+        assert gateway.answer_memory.held_bytes == 0
+    assert caller.received.endswith(body)
