Don't reset callers that read slowly

Callers lost answers that were ready: their connection was reset although they read on. TCP_USER_TIMEOUT (3 s) counts the time for which a window is closed; from what is known of the system (not traced), it restarts only once the whole next segment in the queue fits into the window, so a caller with a small window is reset while it makes progress.

Evidence, two sockets alone on loopback, caller with 8 KB of receive buffer that reads 4 KB each 0.2, 0.4 and 1 s: reset after 3.9, 3.5 and 3.3 s with the timeout; with none it went on reading until the trial ended after 8 s.

Callers' connections keep the keepalive of idle times and have no such timeout. A lost caller is told by the system's own counters, at the looks of each 0.5 s: nothing acknowledged for 3 s, and four transmissions or probes unanswered. One line "caller lost" each. Connections to targets are as before.

test_answer_is_whole_however_slowly_its_caller_reads fails before in both forms (reset by peer), and passes now. tests/http/test_closing.py reads the listener's connections by their new private name; what it checks is as before.

--- a/banyanshore/core/sockets.py
+++ b/banyanshore/core/sockets.py
@@ -1,11 +1,24 @@
 """Ask the system about sockets."""
 
 import fcntl
+import socket
 import struct
 import termios
 
 import anyio
 
+# Seconds without any acknowledgement after which a peer may be lost.
+LOST_SECONDS = 3.0
+# Transmissions or probes without an answer that a lost peer has had by then. The system
+# sends them at doubled intervals, of 0.2 s at least.
+LOST_TRANSMISSIONS = 4
+# Bytes of the system's ``tcp_info`` that are read.
+_TCP_INFO_BYTES = 60
+_RETRANSMITS_OFFSET = 2
+_PROBES_OFFSET = 3
+# Milliseconds since the last acknowledgement.
+_LAST_ACK_OFFSET = 56
+
 
 def find_socket(stream):
     """Return the socket of a connection, or ``None`` if the connection has ended.
@@ -40,6 +53,24 @@
     return _read_count(raw, termios.FIONREAD)
 
 
+def is_peer_lost(raw):
+    """Return whether the peer's system answers nothing to what is sent to it.
+
+    A peer that is alive and doesn't read answers to probes of its closed window.
+
+    :param raw: socket of the connection, ``None`` if the connection has ended.
+    """
+    if raw is None or raw.fileno() < 0:
+        return False
+    try:
+        info = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    except OSError:
+        return False
+    (milliseconds,) = struct.unpack_from("=I", info, _LAST_ACK_OFFSET)
+    unanswered = info[_RETRANSMITS_OFFSET] + info[_PROBES_OFFSET]
+    return milliseconds >= 1000 * LOST_SECONDS and unanswered >= LOST_TRANSMISSIONS
+
+
 def _read_count(raw, request):
     if raw is None or raw.fileno() < 0:
         return 0
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -13,6 +13,7 @@
 from banyanshore.core.byte_account import Stage
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.groups import wait_for_first
+from banyanshore.core.sockets import find_socket, is_peer_lost
 from banyanshore.core.values import dataclass
 from banyanshore.http.accepting import open_acceptor
 from banyanshore.http.caller_account import LOOK_SECONDS, CallerAccount
@@ -23,7 +24,7 @@
     RECEIVE_BUFFER_BYTES,
     PeerClosedError,
     reset_on_close,
-    set_timeouts,
+    set_keepalive,
 )
 
 logger = logging.getLogger(__name__)
@@ -72,14 +73,14 @@
         self.active = 0
         self.leaving = False
         self.is_closing = False
-        self._connections = set()
+        self._stream_by_connection = {}
         self._acceptor = None
         # Set once nothing is accepted any more and all connections have ended.
         self._ended = anyio.Event()
 
     def find_unfinished(self):
         """Return the :class:`Unfinished` of each open connection."""
-        return [connection.unfinished() for connection in self._connections]
+        return [connection.unfinished() for connection in self._stream_by_connection]
 
     async def serve(self, address, *, task_status=anyio.TASK_STATUS_IGNORED):
         """Serve until cancelled, or until all connections have ended after a close.
@@ -103,12 +104,24 @@
     async def _look_at_buffers(self):
         while True:
             await anyio.sleep(LOOK_SECONDS)
-            for connection in self._connections:
+            for connection, stream in list(self._stream_by_connection.items()):
                 share = connection.share
                 if share.stage is not Stage.IDLE or share.buffered:
                     self.callers.look_at(share)
+                if share.buffered and is_peer_lost(find_socket(stream)):
+                    await self._drop_lost(connection, stream)
             self.callers.make_room()
 
+    async def _drop_lost(self, connection, stream):
+        logger.info(
+            "caller lost",
+            extra={
+                "request_id": connection.request_id,
+                "bytes": connection.share.buffered,
+            },
+        )
+        await stream.aclose()
+
     async def close(self, seconds, cut_short=None):
         """Stop accepting connections, and wait until all have ended.
 
@@ -124,7 +137,7 @@
         self.leaving = True
         self.is_closing = True
         self._acceptor.stop()
-        for connection in list(self._connections):
+        for connection in list(self._stream_by_connection):
             connection.shorten_waits()
         with anyio.move_on_after(seconds):
             await wait_for_first(self._ended, cut_short or anyio.Event())
@@ -145,9 +158,10 @@
     async def _serve_connection(self, stream, share):
         connection = None
         try:
-            set_timeouts(stream)
+            # TCP_USER_TIMEOUT would end the connection of a caller that reads slowly.
+            set_keepalive(stream)
             connection = CallerConnection(self, stream, share)
-            self._connections.add(connection)
+            self._stream_by_connection[connection] = stream
             try:
                 await connection.serve()
             except RequestError as error:
@@ -158,7 +172,7 @@
         except Exception:
             logger.exception("connection ended by an internal error")
         finally:
-            self._connections.discard(connection)
+            self._stream_by_connection.pop(connection, None)
             if connection is not None and connection.must_reset():
                 reset_on_close(stream)
             with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
--- a/banyanshore/http/wire.py
+++ b/banyanshore/http/wire.py
@@ -69,11 +69,19 @@
 
 
 def set_timeouts(stream):
-    """Make the kernel close the connection if its peer stops responding."""
+    """Make the kernel close the connection if its peer stops responding or reading."""
     raw = find_socket(stream)
     if raw is None:
         return
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    set_keepalive(stream)
+
+
+def set_keepalive(stream):
+    """Make the kernel close an idle connection if its peer stops responding."""
+    raw = find_socket(stream)
+    if raw is None:
+        return
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -225,3 +225,29 @@
             await caller.read_rest()
         assert gateway.answer_memory.held_bytes == 0
     assert caller.received.endswith(body)
+
+
+@pytest.mark.parametrize("pause", [0.4, 5.0], ids=["slowly", "after-a-pause"])
+async def test_answer_is_whole_however_slowly_its_caller_reads(tmp_path, pause):
+    """The system reset a caller whose window was closed, three seconds later.
+
+    TCP_USER_TIMEOUT counts that as silence, also while the caller reads a little.
+    """
+    events = make_events(1_000_000)
+    body = b"".join(events)
+    head = EVENT_STREAM + b"transfer-encoding: chunked\r\n\r\n"
+    target = WatchedTarget(head, in_chunks(events))
+    async with (
+        scripted_server(Target(target.act).act) as server,
+        running_gateway_process(
+            tmp_path, [server.address], kind=RouteKind.STREAMING, **ROUTE
+        ) as gateway,
+        SlowCaller(gateway.address).asking(make_request()) as caller,
+    ):
+        with anyio.fail_after(TIMEOUT):
+            began_at = anyio.current_time()
+            while anyio.current_time() < began_at + 6.0:
+                await caller.read_slowly()
+                await anyio.sleep(pause)
+            await caller.read_rest()
+    assert caller.body == body
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -183,7 +183,7 @@
         await stream.send(REQUEST)
         while not listener.active:
             await anyio.sleep(0.01)
-        (connection,) = listener._connections
+        (connection,) = listener._stream_by_connection
         await anyio.aclose_forcefully(connection._stream)
         (row,) = listener.find_unfinished()
     assert (row.unacknowledged_bytes, row.unread_bytes) == (0, 0)
