Let slow callers receive until the end of a stop what has arrived

In a stop, answers are due after 0.85 of the grace, and the process ends after 0.9 of it. An answer that its target had sent whole was broken off at 0.85 while its caller was reading it. That time is for targets: once the last byte has arrived, only the caller is waited for, and it now has until the end of the stop. The request's own deadline holds as before.

test_answer_that_has_arrived_is_not_cut_off_before_the_end_of_a_stop fails before for streams and for other answers (3.5 MB, a grace of 16 s, a caller that reads 80 KB/s until 0.86 of it), and passes now.

--- a/banyanshore/gateway/event_relay.py
+++ b/banyanshore/gateway/event_relay.py
@@ -25,7 +25,7 @@
         self._dialect = dialect
         self._memory = memory
 
-    async def relay(self, answer, target, event_timeout, on_begun):
+    async def relay(self, answer, target, event_timeout, on_begun, on_read):
         """Pass on events as they arrive, each one completely, to the end.
 
         :param answer: the :class:`~banyanshore.http.upstream.UpstreamAnswer`.
@@ -33,11 +33,14 @@
         :param event_timeout: function that returns the seconds until the next event
             is due.
         :param on_begun: coroutine function that is called before the first event.
+        :param on_read: called once the last event was read, while a slow caller is
+            waited for.
         :raises BrokenAnswerError: the answer broke off, or its events are invalid.
             Events that arrived before were passed on.
         """
         share = self._memory.open(target)
         reading = ReadAhead(answer, share, self._exchange)
+        reading.on_read = on_read
         try:
             async with aclosing(
                 self._iter_events(answer, event_timeout, on_begun)
--- a/banyanshore/gateway/held_answer.py
+++ b/banyanshore/gateway/held_answer.py
@@ -46,9 +46,11 @@
                 return
         self.is_complete = True
 
-    async def relay(self, exchange, headers):
+    async def relay(self, exchange, headers, on_read):
         """Pass on what is held, and then the rest as it arrives.
 
+        :param on_read: called once the last piece was read, while a slow caller is
+            waited for.
         :raises BrokenAnswerError: the answer broke off, or is too long.
         """
         status = self._answer.status
@@ -59,6 +61,7 @@
             if size <= BLOCK_BYTES:
                 body = self.body
                 self.release()
+                on_read()
                 await exchange.respond(status, headers, body)
                 return
             headers = [(b"content-length", b"%d" % size), *headers]
@@ -70,6 +73,7 @@
             ((piece, None) for piece in self._held),
             self.is_complete,
         )
+        reading.on_read = on_read
         # The pieces are dropped one after the other as they are passed on.
         self._held = []
 
--- a/banyanshore/gateway/offers.py
+++ b/banyanshore/gateway/offers.py
@@ -33,9 +33,10 @@
     :param events: the :class:`~banyanshore.gateway.event_relay.EventRelay`.
     :param log: the :class:`~banyanshore.gateway.request_log.RequestLog`.
     :param on_begun: called when the answer to the caller begins.
+    :param on_read: called once the last byte of it has arrived.
     """
 
-    def __init__(self, state, finder, events, log, on_begun):
+    def __init__(self, state, finder, events, log, on_begun, on_read):
         self._state = state
         self._gateway = state.gateway
         self._exchange = state.exchange
@@ -46,6 +47,7 @@
         self._events = events
         self._log = log
         self._on_begun = on_begun
+        self._on_read = on_read
         self._notices = NoticeRecorder(state.gateway, state.request)
 
     async def offer(self, choice):
@@ -234,7 +236,7 @@
                 self._state.failure = (answer.status, headers, held.body)
                 return Outcome.FAILED
             self._on_begun()
-            await held.relay(self._exchange, headers)
+            await held.relay(self._exchange, headers, self._on_read)
         finally:
             held.release()
         self._log.log_end(
@@ -264,7 +266,7 @@
             await self._gateway.suspects.record_begun(offer)
 
         await self._events.relay(
-            answer, self._state.target, self._event_timeout, on_begun
+            answer, self._state.target, self._event_timeout, on_begun, self._on_read
         )
         self._log.log_end("answered", answer.status, **self._log.body_details())
         return None
--- a/banyanshore/gateway/read_ahead.py
+++ b/banyanshore/gateway/read_ahead.py
@@ -27,9 +27,11 @@
     :param exchange: the caller's :class:`~banyanshore.http.exchange.Exchange`.
     :param held: pieces that are held already, and counted in ``share``.
     :param is_read: whether these are all.
+    :ivar on_read: called once the last piece was read, while the caller is waited for.
     """
 
     def __init__(self, answer, share, exchange, held=(), is_read=False):
+        self.on_read = lambda: None
         self._answer = answer
         self._share = share
         self._exchange = exchange
@@ -61,7 +63,9 @@
 
             self._exchange.on_blocked = start_reader
             try:
-                if self._held:
+                if self._is_read:
+                    self.on_read()
+                elif self._held:
                     start_reader()
                 while not (self._has_reader or self._is_read):
                     try:
@@ -85,6 +89,7 @@
                 self._news.set()
         except StopAsyncIteration:
             self._is_read = True
+            self.on_read()
         except Exception as error:
             self._error = error
         self._news.set()
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -29,6 +29,10 @@
         state = RequestState(gateway, exchange, screened, body, arrived_at, timeliness)
         self._gateway = gateway
         self._state = state
+        # Its deadline but for a stop of the process.
+        self._caller_deadline = state.deadline
+        # Whether the last byte of the answer has arrived.
+        self._is_read_whole = False
         # Whether the answer to the caller has begun.
         self._has_begun = False
         # Cancels the request at its deadline.
@@ -37,7 +41,12 @@
         self._log = RequestLog(state, self._events)
         self._finder = TargetFinder(state)
         self._offers = OfferSender(
-            state, self._finder, self._events, self._log, self._record_begun
+            state,
+            self._finder,
+            self._events,
+            self._log,
+            self._record_begun,
+            self._record_read_whole,
         )
         self._ending = RequestEnding(state, self._log)
 
@@ -55,10 +64,21 @@
             runs.discard(self)
 
     def shorten_deadline(self, deadline):
-        """Answer the request by a time, if it is before its deadline."""
+        """Answer the request by a time, if it is before its deadline.
+
+        An answer that has arrived whole has until the end of a stop to be received.
+        """
+        if self._is_read_whole:
+            deadline = self._gateway.stop_plan.ends_at
         self._state.deadline = min(self._state.deadline, deadline)
         self._set_scope_deadline()
 
+    def _record_read_whole(self):
+        self._is_read_whole = True
+        ends_at = self._gateway.stop_plan.ends_at
+        self._state.deadline = min(self._caller_deadline, ends_at)
+        self._set_scope_deadline()
+
     def _set_scope_deadline(self):
         # The margin is for an answer of the gateway's own, which none can be once a
         # target's answer has begun.
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import socket
+from signal import SIGTERM
 
 import anyio
 import pytest
@@ -251,3 +252,39 @@
                 await anyio.sleep(pause)
             await caller.read_rest()
     assert caller.body == body
+
+
+@pytest.mark.parametrize("kind", [RouteKind.STREAMING, RouteKind.IDEMPOTENT])
+async def test_answer_that_has_arrived_is_not_cut_off_before_the_end_of_a_stop(
+    tmp_path, kind
+):
+    """It was broken off when answers of targets are due, half a tenth before."""
+    grace = 16.0
+    events = make_events(3_500_000)
+    body = b"".join(events)
+    head = EVENT_STREAM + b"transfer-encoding: chunked\r\n\r\n"
+    target = WatchedTarget(head, in_chunks(events))
+    async with (
+        scripted_server(Target(target.act).act) as server,
+        running_gateway_process(
+            tmp_path,
+            [server.address],
+            {"memory_mb": 1024, "grace_seconds": grace},
+            kind=kind,
+            **ROUTE | {"timeout_seconds": grace},
+        ) as gateway,
+        SlowCaller(gateway.address).asking(make_request()) as caller,
+    ):
+        with anyio.fail_after(TIMEOUT):
+            await caller.read_slowly()
+            gateway.signal(SIGTERM)
+            while anyio.current_time() < gateway.stopped_at + 0.86 * grace:
+                await caller.read_slowly()
+            await caller.read_rest()
+        assert await gateway.wait() == 0
+        assert gateway.stop_seconds < grace
+    assert target.read_count == 1
+    if kind is RouteKind.STREAMING:
+        assert caller.body == body
+    else:
+        assert caller.received.endswith(body)
