Log answers that are read ahead of their callers

One line for each answer whose caller had to be waited for: the most bytes held of it, for how long its target was held up for want of room, and whether it was read whole.

--- a/banyanshore/gateway/read_ahead.py
+++ b/banyanshore/gateway/read_ahead.py
@@ -5,6 +5,8 @@
 memory for answers. Without room, an answer is read as fast as its caller reads.
 """
 
+import logging
+import time
 from collections import deque
 
 import anyio
@@ -12,6 +14,8 @@
 from banyanshore.core.groups import open_task_group
 from banyanshore.http.wire import READ_SIZE_BYTES
 
+logger = logging.getLogger(__name__)
+
 # Bytes that are passed on at a time, if they are held in pieces.
 BLOCK_BYTES = 64 * 1024
 
@@ -43,6 +47,8 @@
         self._has_reader = False
         self._has_caught_up = False
         self._is_read = is_read
+        self._most_held_bytes = 0
+        self._held_up_seconds = 0.0
         self._error = None
 
     async def relay(self, pieces, send):
@@ -76,6 +82,8 @@
                 await self._send_rest(send)
             finally:
                 self._exchange.on_blocked = None
+                if self._has_reader:
+                    self._log()
 
     async def _read(self, pieces):
         """Read the pieces that follow, as far as there is room for them."""
@@ -84,6 +92,9 @@
                 await self._wait_for_room()
                 piece = await anext(pieces)
                 self._share.hold(len(piece[0]))
+                self._most_held_bytes = max(
+                    self._most_held_bytes, self._share.held_bytes
+                )
                 self._held.append(piece)
                 self._has_caught_up = False
                 self._news.set()
@@ -95,14 +106,15 @@
         self._news.set()
 
     async def _wait_for_room(self):
-        has_waited = False
+        began_at = None
         self._share.wake = self._tell_room
         while not self._has_caught_up and not self._share.has_room(READ_SIZE_BYTES):
-            has_waited = True
+            began_at = began_at or time.monotonic()
             self._room = anyio.Event()
             self._share.start_waiting()
             await self._room.wait()
-        if has_waited:
+        if began_at is not None:
+            self._held_up_seconds += time.monotonic() - began_at
             # The target could not send meanwhile.
             self._answer.record_progress()
 
@@ -134,3 +146,14 @@
             size += len(data)
             last_mark = last_mark if mark is None else mark
         return b"".join(parts), last_mark
+
+    def _log(self):
+        logger.info(
+            "answer read ahead of its caller",
+            extra={
+                "request_id": self._exchange.request_id,
+                "most_held_bytes": self._most_held_bytes,
+                "held_up_ms": round(self._held_up_seconds * 1000),
+                "read_whole": self._is_read,
+            },
+        )
--- a/tests/gateway/test_read_ahead.py
+++ b/tests/gateway/test_read_ahead.py
@@ -22,6 +22,7 @@
 
     def __init__(self, is_fast=False):
         self.on_blocked = None
+        self.request_id = "id-1"
         self.sent = []
         self.error = None
         self._is_fast = is_fast
