--- a/banyanshore/gateway/offers.py
+++ b/banyanshore/gateway/offers.py
@@ -4,7 +4,6 @@
 import time
 
 from banyanshore.core.exceptions import UnavailableError
-from banyanshore.gateway.endings import respond_whole
 from banyanshore.gateway.held_answer import HeldAnswer
 from banyanshore.gateway.suspects import OfferInFlight
 from banyanshore.gateway.target_notices import NoticeRecorder
@@ -34,9 +33,10 @@
     :param events: the :class:`~banyanshore.gateway.event_relay.EventRelay`.
     :param log: the :class:`~banyanshore.gateway.request_log.RequestLog`.
     :param on_begun: called when the answer to the caller begins.
+    :param on_read: called once the last byte of it has arrived.
     """
 
-    def __init__(self, state, finder, events, log, on_begun):
+    def __init__(self, state, finder, events, log, on_begun, on_read):
         self._state = state
         self._gateway = state.gateway
         self._exchange = state.exchange
@@ -47,6 +47,7 @@
         self._events = events
         self._log = log
         self._on_begun = on_begun
+        self._on_read = on_read
         self._notices = NoticeRecorder(state.gateway, state.request)
 
     async def offer(self, choice):
@@ -235,10 +236,7 @@
                 self._state.failure = (answer.status, headers, held.body)
                 return Outcome.FAILED
             self._on_begun()
-            if held.is_complete:
-                await respond_whole(self._exchange, answer.status, headers, held.body)
-            else:
-                await held.relay(self._exchange, headers)
+            await held.relay(self._exchange, headers, self._on_read)
         finally:
             held.release()
         self._log.log_end(
@@ -267,6 +265,8 @@
             self._on_begun()
             await self._gateway.suspects.record_begun(offer)
 
-        await self._events.relay(answer, self._event_timeout, on_begun)
+        await self._events.relay(
+            answer, self._state.target, self._event_timeout, on_begun, self._on_read
+        )
         self._log.log_end("answered", answer.status, **self._log.body_details())
         return None
