Mend test_answer_of_a_slow_caller_counts_once for the split gateway

It passed the handler of the gateway to a listener by the name from before the split of the processing of a request, and failed with an AttributeError. What it checks is as before.

--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -212,7 +212,9 @@
     body = b"x" * 1_500_000
     head = HEAD + b"content-length: %d\r\n\r\n" % len(body)
     async with running_gateway(Target(head + body), **ROUTE) as (gateway, _):
-        listener = Listener(gateway._handle, gateway._limits, callers=gateway.callers)
+        listener = Listener(
+            gateway.request_handler.handle, gateway._limits, callers=gateway.callers
+        )
         account = gateway.callers.account
         async with (
             running_listener(listener) as address,
