Count a target as free once its answer was read to the end

While a slow caller received an answer that its target had sent whole, the target still counted as busy with it: the gateway kept its place from others, took its time to the last byte for the target's, and counted the request as one that ran there if the target crashed, or if the caller left.

An offer now ends at its target when the last byte has arrived; the request goes on until its caller has the answer.

test_target_is_free_once_its_answer_was_read fails before (one request in flight when the caller had 300 KB of 900 KB, all of it read), and passes now.

--- a/banyanshore/gateway/offers.py
+++ b/banyanshore/gateway/offers.py
@@ -48,6 +48,9 @@
         self._log = log
         self._on_begun = on_begun
         self._on_read = on_read
+        # What runs at a target: its row, and the offer as the withdrawals and the
+        # suspects know it; or ``None``.
+        self._running = None
         self._notices = NoticeRecorder(state.gateway, state.request)
 
     async def offer(self, choice):
@@ -97,6 +100,7 @@
         suspects.begin(offer_in_flight)
         state.offer_in_flight = offer_in_flight
         load.record_sent(now)
+        self._running = row, waiting_offer, offer_in_flight
         has_returned = False
         try:
             outcome = await self._send(
@@ -104,14 +108,7 @@
             )
             has_returned = True
         finally:
-            board.end(row)
-            self._gateway.turns.record_end(
-                self._screened.service, self._screened.workspace.name
-            )
-            withdrawals.end(waiting_offer)
-            load.record_end(time.monotonic(), now)
-            suspects.end(offer_in_flight)
-            if not has_returned:
+            if self._end_at_target() and not has_returned:
                 suspects.record_given_up(offer_in_flight)
         state.offer_in_flight = None
         self._record_target_outcome(row, outcome)
@@ -123,6 +120,25 @@
             await suspects.record_answer(offer_in_flight)
         return outcome
 
+    def _end_at_target(self):
+        """Record that a target no longer runs the request; return whether one did."""
+        if self._running is None:
+            return False
+        (row, waiting_offer, offer_in_flight), self._running = self._running, None
+        gateway = self._gateway
+        gateway.board.end(row)
+        gateway.turns.record_end(self._screened.service, self._screened.workspace.name)
+        gateway.withdrawals.end(waiting_offer)
+        load = gateway.board.load(row.address)
+        load.record_end(time.monotonic(), offer_in_flight.offered_at)
+        gateway.suspects.end(offer_in_flight)
+        return True
+
+    def _record_read(self):
+        """Record that the last byte has arrived; only the caller is waited for."""
+        self._end_at_target()
+        self._on_read()
+
     async def _send(self, choice, request, offer_in_flight, head_scope):
         """Send an offer to its target; return the outcome, ``None`` if answered.
 
@@ -236,7 +252,7 @@
                 self._state.failure = (answer.status, headers, held.body)
                 return Outcome.FAILED
             self._on_begun()
-            await held.relay(self._exchange, headers, self._on_read)
+            await held.relay(self._exchange, headers, self._record_read)
         finally:
             held.release()
         self._log.log_end(
@@ -266,7 +282,7 @@
             await self._gateway.suspects.record_begun(offer)
 
         await self._events.relay(
-            answer, self._state.target, self._event_timeout, on_begun, self._on_read
+            answer, self._state.target, self._event_timeout, on_begun, self._record_read
         )
         self._log.log_end("answered", answer.status, **self._log.body_details())
         return None
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -230,6 +230,27 @@
     assert caller.received.endswith(body)
 
 
+async def test_target_is_free_once_its_answer_was_read():
+    """It counted as busy until the caller had the answer, and others were refused."""
+    events = make_events(900_000)
+    head = EVENT_STREAM + b"transfer-encoding: chunked\r\n\r\n"
+    target = WatchedTarget(head, in_chunks(events))
+    async with running_gateway(
+        Target(target.act), kind=RouteKind.STREAMING, **ROUTE
+    ) as (gateway, address):
+        (row,) = gateway.registry.targets.rows()
+        load = gateway.board.load(row.address)
+        async with SlowCaller(address).asking(make_request()) as caller:
+            with anyio.fail_after(TIMEOUT):
+                await caller.read_slowly()
+                while load.own_in_flight and len(caller.received) < 300_000:
+                    await caller.read_slowly()
+            assert load.own_in_flight == 0
+            assert gateway.runs
+            await caller.read_rest()
+    assert caller.body == b"".join(events)
+
+
 @pytest.mark.parametrize("pause", [0.4, 5.0], ids=["slowly", "after-a-pause"])
 async def test_answer_is_whole_however_slowly_its_caller_reads(tmp_path, pause):
     """The system reset a caller whose window was closed, three seconds later.
