Report when a loader expects its target to serve

Cause: gateways know which targets hold weights that may be used, but not when the others will, so that refused callers return at a time that rests on nothing.

Change: weights/ready_time.py expects it from the missing chunks, the measured time of one, the requests that the target has to end, and the load. A pause between chunks (the origin away) isn't measured.

--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -31,6 +31,7 @@
     ManifestRequest,
     PieceReceived,
 )
+from banyanshore.weights.ready_time import CarryingState, expected_ready_seconds
 from banyanshore.weights.relay_messages import ChunkPush, ChunkPushReply
 from banyanshore.weights.relay_rosters import RelayRosters
 from banyanshore.weights.uploads import Uploads
@@ -77,6 +78,7 @@
             settings.service,
         )
         self.target = TargetMonitor(settings, engine, self.registry, member.incarnation)
+        self.target.expect_ready = self.expect_ready
         self.driver = LoadDriver(self)
         self.feed = FeedClient(
             settings, member, self.state, self.registry, self.link_options
@@ -154,6 +156,25 @@
         desired_version = self.desired_version()
         return desired_version and self.carried.get(desired_version.version)
 
+    def expect_ready(self):
+        """Return the seconds until the target is expected to serve as it should.
+
+        :return: ``inf`` if unknown.
+        """
+        desired_version, transfer = self.desired_version(), self.transfer
+        report = self.target.report
+        if desired_version is None or transfer is None or report is None:
+            return math.inf
+        is_serving = serves(report, desired_version.version, desired_version.layers)
+        return expected_ready_seconds(
+            CarryingState(
+                1.0 - transfer.progress,
+                transfer.copy_seconds(),
+                report.active,
+                is_serving and not (report.is_busy or self.target.is_loading),
+            )
+        )
+
     def _served_version(self, older):
         """Return the version that the target serves, 0 for none.
 
--- a/banyanshore/loader/transfer.py
+++ b/banyanshore/loader/transfer.py
@@ -2,9 +2,11 @@
 
 import logging
 import math
+import time
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.loader.decisions import StagedCheck
+from banyanshore.weights.ready_time import ChunkPace
 from banyanshore.weights.relay import RelayedTransfer
 from banyanshore.weights.staged import StagedEngineError
 
@@ -24,6 +26,12 @@
         self._target = target
         self._loads_next = loads_next
         self._engine = target.engine
+        self._pace = ChunkPace()
+
+    def copy_seconds(self):
+        """Return the seconds that a copy is expected to take."""
+        count = self.manifest.chunk_count if self.manifest else 0
+        return self._pace.copy_seconds(count, self._settings.version_switch_seconds)
 
     def has_first_layer(self, layers):
         """Return whether the chunks of the first layer have arrived.
@@ -103,6 +111,7 @@
 
     async def _store_chunk(self, index, data):
         await super()._store_chunk(index, data)
+        self._pace.record(time.monotonic())
         staging = self._target.staging
         if self._target.report is None or staging.lock.locked():
             # stage_all() stages it before the load order.
--- a/banyanshore/membership/load_reports.py
+++ b/banyanshore/membership/load_reports.py
@@ -1,5 +1,7 @@
 """Messages to gateways about targets, from loaders and from other gateways."""
 
+import math
+
 from banyanshore.transport.codec import message
 
 
@@ -26,6 +28,8 @@
     :param queued: requests that wait at the target.
     :param pace: factor on the processing time, above 1 if the target is slow.
     :param is_loading: whether the target loads weights, or is about to.
+    :param ready_in: seconds until the target is expected to serve the version that it
+        should, ``inf`` if unknown.
     """
 
     address: str
@@ -38,6 +42,7 @@
     queued: int
     pace: float = 1.0
     is_loading: bool = False
+    ready_in: float = math.inf
 
 
 @message(112)
