Have callers return when most targets have weights that may be used

Cause: while no target had such weights, Retry-After was drawn from 1 to 2 s, whenever the weights came. Callers, most of whom return once, overran the first targets that were ready and were refused again.

Change: routing/returning.py (no I/O) sends them to the time at which nine tenths of the targets are expected to serve, spread over as long again and a second more, the more urgent ones earlier; as late as they can where that is out of reach. Also for requests that found the few targets that serve full. The refused line has the inputs, banyanshore_gateway_retry_times_total counts by basis.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -14,6 +14,7 @@
 from banyanshore.gateway.permits import PermitExchange
 from banyanshore.gateway.relay import WeightsRelay
 from banyanshore.gateway.request_limits import LimitExchange
+from banyanshore.gateway.returning import ReturningTargets
 from banyanshore.gateway.run import RequestRun, answer_seconds
 from banyanshore.gateway.screening import Rejection, Screening
 from banyanshore.gateway.suspected_parts import SuspectedParts
@@ -46,7 +47,11 @@
 from banyanshore.routing.notices import TargetNotices
 from banyanshore.routing.ranks import ONLY_RANK
 from banyanshore.routing.request_limits import RequestLimits
-from banyanshore.routing.retry_after import Reason, retry_after_seconds
+from banyanshore.routing.retry_after import (
+    NONE_RETURNING,
+    Reason,
+    retry_after_seconds,
+)
 from banyanshore.routing.roster import GatewayRoster
 from banyanshore.routing.shares import ColdShares, RetryShare
 from banyanshore.routing.version_switch import VersionSwitch
@@ -124,6 +129,7 @@
             TargetNotices(settings.max_target_pause_seconds),
             RequestLimits(),
         )
+        self.returning = ReturningTargets(self)
         self.link_options = LinkOptions.from_settings(settings.transport)
         member = self._member()
         self.feed = FeedClient(
@@ -269,13 +275,18 @@
         return model.prefill_seconds(tokens)
 
     def retry_after_seconds(
-        self, reason, seconds_left, available_in=0.0, rank=ONLY_RANK
+        self,
+        reason,
+        seconds_left,
+        available_in=0.0,
+        rank=ONLY_RANK,
+        returning=NONE_RETURNING,
     ):
         """Return the Retry-After seconds of a refusal, ``None`` without a reason."""
         if reason is None:
             return None
         seconds = retry_after_seconds(
-            reason, seconds_left, self._random, available_in, rank
+            reason, seconds_left, self._random, available_in, rank, returning
         )
         return round(seconds, 2)
 
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -467,11 +467,13 @@
         reason = choice.reason if choice else Reason.TARGET_REFUSED
         waited = time.monotonic() - self._arrived_at
         caller_seconds_left = self._request.caller_timeout_seconds - waited
+        returning = self._find_returning(reason)
         retry_after = self._gateway.retry_after_seconds(
             reason,
             caller_seconds_left,
             choice.available_in if choice else 0.0,
             self._screened.rank,
+            returning,
         )
         headers = self._gateway.dialect.refusal_headers(self._request, retry_after)
         self._log_end(
@@ -480,9 +482,14 @@
             why=why,
             retry_after=retry_after,
             report_age_ms=round(choice.report_age * 1000) if choice else None,
+            **returning.describe(),
         )
         await self._exchange.respond(503, headers)
 
+    def _find_returning(self, reason):
+        now = time.monotonic()
+        return self._gateway.returning.find(now, reason, self._requirements(now))
+
     async def _pass_failure(self, why, choice):
         status, headers, body = self._failure
         if status in _NOT_RUN_STATUSES and not self._screened.route.may_repeat:
--- a/banyanshore/routing/retry_after.py
+++ b/banyanshore/routing/retry_after.py
@@ -5,7 +5,9 @@
 good and takes capacity from others; a retry after seconds succeeds. The times are
 jittered, so that callers refused together don't retry together, and are short enough
 for the answer to arrive in time. More urgent callers that found no room are told to
-retry earlier, when there are fewer others.
+retry earlier, when there are fewer others. While weights are on their way to most
+targets, callers are sent to the time at which these serve, see
+:mod:`~banyanshore.routing.returning`.
 """
 
 import math
@@ -14,6 +16,7 @@
 
 from banyanshore.core.values import dataclass
 from banyanshore.routing.ranks import ONLY_RANK
+from banyanshore.routing.returning import Returning
 
 # Maximum delay of a retry as a fraction of the caller's remaining time; the rest is for
 # the answer.
@@ -87,7 +90,23 @@
 )
 
 
-def retry_after_seconds(reason, seconds_left, rng, available_in=0.0, rank=ONLY_RANK):
+# Refusals that targets without weights may cause.
+WEIGHTS_REASONS = frozenset({Reason.NO_WEIGHTS, Reason.FULL})
+NONE_RETURNING = Returning()
+
+
+def _longest_delay(seconds_left):
+    return max(0.0, MAX_DELAY_PART * seconds_left)
+
+
+def retry_after_seconds(
+    reason,
+    seconds_left,
+    rng,
+    available_in=0.0,
+    rank=ONLY_RANK,
+    returning=NONE_RETURNING,
+):
     """Return the seconds after which a refused caller should retry.
 
     :param seconds_left: time for which the caller still waits, ``inf`` if unknown.
@@ -95,14 +114,17 @@
     :param available_in: seconds until any target accepts requests; earlier retries
         would fail.
     :param rank: the :class:`~banyanshore.routing.ranks.Rank` of the request.
+    :param returning: the :class:`~banyanshore.routing.returning.Returning` targets.
     """
     span = SPAN_BY_REASON[reason]
+    if reason in WEIGHTS_REASONS and returning.is_expected:
+        return returning.draw_seconds(rng, _longest_delay(seconds_left), rank)
     if reason is Reason.FULL:
         span = span.of_rank(rank)
     seconds = rng.uniform(span.earliest, span.latest)
     if available_in:
         return available_in + seconds
-    longest = max(0.0, MAX_DELAY_PART * seconds_left)
+    longest = _longest_delay(seconds_left)
     if seconds <= longest or longest == math.inf:
         return seconds
     # Jitter the shortened delay too, rather than let all retries come at its end.
--- a/banyanshore/telemetry/gateway.py
+++ b/banyanshore/telemetry/gateway.py
@@ -53,6 +53,11 @@
             "Requests that found no room at a target, by rank and outcome of the wait.",
             ["rank", "outcome"],
         )
+        self.retry_times = self.registry.counter(
+            "banyanshore_gateway_retry_times",
+            "Refusals for want of weights or places, by what Retry-After rests on.",
+            ["reason", "basis"],
+        )
         self.withdrawn_offers = self.registry.counter(
             "banyanshore_gateway_withdrawn_offers",
             "Requests withdrawn from targets with older weights, by service.",
