Turn targets in as many groups as there is time for

Cause: targets turned in three waves by name, 0.4 and at most 1.6 s after their weights were complete, while each first ends requests of up to 2 s: all were out at the same time, and a wave could be most of a data centre.

Change: loader/turning.py (no I/O) plans the turn of each target from what it lacks, the requests that it runs and the time until its older weights may not be used; groups follow each other, each with its part of each data centre, without a message. A target that drains serves on if chunks stay away or another version is to be loaded. The lines "target turns" and banyanshore_target_turns_total are new.

--- a/banyanshore/loader/decisions.py
+++ b/banyanshore/loader/decisions.py
@@ -1,27 +1,12 @@
-"""Decide when a target drains and loads a version, without I/O."""
+"""Decide when a target loads a version, without I/O.
+
+When it turns is decided in :mod:`~banyanshore.loader.turning`.
+"""
 
-import hashlib
 from enum import Enum
-from functools import lru_cache
 
 from banyanshore.core.values import dataclass
 
-# Cumulative shares of a service's targets that load in the first and in the second
-# wave; all others load in the last one. With three tenths of the targets out at a time,
-# the others have the capacity for their requests.
-FIRST_WAVE_SHARE = 0.3
-SECOND_WAVE_SHARE = 0.6
-# Seconds for a target to finish its requests before it can load: nearly the longest
-# generation.
-DRAIN_SECONDS = 2.0
-# Seconds for the targets of the first wave to load and serve again.
-LOAD_SECONDS = 0.4
-# Seconds without a new chunk after which a transfer isn't expected to go on as before.
-MAX_CHUNK_GAP_SECONDS = 0.5
-# Longest time that a target with complete chunks waits for the other waves, in seconds.
-MAX_WAVE_DELAY_SECONDS = 1.6
-
-
 # Seconds for which staged chunks count as verified. An engine may use a chunk that
 # became corrupt up to 3 s before; the order takes a part of that.
 MAX_CHECK_AGE_SECONDS = 2.5
@@ -129,69 +114,3 @@
     is_older = report.model_version < state.version
     holds_all = serves(report, report.model_version, state.layers)
     return is_older and holds_all and state.is_outdated and state.has_first_layer
-
-
-class Wave(Enum):
-    """Part of a service's targets that load a version at the same time."""
-
-    FIRST = "first"
-    SECOND = "next"
-    LAST = "last"
-
-
-def find_wave(instance, instances, version):
-    """Return the :class:`Wave` in which a loader's target loads a version.
-
-    :param instance: name of the loader.
-    :param instances: names of all loaders of the service.
-    """
-    ranked = sorted({*instances, instance}, key=lambda name: _score(name, version))
-    position = ranked.index(instance)
-    if position < int(FIRST_WAVE_SHARE * len(ranked)):
-        return Wave.FIRST
-    if position < int(SECOND_WAVE_SHARE * len(ranked)):
-        return Wave.SECOND
-    return Wave.LAST
-
-
-def load_time(wave, completed_at, switch_at):
-    """Return the time from which a target should load.
-
-    Load pattern: all targets of a service change their weights within seconds at full
-    load, and each of them finishes its requests first.
-
-    :param completed_at: time at which the loader had all chunks.
-    :param switch_at: time from which older versions get no requests.
-    """
-    if wave is Wave.FIRST:
-        return completed_at
-    if wave is Wave.SECOND:
-        return completed_at + LOAD_SECONDS
-    return max(completed_at, min(switch_at, completed_at + MAX_WAVE_DELAY_SECONDS))
-
-
-def should_drain(wave, progress, seconds, seconds_without_chunk):
-    """Return whether a target should get no more requests, since it loads soon.
-
-    A target of the first wave drains once the transfer is expected to be complete
-    within :data:`DRAIN_SECONDS`.
-
-    Load pattern: the origin becomes unavailable when a version is nearly complete. The
-    targets of the first wave have to keep serving while no chunks arrive.
-
-    :param progress: fraction of the chunks that the loader has.
-    :param seconds: seconds since the start of the transfer.
-    :param seconds_without_chunk: seconds since the last new chunk.
-    """
-    if wave is not Wave.FIRST or not progress:
-        return False
-    if progress < 1 and seconds_without_chunk > MAX_CHUNK_GAP_SECONDS:
-        return False
-    return seconds * (1 - progress) / progress <= DRAIN_SECONDS
-
-
-# A loader asks for its wave at each check, and the loaders rarely change.
-@lru_cache(maxsize=10_000)
-def _score(name, version):
-    data = f"{name}\0{version}".encode()
-    return hashlib.blake2b(data, digest_size=8).digest()
--- a/banyanshore/loader/driver.py
+++ b/banyanshore/loader/driver.py
@@ -2,19 +2,12 @@
 
 import logging
 import time
-from dataclasses import replace
 
 import anyio
 
 from banyanshore.core.clock import boottime_now
-from banyanshore.loader.decisions import (
-    Action,
-    LoaderState,
-    find_wave,
-    load_time,
-    next_action,
-    should_drain,
-)
+from banyanshore.loader.decisions import Action, LoaderState, next_action
+from banyanshore.loader.target_turn import TargetTurn
 from banyanshore.weights.staged import OrderOutcome, StagedEngineError
 
 logger = logging.getLogger(__name__)
@@ -39,6 +32,7 @@
         self._loader = loader
         self._settings = loader.settings
         self._target = loader.target
+        self._turn = TargetTurn(loader)
 
     async def run(self):
         """Load each desired version into the target, until cancelled."""
@@ -54,19 +48,15 @@
                 or transfer.version != desired_version.version
             ):
                 continue
-            wave = find_wave(
-                self._settings.instance,
-                self._loader.rosters.loaders(),
-                desired_version.version,
-            )
-            self._target.is_loading = self._must_drain(desired_version, transfer, wave)
+            load_at = self._turn.plan(desired_version, transfer)
+            self._target.is_loading = self._turn.is_draining
             layers = desired_version.layers
             state = LoaderState(
                 self._target.report,
                 layers,
                 desired_version.version,
                 transfer.completed.is_set(),
-                load_time(wave, transfer.completed_at, self._load_by(desired_version)),
+                load_at,
                 transfer.has_first_layer(layers),
                 self._is_outdated(desired_version),
             )
@@ -76,27 +66,6 @@
             elif action is Action.UNLOAD:
                 await self._unload_older(desired_version, transfer)
 
-    def _switch_at(self, desired_version):
-        """Return the monotonic time of the switch, as other times of a load are."""
-        seconds_known = boottime_now() - desired_version.known_since
-        seconds_left = self._settings.version_switch_seconds - seconds_known
-        return time.monotonic() + seconds_left
-
-    def _load_by(self, desired_version):
-        """Return the monotonic time from which the target's version isn't used.
-
-        The version after the one that it holds may be older than the desired one.
-        """
-        report = self._target.report
-        switch_at = self._switch_at(desired_version)
-        if report is None:
-            return switch_at
-        newer_known_since = self._loader.versions.newer_known_since(
-            report.model, report.model_version
-        )
-        next_version = replace(desired_version, known_since=newer_known_since)
-        return min(switch_at, self._switch_at(next_version))
-
     def _is_outdated(self, desired_version):
         """Return whether requests to the target's version should have arrived."""
         report = self._target.report
@@ -107,18 +76,6 @@
         oldest = self._loader.versions.oldest_allowed_version(sent_at, model)
         return report.model_version < oldest
 
-    def _must_drain(self, desired_version, transfer, wave):
-        report = self._target.report
-        if report is None or not 0 < report.model_version < desired_version.version:
-            return False
-        now = time.monotonic()
-        return should_drain(
-            wave,
-            transfer.progress,
-            boottime_now() - desired_version.known_since,
-            transfer.seconds_without_chunk(now),
-        )
-
     async def _load(self, desired_version, transfer):
         """Have the target load all layers of a version."""
         try:
--- a/banyanshore/telemetry/weights.py
+++ b/banyanshore/telemetry/weights.py
@@ -33,3 +33,8 @@
         self.loads = self.registry.counter(
             "banyanshore_load_orders", "Orders to load by outcome.", ["outcome"]
         )
+        self.turns = self.registry.counter(
+            "banyanshore_target_turns",
+            "Turns of the target from older weights, by cause: planned or late.",
+            ["cause"],
+        )
--- a/banyanshore/weights/relay_rosters.py
+++ b/banyanshore/weights/relay_rosters.py
@@ -21,6 +21,7 @@
         self._rows_by_instance = {}
         self.by_data_centre = {}
         self.digest = 0
+        self._loaders_by_data_centre = {}
         self._last_inputs = None
         self.origin_data_centre = ""
         self.tree = RelayTree((), "")
@@ -61,19 +62,20 @@
             if row.role == LOADER_ROLE or self.tree.is_relay(name)
         }
         self.by_data_centre = self._build_rosters()
+        self._loaders_by_data_centre = {}
+        for name, row in self._rows_by_instance.items():
+            if row.role == LOADER_ROLE:
+                names = self._loaders_by_data_centre.setdefault(row.data_centre, set())
+                names.add(name)
 
     def data_centre_of(self, instance):
         """Return the data centre of a member, empty if unknown."""
         row = self._rows_by_instance.get(instance)
         return row.data_centre if row else ""
 
-    def loaders(self):
-        """Return the names of all loaders."""
-        return {
-            name
-            for name, row in self._rows_by_instance.items()
-            if row.role == LOADER_ROLE
-        }
+    def loaders_by_data_centre(self):
+        """Return the names of all loaders, by data centre."""
+        return self._loaders_by_data_centre
 
     def _build_rosters(self):
         rows_by_data_centre = {}
--- a/tests/loader/test_driver.py
+++ b/tests/loader/test_driver.py
@@ -19,6 +19,7 @@
 from banyanshore.telemetry.weights import LoaderMetrics
 from banyanshore.weights.desired_versions import DesiredVersion
 from banyanshore.weights.manifest import make_manifest
+from banyanshore.weights.ready_time import ChunkPace
 from banyanshore.weights.staged import (
     EngineReport,
     OrderOutcome,
@@ -114,6 +115,8 @@
         _engine=target.engine,
         _target=target,
         _progressed_at=time.monotonic(),
+        _pace=ChunkPace(),
+        _settings=parse_settings(SETTINGS),
     )
     return transfer
 
@@ -135,7 +138,7 @@
         metrics=LoaderMetrics(),
         transfer=make_transfer(target, have),
         desired_version=lambda: desired,
-        rosters=SimpleNamespace(loaders=lambda: ["side-1"]),
+        rosters=SimpleNamespace(loaders_by_data_centre=lambda: {"dc": {"side-1"}}),
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(LoadDriver(loader).run)
--- a/tests/loader/test_versions_in_a_row.py
+++ b/tests/loader/test_versions_in_a_row.py
@@ -54,13 +54,19 @@
     for row, have in zip(
         loader.carried_versions(), (have_older, have_newer), strict=True
     ):
-        transfer = loader._make_transfer(row)
-        transfer.manifest = make_manifest("m", str(row.version), CHUNKS[row.version], 1)
-        transfer.planner = SimpleNamespace(have=have)
-        transfer.join(loader.carried)
+        make_planned_transfer(loader, row, have)
     return loader
 
 
+def make_planned_transfer(loader, row, have):
+    """Return a transfer that a loader carries, of which some chunks have arrived."""
+    transfer = loader._make_transfer(row)
+    transfer.manifest = make_manifest("m", str(row.version), CHUNKS[row.version], 1)
+    transfer.planner = SimpleNamespace(have=have)
+    transfer.join(loader.carried)
+    return transfer
+
+
 async def test_both_versions_of_a_row_are_carried():
     """A newer version cancelled the transfer of the older one."""
     loader = make_loader(0, 0)
