Stage a chunk while the next one arrives

Cause: a loader replied to a pushed chunk once it had staged it at the target, and within a data centre one chunk is pushed at a time, so that the link was idle for as long as each staging took.

Change: chunks that have arrived are staged in their order by a task of the transfer. A staging that has begun is ended even if the transfer is given up, so that its chunk can't arrive at the target beside those of the next version.

--- a/banyanshore/loader/transfer.py
+++ b/banyanshore/loader/transfer.py
@@ -3,6 +3,9 @@
 import logging
 import math
 import time
+from collections import deque
+
+import anyio
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.loader.decisions import StagedCheck
@@ -27,6 +30,8 @@
         self._loads_next = loads_next
         self._engine = target.engine
         self._pace = ChunkPace()
+        # Chunks that have arrived and aren't staged yet, with their positions.
+        self._unstaged = deque()
 
     def copy_seconds(self):
         """Return the seconds that a copy is expected to take."""
@@ -112,14 +117,31 @@
     async def _store_chunk(self, index, data):
         await super()._store_chunk(index, data)
         self._pace.record(time.monotonic())
+        self._unstaged.append((index, data))
+        if len(self._unstaged) == 1:
+            # The link would be idle if the next chunk came only after the staging.
+            self._tasks.start_soon(self._stage_arrived)
+
+    async def _stage_arrived(self):
+        """Stage the chunks that have arrived, in their order.
+
+        Chunks that aren't staged here are staged before the load order.
+        """
+        while self._unstaged:
+            try:
+                # A chunk of a transfer that is given up meanwhile must not arrive at
+                # the target once another one has the lock.
+                with anyio.CancelScope(shield=True):
+                    await self._stage_one(*self._unstaged[0])
+            except StagedEngineError as error:
+                logger.info("chunk not staged", extra={"why": str(error)})
+            self._unstaged.popleft()
+            await anyio.lowlevel.checkpoint()
+
+    async def _stage_one(self, index, data):
         staging = self._target.staging
         if self._target.report is None or staging.lock.locked():
-            # stage_all() stages it before the load order.
             return
-        try:
-            async with staging.lock:
-                if self._loads_next(self):
-                    await staging.stage(self.spec.name, self.version, index, data)
-        except StagedEngineError as error:
-            # stage_all() stages it again before the load order.
-            logger.info("chunk not staged", extra={"why": str(error)})
+        async with staging.lock:
+            if self._loads_next(self):
+                await staging.stage(self.spec.name, self.version, index, data)
--- a/tests/loader/test_named_while_turning.py
+++ b/tests/loader/test_named_while_turning.py
@@ -105,9 +105,10 @@
         name_versions(loader, {2: 7.0, 3: 0.0})
         newer = carry(loader, 3, 0)
         assert loader.target.is_loading
-        for index in range(10):
-            # Chunks wait while an order is on its way.
-            await newer._store_chunk(index, CHUNKS[3][index : index + 1])
+        async with anyio.create_task_group() as newer._tasks:
+            for index in range(10):
+                # Chunks wait while an order is on its way.
+                await newer._store_chunk(index, CHUNKS[3][index : index + 1])
         assert set(engine.staged.values()) == {bytes([2])}
         engine.may_load.set()
         await wait_until(lambda: loader.target.report.model_version == 2)
--- a/tests/loader/test_versions_in_a_row.py
+++ b/tests/loader/test_versions_in_a_row.py
@@ -116,7 +116,8 @@
     loader = make_loader(ALL >> 1, 0)
     for version in (2, 3):
         transfer = loader.carried.get(version)
-        await transfer._store_chunk(9, CHUNKS[version][9:])
+        async with anyio.create_task_group() as transfer._tasks:
+            await transfer._store_chunk(9, CHUNKS[version][9:])
     assert loader.engine.staged == {9: CHUNKS[2][9:]}
     assert loader.target.staging.version == 2
 
@@ -143,8 +144,12 @@
 async def test_chunks_wait_while_a_load_is_ordered():
     """A chunk of another version was staged while the order was on its way."""
     loader = make_loader(ALL >> 1, 0)
-    async with loader.target.staging.lock:
-        await loader.carried.get(2)._store_chunk(9, CHUNKS[2][9:])
+    transfer = loader.carried.get(2)
+    async with (
+        loader.target.staging.lock,
+        anyio.create_task_group() as transfer._tasks,
+    ):
+        await transfer._store_chunk(9, CHUNKS[2][9:])
     assert not loader.engine.staged
     assert loader.store.get(loader.carried.get(2).manifest.chunk_digests[9])
 
