--- a/banyanshore/gateway/returning.py
+++ b/banyanshore/gateway/returning.py
@@ -3,7 +3,11 @@
 import math
 
 from banyanshore.membership.registry import TargetState
-from banyanshore.routing.retry_after import NONE_RETURNING, WEIGHTS_REASONS
+from banyanshore.routing.retry_after import (
+    NONE_RETURNING,
+    WEIGHTS_REASONS,
+    Reason,
+)
 from banyanshore.routing.returning import Returning
 
 
@@ -31,7 +35,12 @@
         engine = service.get("engine")
         if reason not in WEIGHTS_REASONS or not engine:
             return NONE_RETURNING
-        returning = self._count(now, requirements, desired, engine.get("layers", 0))
+        layers = engine.get("layers", 0)
+        if reason is Reason.NO_WEIGHTS:
+            # A target whose answer would begin after the end of its grace period
+            # doesn't serve either.
+            layers = math.inf
+        returning = self._count(now, requirements, desired, layers)
         basis = "weights" if returning.is_expected else "usual"
         self._gateway.metrics.retry_times.labels(reason, basis).inc()
         return returning
--- a/tests/gateway/test_returning.py
+++ b/tests/gateway/test_returning.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from banyanshore.core.clock import boottime_now
 from banyanshore.membership.load_reports import LoadReport
 from banyanshore.state import Fence, PublishedState
 from banyanshore.state.document import to_json
@@ -90,3 +91,15 @@
         document["data_centres"]["out"] = {"in_service": False}
         gateway.state.apply(PublishedState(3, Fence(1, 3), to_json(document)))
         assert await ask_for_retry_after(address, 60_000) <= 3.0
+
+
+async def test_target_whose_answer_would_begin_too_late_does_not_count_as_serving():
+    """Shortly before the switch, callers were sent back as if targets served."""
+    async with running_gateway(Target(COMPLETE)) as (gateway, address):
+        use_engine(gateway, (9.0,))
+        gateway.versions.oldest_allowed_version = lambda now, model: (
+            1 + (now > boottime_now() + 0.1)
+        )
+        for row in gateway.registry.targets.rows():
+            gateway.board.load(row.address).first_byte_seconds = 0.5
+        assert await ask_for_retry_after(address, 60_000) >= 8.5
