Keep the place of a dropped member in the relay tree for three seconds

Change: a member that control has dropped keeps its place for 3 s, this instance always; another instance at its address ends that at once.

--- a/banyanshore/gateway/relay.py
+++ b/banyanshore/gateway/relay.py
@@ -170,7 +170,8 @@
 
     def __init__(self, gateway, name):
         switch_seconds = gateway.settings.version_switch_seconds
-        self.rosters = RelayRosters(gateway.registry, name)
+        instance = gateway.settings.instance
+        self.rosters = RelayRosters(gateway.registry, name, instance)
         self.store = MemoryChunkStore()
         self.carried = CarriedVersions(switch_seconds)
         self._instance = gateway.settings.instance
--- a/banyanshore/loader/driver.py
+++ b/banyanshore/loader/driver.py
@@ -38,6 +38,7 @@
         """Load each desired version into the target, until cancelled."""
         while True:
             await anyio.sleep(self._settings.report_interval / 3)
+            self._loader.rosters.release_held()
             desired_version, transfer = (
                 self._loader.desired_version(),
                 self._loader.transfer,
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -58,7 +58,7 @@
         self.metrics = LoaderMetrics()
         self.state = StateHolder()
         self.registry = Registry()
-        self.rosters = RelayRosters(self.registry, settings.service)
+        self.rosters = RelayRosters(self.registry, settings.service, settings.instance)
         self.versions = VersionSwitch(settings.version_switch_seconds)
         self.uploads = Uploads(settings, self.metrics)
         self.store = MemoryChunkStore()
--- a/tests/loader/test_driver.py
+++ b/tests/loader/test_driver.py
@@ -138,7 +138,10 @@
         metrics=LoaderMetrics(),
         transfer=make_transfer(target, have),
         desired_version=lambda: desired,
-        rosters=SimpleNamespace(loaders_by_data_centre=lambda: {"dc": {"side-1"}}),
+        rosters=SimpleNamespace(
+            loaders_by_data_centre=lambda: {"dc": {"side-1"}},
+            release_held=lambda: None,
+        ),
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(LoadDriver(loader).run)
