Test the place of a gateway that is a relay

Cause: the gateway that the test dropped had no place in the tree, so that the test passed without a hold. Change: it drops one that relays.

--- a/tests/weights/test_relay_rosters.py
+++ b/tests/weights/test_relay_rosters.py
@@ -65,7 +65,7 @@
     return Fleet(monkeypatch)
 
 
-@pytest.mark.parametrize("name", ["gateway-0-1", "loader-1-2"])
+@pytest.mark.parametrize("name", ["gateway-0-2", "loader-1-2"])
 def test_member_that_is_soon_back_keeps_its_place(fleet, name):
     """Control lost sight of members that had moved on, and transfers began anew."""
     shape, digest = fleet.shape(), fleet.rosters.digest
@@ -81,13 +81,13 @@
 
 
 def test_member_that_stays_away_loses_its_place(fleet):
-    for name in ("gateway-0-1", "loader-1-2"):
+    for name in ("gateway-0-2", "loader-1-2"):
         fleet.drop(name)
     fleet.wait(0.1)
     fleet.wait(HOLD_SECONDS)
     parents, _ = fleet.shape()
-    assert "gateway-0-1" not in parents.values()
-    assert not fleet.rosters.tree.is_relay("gateway-0-1")
+    assert "gateway-0-2" not in parents.values()
+    assert not fleet.rosters.tree.is_relay("gateway-0-2")
     assert "loader-1-2" not in fleet.rosters.loaders_by_data_centre()["dc-1"]
 
 
@@ -112,11 +112,11 @@
 def test_member_that_goes_and_comes_is_held_anew_each_time(fleet):
     shape = fleet.shape()
     for _ in range(4):
-        fleet.drop("gateway-0-1")
+        fleet.drop("gateway-0-2")
         fleet.wait(0.7 * HOLD_SECONDS)
         fleet.wait(0.1)
         assert fleet.shape() == shape
-        fleet.record("gateway-0-1")
+        fleet.record("gateway-0-2")
         fleet.wait(0.1)
 
 
