Let a target that drains serve on if its chunks turn out to be slow

Cause: once a target had begun to turn, it got no requests until its chunks were complete, however long a link that had become slow took for them.

--- a/banyanshore/loader/target_turn.py
+++ b/banyanshore/loader/target_turn.py
@@ -6,9 +6,14 @@
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.loader.turning import TurnState, plan_turn, should_drain, turn_share
+from banyanshore.weights.ready_time import DRAIN_SECONDS
 
 logger = logging.getLogger(__name__)
 
+# Longest time in seconds from the beginning of a turn until the chunks are complete;
+# a target whose link turns out to be slower goes on serving, and begins anew later.
+MAX_DRAIN_SECONDS = 2 * DRAIN_SECONDS
+
 
 class TargetTurn:
     """Plan the turn of the target to the version that it should load next.
@@ -27,13 +32,15 @@
     def plan(self, desired_version, transfer):
         """Return the monotonic time from which the target turns.
 
-        Once it has begun, it goes on unless chunks stay away, although fewer requests
-        run then.
+        Once it has begun, it goes on although fewer requests run then, unless chunks
+        stay away or come much later than expected.
         """
         now = time.monotonic()
         state = self._make_state(now, desired_version, transfer)
         turn = plan_turn(state)
-        has_begun = self._begun_version == desired_version.version
+        has_begun = self._begun_version == desired_version.version and (
+            state.whole_at - self._begun_at <= MAX_DRAIN_SECONDS
+        )
         if has_begun:
             turn = replace(turn, begins_at=self._begun_at)
         self.is_draining = self._serves_older(desired_version) and should_drain(
--- a/tests/loader/test_named_while_turning.py
+++ b/tests/loader/test_named_while_turning.py
@@ -162,3 +162,22 @@
     assert engine.orders[0][1] == 2
     _, text = loader.metrics.registry.render()
     assert b'banyanshore_target_turns_total{cause="planned"} 1' in text
+
+
+async def test_target_that_drains_serves_on_if_its_link_becomes_slow():
+    """It would get no requests for as long as the chunks take."""
+    engine = SlowEngine()
+    engine.report = replace(engine.report, active=9)
+    loader = make_loader(engine)
+    name_versions(loader, {2: 0.5})
+    transfer = carry(loader, 2, ALL >> 2)
+    transfer.copy_seconds = lambda: 5.0
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(loader.driver.run)
+        await wait_until(lambda: loader.target.is_loading)
+        transfer.copy_seconds = lambda: 25.0
+        transfer.seconds_without_chunk = lambda now: 0.1
+        with anyio.fail_after(1):
+            await wait_until(lambda: not loader.target.is_loading)
+        tasks.cancel_scope.cancel()
+    assert not engine.orders
