--- a/banyanshore/gateway/endings.py
+++ b/banyanshore/gateway/endings.py
@@ -19,11 +19,13 @@
     """End one request that no target's answer has ended.
 
     :param state: the :class:`~banyanshore.gateway.request_state.RequestState`.
+    :param finder: the :class:`~banyanshore.gateway.target_finder.TargetFinder`.
     :param log: the :class:`~banyanshore.gateway.request_log.RequestLog`.
     """
 
-    def __init__(self, state, log):
+    def __init__(self, state, finder, log):
         self._state = state
+        self._finder = finder
         self._exchange = state.exchange
         self._dialect = state.gateway.dialect
         self._log = log
@@ -54,11 +56,13 @@
         state = self._state
         reason = choice.reason if choice else Reason.TARGET_REFUSED
         waited = time.monotonic() - state.arrived_at
+        returning = self._find_returning(reason)
         retry_after = state.gateway.retry_after_seconds(
             reason,
             state.request.caller_timeout_seconds - waited,
             choice.available_in if choice else 0.0,
             state.screened.rank,
+            returning,
         )
         headers = self._dialect.refusal_headers(state.request, retry_after)
         self._log.log_end(
@@ -67,9 +71,15 @@
             why=why,
             retry_after=retry_after,
             report_age_ms=round(choice.report_age * 1000) if choice else None,
+            **returning.describe(),
         )
         await self._exchange.respond(503, headers)
 
+    def _find_returning(self, reason):
+        now = time.monotonic()
+        requirements = self._finder.requirements(now)
+        return self._state.gateway.returning.find(now, reason, requirements)
+
     async def _pass_failure(self, why, choice):
         state = self._state
         status, headers, body = state.failure
--- a/tests/loader/test_versions_in_a_row.py
+++ b/tests/loader/test_versions_in_a_row.py
@@ -54,13 +54,19 @@
     for row, have in zip(
         loader.carried_versions(), (have_older, have_newer), strict=True
     ):
-        transfer = loader._make_transfer(row)
-        transfer.manifest = make_manifest("m", str(row.version), CHUNKS[row.version], 1)
-        transfer.planner = SimpleNamespace(have=have)
-        transfer.join(loader.carried)
+        make_planned_transfer(loader, row, have)
     return loader
 
 
+def make_planned_transfer(loader, row, have):
+    """Return a transfer that a loader carries, of which some chunks have arrived."""
+    transfer = loader._make_transfer(row)
+    transfer.manifest = make_manifest("m", str(row.version), CHUNKS[row.version], 1)
+    transfer.planner = SimpleNamespace(have=have)
+    transfer.join(loader.carried)
+    return transfer
+
+
 async def test_both_versions_of_a_row_are_carried():
     """A newer version cancelled the transfer of the older one."""
     loader = make_loader(0, 0)
@@ -110,7 +116,8 @@
     loader = make_loader(ALL >> 1, 0)
     for version in (2, 3):
         transfer = loader.carried.get(version)
-        await transfer._store_chunk(9, CHUNKS[version][9:])
+        async with anyio.create_task_group() as transfer._tasks:
+            await transfer._store_chunk(9, CHUNKS[version][9:])
     assert loader.engine.staged == {9: CHUNKS[2][9:]}
     assert loader.target.staging.version == 2
 
@@ -137,8 +144,12 @@
 async def test_chunks_wait_while_a_load_is_ordered():
     """A chunk of another version was staged while the order was on its way."""
     loader = make_loader(ALL >> 1, 0)
-    async with loader.target.staging.lock:
-        await loader.carried.get(2)._store_chunk(9, CHUNKS[2][9:])
+    transfer = loader.carried.get(2)
+    async with (
+        loader.target.staging.lock,
+        anyio.create_task_group() as transfer._tasks,
+    ):
+        await transfer._store_chunk(9, CHUNKS[2][9:])
     assert not loader.engine.staged
     assert loader.store.get(loader.carried.get(2).manifest.chunk_digests[9])
 
