Compress large commands in the log

Declared at 16.6 s, it is applied by the leader at 18.95 s; no instance in the region lahore confirms the state from 18.4 to 20.5 s, no timer is late in these seconds, and the reads that each order starts with fail ("no quorum answers"). Version 2, named at 18.0 s, is accepted at 20.71 s.

Change: an instance that orders a patch of 4 KB or more proposes it compressed, if all voters have told in their rows that they can read it (an earlier build can't); it stays so on links and disks.

--- a/banyanshore/control/orders.py
+++ b/banyanshore/control/orders.py
@@ -19,6 +19,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError, UnavailableError
 from banyanshore.state.commands import PatchCommand, PatchStatus
+from banyanshore.state.compressed_commands import compress_command
 from banyanshore.state.document import (
     DocumentError,
     check_document,
@@ -48,12 +49,14 @@
     :param state: the :class:`~banyanshore.state.StateHolder` of this instance.
     :param client: the :class:`~banyanshore.entry.state_client.StateClient`.
     :param metrics: the :class:`~banyanshore.telemetry.control.ControlMetrics`.
+    :param may_compress: callable that tells whether large commands may be compressed.
     """
 
-    def __init__(self, state, client, metrics):
+    def __init__(self, state, client, metrics, may_compress=lambda: False):
         self._state = state
         self._client = client
         self._metrics = metrics
+        self._may_compress = may_compress
 
     async def declare(self, number, tables):
         """Replace the declared tables, unless this or a later declaration is accepted.
@@ -182,6 +185,8 @@
         command = PatchCommand(
             uuid.uuid4().hex, self._state.version, to_json(patch), time.time()
         )
+        if self._may_compress():
+            command = compress_command(command)
         try:
             return await self._client.propose(command, remaining)
         except BanyanshoreError as error:
--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -18,6 +18,7 @@
     VersionRequest,
 )
 from banyanshore.control.feed import FeedServer
+from banyanshore.control.log_readers import LogReaders
 from banyanshore.control.orders import Orders
 from banyanshore.control.state_checks import StateChecks
 from banyanshore.core.clock import boottime_now
@@ -107,6 +108,7 @@
             settings.peers_bind,
             time.time_ns(),
             0,
+            decompresses=True,
         )
         self.metrics = ControlMetrics()
         self._callers = CallerAccount(
@@ -162,7 +164,10 @@
         self._log = LogRunner(settings.data_dir, self._make_node, self._use_node)
         self._on_applied()
         self.client = StateClient(self._log_settings, self.links, self.node, lambda: "")
-        self.orders = Orders(self.state, self.client, self.metrics)
+        readers = LogReaders(self.registry, self._find_voters)
+        self.orders = Orders(
+            self.state, self.client, self.metrics, readers.all_decompress
+        )
         self.feed = FeedServer(
             settings,
             self.member,
@@ -209,6 +214,10 @@
         self._on_applied()
         self.client.use_node(node)
 
+    def _find_voters(self):
+        """Return the names of the control instances that vote."""
+        return {instance_of(voter) for voter in self.node.raft.members.everyone}
+
     def _find_control_peers(self):
         """Return the names of the other known control instances."""
         names = {row.instance for row in self.registry.members_of(CONTROL_ROLE)}
--- a/banyanshore/membership/registry.py
+++ b/banyanshore/membership/registry.py
@@ -81,6 +81,7 @@
     :param address: address of its peer port.
     :param incarnation: start time of its process, in nanoseconds since the epoch.
     :param service: service of the target beside a loader, empty for other roles.
+    :param decompresses: whether its log may hold compressed commands.
     """
 
     instance: str
@@ -91,6 +92,7 @@
     incarnation: int
     sequence: int
     service: str = ""
+    decompresses: bool = False
 
     @property
     def key(self):
--- a/banyanshore/state/machine.py
+++ b/banyanshore/state/machine.py
@@ -16,6 +16,7 @@
     ReleaseClaimCommand,
     TimedCommand,
 )
+from banyanshore.state.compressed_commands import decompress_command
 from banyanshore.state.document import (
     MAX_DOCUMENT_BYTES,
     DocumentError,
@@ -82,11 +83,13 @@
         :param index: log index of the command.
         :param term: term of its log entry.
         :param command: a command, or a
-            :class:`~banyanshore.state.commands.TimedCommand` that holds one.
+            :class:`~banyanshore.state.commands.TimedCommand` that holds one, perhaps
+            compressed.
         """
         if isinstance(command, TimedCommand):
             self._now = max(self._now, command.at)
             command = command.command
+        command = decompress_command(command)
         return _HANDLER_BY_COMMAND[type(command)](self, index, term, command)
 
     def desired_state(self):
