Let small messages of the log pass between the pieces of a large entry

Change: a frame of more than 16 KB of the log, and a large command on its way to the leader, is written in pieces, and other frames go between them (transport/outbox.py). One large message of the log is on its way at a time, a repetition is dropped until it is written. A peer says in its Hello that it joins pieces; others get whole frames. The shared timer and the byte counter move to transport/activity.py, with the imports of the tests.

--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -244,7 +244,8 @@
 
     async def _send_raft(self, instance, message):
         address = peer_address(instance, self.settings.peer_port)
-        await self.links.get(address, instance).notify_or_drop(message)
+        # Heartbeats and later orders don't wait behind a large entry.
+        await self.links.get(address, instance).notify_in_pieces_or_drop(message)
 
     def _on_applied(self):
         if self.machine.version > self.state.version:
--- a/banyanshore/entry/state_client.py
+++ b/banyanshore/entry/state_client.py
@@ -198,7 +198,9 @@
         except UnavailableError as error:
             return ProposeReply(ProposalStatus.NOT_ACCEPTED, detail=str(error))
         try:
-            return await connection.call(ProposeRequest(command), timeout)
+            return await connection.call(
+                ProposeRequest(command), timeout, in_pieces=True
+            )
         except BanyanshoreError as error:
             return ProposeReply(ProposalStatus.UNKNOWN, detail=str(error))
 
--- a/banyanshore/transport/__init__.py
+++ b/banyanshore/transport/__init__.py
@@ -1,11 +1,8 @@
 """Msgpack connections between the processes of the system."""
 
+from banyanshore.transport.activity import byte_counter
 from banyanshore.transport.codec import Decoder, decode, encode, message
-from banyanshore.transport.connection import (
-    Connection,
-    byte_counter,
-    encode_notice,
-)
+from banyanshore.transport.connection import Connection, encode_notice
 from banyanshore.transport.handlers import Handler, TableHandler
 from banyanshore.transport.links import (
     Link,
--- a/banyanshore/transport/connection.py
+++ b/banyanshore/transport/connection.py
@@ -13,7 +13,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.core.sockets import count_unacknowledged_bytes, find_socket
-from banyanshore.core.values import dataclass
+from banyanshore.transport.activity import byte_counter
 from banyanshore.transport.codec import CodecError, Decoder, encode
 from banyanshore.transport.frames import (
     Ack,
@@ -23,8 +23,10 @@
     Heartbeat,
     Hello,
     Notice,
+    Piece,
     Reply,
 )
+from banyanshore.transport.outbox import PIECE_BYTES, Outbox, PieceJoiner
 from banyanshore.transport.replies import (
     ConnectionLostError,
     ReplyStream,
@@ -39,48 +41,10 @@
 MAX_PENDING_BYTES = 4 * 1024 * 1024
 # Seconds between checks whether all that is queued was sent.
 DRAIN_CHECK_SECONDS = 0.01
-# Seconds by which a timer may be late before that is logged.
-MAX_TIMER_DELAY = 0.25
 # Seconds without data after which an incomplete frame counts as interrupted.
 INTERRUPTED_SECONDS = 1.0
 
 
-@dataclass
-class ByteCounter:
-    """Total bytes sent and received on all connections of this process."""
-
-    sent: int = 0
-    received: int = 0
-
-
-byte_counter = ByteCounter()
-
-
-class HeartbeatTicker:
-    """Send the heartbeats of all connections of a process from one timer.
-
-    One shared timer wakes up the process less often than one for each connection.
-
-    :param interval: seconds between ticks.
-    """
-
-    def __init__(self, interval):
-        self.connections = set()
-        self._interval = interval
-
-    async def run(self):
-        """Tick all connections until cancelled."""
-        while True:
-            slept_at = boottime_now()
-            await anyio.sleep(self._interval)
-            late_by = boottime_now() - slept_at - self._interval
-            if late_by > MAX_TIMER_DELAY:
-                # The event loop was busy, or the process or its machine stood still.
-                logger.warning("timer late", extra={"late_ms": round(late_by * 1000)})
-            for connection in list(self.connections):
-                connection.tick()
-
-
 class Connection:
     """Exchange calls, replies and notices over one byte stream.
 
@@ -129,8 +93,10 @@
         self._stream_by_call_id = {}
         self._scope_by_call_id = {}
         self._responder_by_call_id = {}
-        self._pending = []
+        self._outbox = Outbox()
         self.pending_bytes = 0
+        self._joiner = PieceJoiner()
+        self._peer_joins_pieces = False
         self._gather_seconds = gather_seconds
         self._last_written_at = float("-inf")
         self._wake_writer = anyio.Event()
@@ -157,7 +123,7 @@
                     self._ticker.connections.add(self)
                 else:
                     tasks.start_soon(self._heartbeat_loop)
-                await self.send_frame(Hello(self._instance))
+                await self.send_frame(Hello(self._instance, joins_pieces=True))
                 await self._read_loop()
                 tasks.cancel_scope.cancel()
         except* (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
@@ -203,13 +169,19 @@
         raw = find_socket(self._stream)
         return self.pending_bytes + (count_unacknowledged_bytes(raw) or 0)
 
-    async def call(self, body, timeout):
+    @property
+    def whole_bytes(self):
+        """Return the bytes that are queued without those of frames in pieces."""
+        return self.pending_bytes - self._outbox.piece_bytes
+
+    async def call(self, body, timeout, in_pieces=False):
         """Send a call that has a single reply, and return the reply.
 
         :param timeout: seconds to wait.
+        :param in_pieces: whether later frames may overtake it if it is large.
         :raises ConnectionLostError: the connection ended, or the timeout expired.
         """
-        replies = await self.open_call(body)
+        replies = await self.open_call(body, in_pieces)
         try:
             with anyio.fail_after(timeout):
                 return await anext(replies)
@@ -223,9 +195,10 @@
             with anyio.CancelScope(shield=True):
                 await replies.aclose()
 
-    async def open_call(self, body):
+    async def open_call(self, body, in_pieces=False):
         """Send a call and return the :class:`ReplyStream` of its replies.
 
+        :param in_pieces: whether later frames may overtake it if it is large.
         :raises ConnectionLostError: the connection had ended; nothing was sent.
         """
         if not self.is_open:
@@ -236,13 +209,28 @@
         self._next_call_id += 1
         replies = ReplyStream(self, call_id)
         self._stream_by_call_id[call_id] = replies
-        await self.send_frame(Call(call_id, body))
+        data = encode(Call(call_id, body))
+        if in_pieces and self._sends_in_pieces(data):
+            self._enqueue(data, in_pieces=True)
+        else:
+            await self._send(data)
         return replies
 
     async def notify(self, body):
         """Send a message that needs no reply; drop it if the connection has ended."""
         await self.send_frame(Notice(body))
 
+    async def notify_in_pieces(self, body):
+        """Send a message that needs no reply; later frames may overtake a large one.
+
+        A large one is dropped while an earlier large frame is still being written.
+        """
+        data = encode(Notice(body))
+        if not self._sends_in_pieces(data):
+            await self._send(data)
+        elif not self._outbox.has_pieces:
+            self._enqueue(data, in_pieces=True)
+
     async def notify_encoded(self, data):
         """Send a notice already encoded by :func:`encode_notice`."""
         await self._send(data)
@@ -265,14 +253,17 @@
 
     async def _send(self, data, may_wait=False):
         self._enqueue(data, may_wait)
-        while self.pending_bytes > MAX_PENDING_BYTES and self.is_open:
+        while self.whole_bytes > MAX_PENDING_BYTES and self.is_open:
             await self._drained.wait()
 
-    def _enqueue(self, data, may_wait=False):
+    def _sends_in_pieces(self, data):
+        return self._peer_joins_pieces and len(data) > PIECE_BYTES
+
+    def _enqueue(self, data, may_wait=False, in_pieces=False):
         if self._is_finished:
             return
-        self._pending.append(data)
-        self.pending_bytes += len(data)
+        put = self._outbox.put_in_pieces if in_pieces else self._outbox.put
+        self.pending_bytes += put(data)
         now = self._clock()
         self._last_sent_at = now
         if may_wait and now - self._last_written_at < self._gather_seconds:
@@ -286,15 +277,16 @@
             self._wake_gatherer = anyio.Event()
             waited = self._clock() - self._last_written_at
             await anyio.sleep(max(0.0, self._gather_seconds - waited))
-            if self._pending:
+            if self._outbox.has_whole:
                 self._wake_writer.set()
 
     async def _write_loop(self):
         while True:
             await self._wake_writer.wait()
             self._wake_writer = anyio.Event()
-            data = b"".join(self._pending)
-            self._pending.clear()
+            data = self._outbox.take()
+            if self._outbox.has_pieces:
+                self._wake_writer.set()
             self._last_written_at = self._clock()
             await self._stream.send(data)
             byte_counter.sent += len(data)
@@ -353,7 +345,13 @@
     async def _on_heartbeat(self, frame):
         pass
 
+    async def _on_piece(self, piece):
+        frame = self._joiner.add(piece)
+        if frame is not None:
+            await self._dispatch(frame)
+
     async def _on_hello(self, frame):
+        self._peer_joins_pieces = frame.joins_pieces
         if not self.peer:
             self.peer = frame.instance
             await self._handler.handle_open(self)
@@ -417,4 +415,5 @@
     Reply: Connection._on_reply,
     Cancel: Connection._on_cancel,
     Ack: Connection._on_ack,
+    Piece: Connection._on_piece,
 }
--- a/banyanshore/transport/frames.py
+++ b/banyanshore/transport/frames.py
@@ -12,9 +12,13 @@
 
 @message(2)
 class Hello:
-    """Name the sender; the first frame that each side sends."""
+    """Name the sender; the first frame that each side sends.
+
+    :param joins_pieces: whether the sender accepts frames in pieces.
+    """
 
     instance: str
+    joins_pieces: bool = False
 
 
 @message(3)
@@ -69,3 +73,14 @@
     """Reply that the handler of a call failed."""
 
     reason: str
+
+
+@message(9)
+class Piece:
+    """Carry a part of a large encoded frame; other frames may come between the parts.
+
+    :param is_last: whether the frame is complete.
+    """
+
+    data: bytes
+    is_last: bool
--- a/banyanshore/transport/links.py
+++ b/banyanshore/transport/links.py
@@ -6,11 +6,8 @@
 
 from banyanshore.core.exceptions import BindError, UnavailableError
 from banyanshore.core.values import dataclass
-from banyanshore.transport.connection import (
-    Connection,
-    HeartbeatTicker,
-    encode_notice,
-)
+from banyanshore.transport.activity import HeartbeatTicker
+from banyanshore.transport.connection import Connection, encode_notice
 
 logger = logging.getLogger(__name__)
 
@@ -27,7 +24,7 @@
 class LinkOptions:
     """Configure the connections of a process; times are in seconds.
 
-    :param ticker: the :class:`~banyanshore.transport.connection.HeartbeatTicker`.
+    :param ticker: the :class:`~banyanshore.transport.activity.HeartbeatTicker`.
     :param finishing: event that is set once no connection is accepted or opened any
         more, or ``None``.
     """
@@ -249,8 +246,16 @@
         if self._accepts_droppable():
             await self.connection.notify_encoded(data)
 
+    async def notify_in_pieces_or_drop(self, body):
+        """Do as :meth:`notify_or_drop`; later messages may overtake a large one.
+
+        A large one is dropped, too, while an earlier one is still being written.
+        """
+        if self._accepts_droppable():
+            await self.connection.notify_in_pieces(body)
+
     def _accepts_droppable(self):
-        return self.is_open and self.connection.pending_bytes < MAX_DROPPABLE_BYTES
+        return self.is_open and self.connection.whole_bytes < MAX_DROPPABLE_BYTES
 
     def close(self):
         """Stop the link and its connection."""
--- a/tests/entry/test_state_client.py
+++ b/tests/entry/test_state_client.py
@@ -48,7 +48,7 @@
             raise UnavailableError("not connected", step="connect", peer=self.name)
         return self
 
-    async def call(self, body, timeout):
+    async def call(self, body, timeout, in_pieces=False):
         if isinstance(body, ProposeRequest):
             return self.reply
         return ReadReply(self.reply.outcome, self.reply.leader)
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -7,13 +7,9 @@
 
 from banyanshore.routing.messages import Data, Finished
 from banyanshore.transport import Handler, decode, encode
+from banyanshore.transport.activity import MAX_TIMER_DELAY, HeartbeatTicker
 from banyanshore.transport.codec import CodecError, Decoder
-from banyanshore.transport.connection import (
-    INTERRUPTED_SECONDS,
-    MAX_TIMER_DELAY,
-    Connection,
-    HeartbeatTicker,
-)
+from banyanshore.transport.connection import INTERRUPTED_SECONDS, Connection
 from banyanshore.transport.frames import Call, Heartbeat, Reply
 from banyanshore.transport.replies import (
     WINDOW_REPLIES,
--- a/tests/transport/test_finishing.py
+++ b/tests/transport/test_finishing.py
@@ -10,8 +10,8 @@
 
 from banyanshore.routing.messages import Data
 from banyanshore.transport import Handler, LinkOptions, LinkPool, encode, serve_peers
+from banyanshore.transport.activity import HeartbeatTicker
 from banyanshore.transport.codec import Decoder
-from banyanshore.transport.connection import HeartbeatTicker
 from banyanshore.transport.frames import Heartbeat, Hello, Notice
 from tests.http.raw import scripted_server
 
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -6,7 +6,7 @@
 import pytest
 
 from banyanshore.transport import Handler, LinkOptions, LinkPool, serve_peers
-from banyanshore.transport.connection import HeartbeatTicker
+from banyanshore.transport.activity import HeartbeatTicker
 
 pytestmark = pytest.mark.anyio
 
