Answer patches against an earlier version without an entry in the log

Cause, third part of late orders beside a large declaration: an operator without an answer sends it to another instance, which proposes it against the version held there; an instance without an answer of the leader proposes again.

Change: the leader answers a patch whose outcome is certain already: one that was applied, and one against an earlier version than is in force, since versions only rise. Both are read from committed entries, so the answer holds whether or not it still leads.

--- a/banyanshore/consensus/node.py
+++ b/banyanshore/consensus/node.py
@@ -243,6 +243,12 @@
             self.raft.form(members, time.monotonic())
 
     def _start_proposal(self, now, proposal):
+        if self.raft.is_leader:
+            # Without an entry, which would cross the links to all voters in vain.
+            outcome = self._machine.find_outcome(proposal.command)
+            if outcome is not None:
+                proposal.waiter.resolve(outcome)
+                return
         at = self._clock.read(now, self.raft.term, self._machine.now)
         data = encode(TimedCommand(at, proposal.command))
         entry = self.raft.propose(now, data)
--- a/banyanshore/state/machine.py
+++ b/banyanshore/state/machine.py
@@ -92,6 +92,22 @@
         command = decompress_command(command)
         return _HANDLER_BY_COMMAND[type(command)](self, index, term, command)
 
+    def find_outcome(self, command):
+        """Return the outcome that a command has at any later position of the log.
+
+        Versions only rise, so a patch against an earlier one is refused for good.
+
+        :return: ``None`` if the outcome isn't certain.
+        """
+        command = decompress_command(command)
+        if not isinstance(command, PatchCommand):
+            return None
+        if command.request_id in self._patch_by_request_id:
+            return self._find_first_outcome(command, _digest_patch(command))
+        if UNCONDITIONAL < command.base_version < self.version:
+            return self._refuse_outdated(command)
+        return None
+
     def desired_state(self):
         """Return the current version as a :class:`DesiredState`."""
         return DesiredState.from_document(
@@ -137,13 +153,9 @@
         self.claims.limits = replace(self._default_claim_limits, **fields)
 
     def _apply_patch(self, index, term, command):
-        digest = hashlib.sha256(b"%d:" % command.base_version + command.patch).digest()
-        known = self._patch_by_request_id.get(command.request_id)
-        if known is not None:
-            if known.digest == digest:
-                return known.outcome
-            detail = f"request id {command.request_id!r} was used for another patch"
-            return PatchOutcome(PatchStatus.REUSED_ID, self.version, detail)
+        digest = _digest_patch(command)
+        if command.request_id in self._patch_by_request_id:
+            return self._find_first_outcome(command, digest)
         outcome = self._evaluate_patch(index, term, command)
         remembered = RememberedPatch(digest, outcome)
         self._patch_by_request_id[command.request_id] = remembered
@@ -151,13 +163,23 @@
             self._patch_by_request_id.popitem(last=False)
         return outcome
 
+    def _find_first_outcome(self, command, digest):
+        known = self._patch_by_request_id[command.request_id]
+        if known.digest == digest:
+            return known.outcome
+        detail = f"request id {command.request_id!r} was used for another patch"
+        return PatchOutcome(PatchStatus.REUSED_ID, self.version, detail)
+
+    def _refuse_outdated(self, command):
+        detail = (
+            f"the patch is against version {command.base_version}, the current "
+            f"version is {self.version}"
+        )
+        return PatchOutcome(PatchStatus.CONFLICT, self.version, detail)
+
     def _evaluate_patch(self, index, term, command):
         if command.base_version not in (UNCONDITIONAL, self.version):
-            detail = (
-                f"the patch is against version {command.base_version}, the current "
-                f"version is {self.version}"
-            )
-            return PatchOutcome(PatchStatus.CONFLICT, self.version, detail)
+            return self._refuse_outdated(command)
         try:
             patch = parse_patch(command.patch)
             document = merge_patch(self.document, patch)
@@ -208,6 +230,10 @@
         return LoadPermitReply(not detail, detail, Fence(term, index))
 
 
+def _digest_patch(command):
+    return hashlib.sha256(b"%d:" % command.base_version + command.patch).digest()
+
+
 _HANDLER_BY_COMMAND = {
     PatchCommand: StateMachine._apply_patch,
     ClaimCommand: StateMachine._apply_claim,
