Propose orders with a number without a read first

Cause, fourth part of late orders: an order reads the latest version from a quorum and then proposes, two trips to the leader and two rounds of the voters one after the other.

Change: declarations and versions of weights, whose numbers only rise, are made against the version held here first. It is the latest but for orders of the last moment; a patch against an earlier one is refused by the leader without an entry, and the order then reads as before. A number that is held here is answered as in force. Orders about data centres have no number and read first as before.

--- a/banyanshore/control/orders.py
+++ b/banyanshore/control/orders.py
@@ -1,12 +1,14 @@
 """Operators' orders to control, applied as patches to the desired state.
 
-Each order is made against the latest version, so that it never undoes one that was
-accepted before, and an order that is already in force changes nothing. Orders are
+Each order is accepted only against the latest version, so that it never undoes one that
+was accepted before, and an order that is already in force changes nothing. Orders are
 therefore idempotent: repeating one after a lost answer has the same outcome.
 
 Declarations and versions of weights have numbers, by which one that comes late changes
-nothing. Orders about data centres have none: they are proposed only while their caller
-may still wait for the answer.
+nothing. They are made against the version held here first: it is usually the latest
+one, and asking a quorum first doubles the trips over links that may be full. Orders
+about data centres have no number: they are made against the version that a quorum
+names, and proposed only while their caller may still wait for the answer.
 """
 
 import logging
@@ -80,7 +82,9 @@
             _share_rows(tables, document, patch)
             return patch
 
-        is_changed = await self._apply("declaration", {"number": number}, make_patch)
+        is_changed = await self._apply(
+            "declaration", {"number": number}, make_patch, is_numbered=True
+        )
         document = self._document()
         if is_changed and declared_number(document) == number:
             _share_rows(tables, document, {})
@@ -101,7 +105,13 @@
 
         details = {"data_centre": data_centre, "in_service": in_service}
         expires_at = arrived_after + UNNUMBERED_ORDER_SECONDS
-        return await self._apply("data-centre", details, make_patch, expires_at)
+        return await self._apply(
+            "data-centre",
+            details,
+            make_patch,
+            is_numbered=False,
+            expires_at=expires_at,
+        )
 
     async def set_model_version(self, model, version):
         """Set the version of a model's weights that targets serve.
@@ -116,7 +126,7 @@
             return {"rollouts": {model: {"version": version}}}
 
         details = {"model": model, "model_version": version}
-        return await self._apply("rollout", details, make_patch)
+        return await self._apply("rollout", details, make_patch, is_numbered=True)
 
     async def read_document(self):
         """Return the document of the latest accepted version.
@@ -143,11 +153,14 @@
             step="read",
         )
 
-    async def _apply(self, order, details, make_patch, expires_at=math.inf):
-        """Propose patches against the latest version until one is accepted.
+    async def _apply(
+        self, order, details, make_patch, *, is_numbered, expires_at=math.inf
+    ):
+        """Propose patches until one is accepted, the later ones on the latest version.
 
         :param make_patch: callable that takes the current document and returns the
             patch, or ``None`` if the order is already in force.
+        :param is_numbered: whether a later order has a higher number.
         :param expires_at: boot time after which the order isn't proposed.
         :return: whether the order changed the state.
         :raises DocumentError: the patch was rejected.
@@ -155,8 +168,13 @@
         """
         started_at = boottime_now()
         deadline = min(started_at + ORDER_TIMEOUT, expires_at)
+        # Numbers only rise, so a number that is held here is in force, and a patch
+        # against an outdated version is refused.
+        must_read = not is_numbered
         while (remaining := deadline - boottime_now()) > 0:
-            await self.wait_for_latest_version(min(remaining, READ_TIMEOUT))
+            if must_read:
+                await self.wait_for_latest_version(min(remaining, READ_TIMEOUT))
+            must_read = True
             if boottime_now() >= deadline:
                 # The process may have stood still while it waited.
                 break
