--- a/banyanshore/control/orders.py
+++ b/banyanshore/control/orders.py
@@ -21,7 +21,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError, UnavailableError
 from banyanshore.state.commands import PatchCommand, PatchStatus
-from banyanshore.state.compressed_commands import compress_command
+from banyanshore.state.compressed_commands import compress_command, size_of
 from banyanshore.state.document import (
     DocumentError,
     check_document,
@@ -182,7 +182,13 @@
             if patch is None:
                 self._log(order, details, "already in force", started_at)
                 return False
-            outcome = await self._propose(patch, remaining)
+            command = self._make_command(patch)
+            details = {
+                **details,
+                "proposals": details.get("proposals", 0) + 1,
+                "bytes": size_of(command),
+            }
+            outcome = await self._propose(command, remaining)
             if outcome.status == PatchStatus.ACCEPTED:
                 await self._wait_for_version(outcome.version, remaining)
                 self._log(order, details, "accepted", started_at)
@@ -199,12 +205,13 @@
         desired = self._state.desired
         return desired.document if desired else _EMPTY_DOCUMENT
 
-    async def _propose(self, patch, remaining):
+    def _make_command(self, patch):
         command = PatchCommand(
             uuid.uuid4().hex, self._state.version, to_json(patch), time.time()
         )
-        if self._may_compress():
-            command = compress_command(command)
+        return compress_command(command) if self._may_compress() else command
+
+    async def _propose(self, command, remaining):
         try:
             return await self._client.propose(command, remaining)
         except BanyanshoreError as error:
--- a/banyanshore/state/compressed_commands.py
+++ b/banyanshore/state/compressed_commands.py
@@ -40,6 +40,13 @@
     return CompressedCommand(zlib.compress(data, _LEVEL))
 
 
+def size_of(command):
+    """Return the bytes of a patch command's content, as it is sent."""
+    if isinstance(command, CompressedCommand):
+        return len(command.data)
+    return len(command.patch)
+
+
 def decompress_command(command):
     """Return the command in a :class:`CompressedCommand`; return others unchanged.
 
--- a/tests/control/test_order_trips.py
+++ b/tests/control/test_order_trips.py
@@ -118,3 +118,23 @@
     with pytest.raises(UnavailableError):
         await log.orders.set_model_version("m", 2)
     assert log.state.version == 0
+
+
+async def test_log_tells_how_often_an_order_was_proposed(caplog):
+    """What an order that is accepted late waited for wasn't in its line."""
+    caplog.set_level("INFO")
+    log = Log()
+    elsewhere = Log()
+    elsewhere.machine = log.machine
+    await elsewhere.orders.set_model_version("m", 2)
+    await log.orders.set_model_version("m", 3)
+    await log.orders.set_model_version("m", 3)
+    lines = [record for record in caplog.records if hasattr(record, "order")]
+    assert [line.message for line in lines] == [
+        "order accepted",
+        "order accepted",
+        "order already in force",
+    ]
+    assert [line.proposals for line in lines[:2]] == [1, 2]
+    assert lines[1].bytes == len('{"rollouts":{"m":{"version":3}}}')
+    assert not hasattr(lines[2], "proposals")
