Call a turn late only if the weights came after the bound

Cause: a group that was planned for the end of the grace period was logged and counted as late. Change: the cause is late if the chunks were complete after that.

--- a/banyanshore/loader/target_turn.py
+++ b/banyanshore/loader/target_turn.py
@@ -90,7 +90,7 @@
         return now + self._loader.settings.version_switch_seconds - seconds_known
 
     def _log_begun(self, now, desired_version, turn, state):
-        cause = "planned" if now < state.load_by else "late"
+        cause = "planned" if state.whole_at <= state.load_by else "late"
         self._loader.metrics.turns.labels(cause).inc()
         logger.info(
             "target turns",
