--- a/benchmarks/weights_bound.py
+++ b/benchmarks/weights_bound.py
@@ -47,6 +47,7 @@
     "last target whole, s",
     "last over bound",
     "copies from the origin",
+    "copies pushed to a machine",
 )
 
 
@@ -119,7 +120,7 @@
     ),
 )
 # Seconds from the name of the version between which the origin is away.
-AWAY = ((100.0, 100.0), (0.5, 6.5), (1.0, 4.0))
+AWAY = ((100.0, 100.0), (0.0, 6.0), (0.5, 6.5), (1.0, 4.0))
 
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
@@ -166,6 +167,7 @@
         self.data_centre_by_instance = {}
         self.receiving = {}
         self.origin_chunks = 0
+        self.pushes = 0
         self._origin_link = Link(fleet.origin_rate)
         self._region_links = {}
         self._up, self._down = {}, {}
@@ -394,6 +396,7 @@
             return SimpleNamespace(
                 content=transfer.manifest_content(body.manifest_digest)
             )
+        network.pushes += 1
         pair = self._source, self._target
         network.receiving[pair] = network.receiving.get(pair, 0) + 1
         try:
@@ -440,7 +443,11 @@
 
 
 def play(fleet, away):
-    """Play a transfer; return when each target was whole, and the origin's copies."""
+    """Play a transfer.
+
+    :return: when each target was whole, the copies that the origin sent, and those that
+        were pushed to each machine on average.
+    """
 
     async def run_inline(function, *arguments):
         return function(*arguments)
@@ -455,7 +462,8 @@
             network = Network(fleet, away)
             with anyio.fail_after(600):
                 whole = await network.run()
-            return whole, network.origin_chunks / fleet.chunks
+            pushes = network.pushes / fleet.chunks / (len(network.transfer_by_instance))
+            return whole, network.origin_chunks / fleet.chunks, pushes
 
     return anyio.run(run, backend_options={"loop_factory": VirtualTimeLoop})
 
@@ -471,7 +479,7 @@
 
 def add_case(report, fleet, away):
     """Add the figures of one fleet and one absence of the origin."""
-    whole, copies = play(fleet, away)
+    whole, copies, pushed = play(fleet, away)
     bound = fleet.bound_seconds(away)
     times = sorted(whole.values())
     is_away = away[0] < away[1]
@@ -486,6 +494,7 @@
         times[-1],
         times[-1] / bound,
         copies,
+        pushed,
     )
     name = f"{fleet.name}, origin away: {label}"
     since = away[1] if is_away else 0.0
