--- a/banyanshore/control/orders.py
+++ b/banyanshore/control/orders.py
@@ -1,12 +1,14 @@
 """Operators' orders to control, applied as patches to the desired state.
 
-Each order is made against the latest version, so that it never undoes one that was
-accepted before, and an order that is already in force changes nothing. Orders are
+Each order is accepted only against the latest version, so that it never undoes one that
+was accepted before, and an order that is already in force changes nothing. Orders are
 therefore idempotent: repeating one after a lost answer has the same outcome.
 
 Declarations and versions of weights have numbers, by which one that comes late changes
-nothing. Orders about data centres have none: they are proposed only while their caller
-may still wait for the answer.
+nothing. They are made against the version held here first: it is usually the latest
+one, and asking a quorum first doubles the trips over links that may be full. Orders
+about data centres have no number: they are made against the version that a quorum
+names, and proposed only while their caller may still wait for the answer.
 """
 
 import logging
@@ -19,6 +21,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError, UnavailableError
 from banyanshore.state.commands import PatchCommand, PatchStatus
+from banyanshore.state.compressed_commands import compress_command, size_of
 from banyanshore.state.document import (
     DocumentError,
     check_document,
@@ -48,12 +51,14 @@
     :param state: the :class:`~banyanshore.state.StateHolder` of this instance.
     :param client: the :class:`~banyanshore.entry.state_client.StateClient`.
     :param metrics: the :class:`~banyanshore.telemetry.control.ControlMetrics`.
+    :param may_compress: callable that tells whether large commands may be compressed.
     """
 
-    def __init__(self, state, client, metrics):
+    def __init__(self, state, client, metrics, may_compress=lambda: False):
         self._state = state
         self._client = client
         self._metrics = metrics
+        self._may_compress = may_compress
 
     async def declare(self, number, tables):
         """Replace the declared tables, unless this or a later declaration is accepted.
@@ -77,7 +82,9 @@
             _share_rows(tables, document, patch)
             return patch
 
-        is_changed = await self._apply("declaration", {"number": number}, make_patch)
+        is_changed = await self._apply(
+            "declaration", {"number": number}, make_patch, is_numbered=True
+        )
         document = self._document()
         if is_changed and declared_number(document) == number:
             _share_rows(tables, document, {})
@@ -98,7 +105,13 @@
 
         details = {"data_centre": data_centre, "in_service": in_service}
         expires_at = arrived_after + UNNUMBERED_ORDER_SECONDS
-        return await self._apply("data-centre", details, make_patch, expires_at)
+        return await self._apply(
+            "data-centre",
+            details,
+            make_patch,
+            is_numbered=False,
+            expires_at=expires_at,
+        )
 
     async def set_model_version(self, model, version):
         """Set the version of a model's weights that targets serve.
@@ -113,7 +126,7 @@
             return {"rollouts": {model: {"version": version}}}
 
         details = {"model": model, "model_version": version}
-        return await self._apply("rollout", details, make_patch)
+        return await self._apply("rollout", details, make_patch, is_numbered=True)
 
     async def read_document(self):
         """Return the document of the latest accepted version.
@@ -140,11 +153,14 @@
             step="read",
         )
 
-    async def _apply(self, order, details, make_patch, expires_at=math.inf):
-        """Propose patches against the latest version until one is accepted.
+    async def _apply(
+        self, order, details, make_patch, *, is_numbered, expires_at=math.inf
+    ):
+        """Propose patches until one is accepted, the later ones on the latest version.
 
         :param make_patch: callable that takes the current document and returns the
             patch, or ``None`` if the order is already in force.
+        :param is_numbered: whether a later order has a higher number.
         :param expires_at: boot time after which the order isn't proposed.
         :return: whether the order changed the state.
         :raises DocumentError: the patch was rejected.
@@ -152,8 +168,13 @@
         """
         started_at = boottime_now()
         deadline = min(started_at + ORDER_TIMEOUT, expires_at)
+        # Numbers only rise, so a number that is held here is in force, and a patch
+        # against an outdated version is refused.
+        must_read = not is_numbered
         while (remaining := deadline - boottime_now()) > 0:
-            await self.wait_for_latest_version(min(remaining, READ_TIMEOUT))
+            if must_read:
+                await self.wait_for_latest_version(min(remaining, READ_TIMEOUT))
+            must_read = True
             if boottime_now() >= deadline:
                 # The process may have stood still while it waited.
                 break
@@ -161,7 +182,13 @@
             if patch is None:
                 self._log(order, details, "already in force", started_at)
                 return False
-            outcome = await self._propose(patch, remaining)
+            command = self._make_command(patch)
+            details = {
+                **details,
+                "proposals": details.get("proposals", 0) + 1,
+                "bytes": size_of(command),
+            }
+            outcome = await self._propose(command, remaining)
             if outcome.status == PatchStatus.ACCEPTED:
                 await self._wait_for_version(outcome.version, remaining)
                 self._log(order, details, "accepted", started_at)
@@ -178,10 +205,13 @@
         desired = self._state.desired
         return desired.document if desired else _EMPTY_DOCUMENT
 
-    async def _propose(self, patch, remaining):
+    def _make_command(self, patch):
         command = PatchCommand(
             uuid.uuid4().hex, self._state.version, to_json(patch), time.time()
         )
+        return compress_command(command) if self._may_compress() else command
+
+    async def _propose(self, command, remaining):
         try:
             return await self._client.propose(command, remaining)
         except BanyanshoreError as error:
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -16,6 +16,7 @@
 from banyanshore.gateway.relay import WeightsRelay
 from banyanshore.gateway.request_handler import RequestHandler
 from banyanshore.gateway.request_limits import LimitExchange
+from banyanshore.gateway.returning import ReturningTargets
 from banyanshore.gateway.screening import Screening
 from banyanshore.gateway.suspected_parts import SuspectedParts
 from banyanshore.gateway.suspects import Suspects
@@ -44,7 +45,7 @@
 from banyanshore.routing.notices import TargetNotices
 from banyanshore.routing.ranks import ONLY_RANK
 from banyanshore.routing.request_limits import RequestLimits
-from banyanshore.routing.retry_after import retry_after_seconds
+from banyanshore.routing.retry_after import NONE_RETURNING, retry_after_seconds
 from banyanshore.routing.roster import GatewayRoster
 from banyanshore.routing.shares import ColdShares, RetryShare
 from banyanshore.routing.version_switch import VersionSwitch
@@ -118,6 +119,7 @@
             TargetNotices(settings.max_target_pause_seconds),
             RequestLimits(),
         )
+        self.returning = ReturningTargets(self)
         self.link_options = LinkOptions.from_settings(settings.transport)
         member = self._member()
         self.feed = FeedClient(
@@ -233,13 +235,18 @@
         return share
 
     def retry_after_seconds(
-        self, reason, seconds_left, available_in=0.0, rank=ONLY_RANK
+        self,
+        reason,
+        seconds_left,
+        available_in=0.0,
+        rank=ONLY_RANK,
+        returning=NONE_RETURNING,
     ):
         """Return the Retry-After seconds of a refusal, ``None`` without a reason."""
         if reason is None:
             return None
         seconds = retry_after_seconds(
-            reason, seconds_left, self._random, available_in, rank
+            reason, seconds_left, self._random, available_in, rank, returning
         )
         return round(seconds, 2)
 
--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -48,7 +48,7 @@
             self._record_begun,
             self._record_read_whole,
         )
-        self._ending = RequestEnding(state, self._log)
+        self._ending = RequestEnding(state, self._finder, self._log)
 
     async def run(self):
         """Answer the request by its deadline."""
--- a/banyanshore/gateway/target_finder.py
+++ b/banyanshore/gateway/target_finder.py
@@ -76,7 +76,7 @@
         names = gateway.gateway_names()
         return gateway.board.choose(
             now,
-            self._requirements(now),
+            self.requirements(now),
             gateway.state.desired,
             names,
             gateway.padded_names(names),
@@ -87,7 +87,8 @@
         unconfirmed = gateway.feed.confirmed_seconds_ago
         return gateway.screening.is_still_allowed(self._screened, unconfirmed)
 
-    def _requirements(self, now):
+    def requirements(self, now):
+        """Return the :class:`~banyanshore.routing.board.TargetRequirements`."""
         model = self._state.request.model
         versions = self._gateway.versions
         boottime = boottime_now()
@@ -126,7 +127,7 @@
             now,
             boottime_now(),
             choice,
-            self._requirements(now),
+            self.requirements(now),
             gateway.state.desired,
             self._permit,
         )
