Let all answers go on for which room returned

Answers that waited for room in the memory for answers could wait beside free room: each release woke one, the one that holds least, also if there was no room for it, so that answers of other targets were never woken; and a release that made room for several woke one.

All for which there is room go on now, those that hold least first, and no room is promised twice. Found by reading; no caller was seen to suffer from it. The first two of the three new tests fail before.

--- a/banyanshore/gateway/read_ahead.py
+++ b/banyanshore/gateway/read_ahead.py
@@ -111,7 +111,7 @@
         while not self._has_caught_up and not self._share.has_room(READ_SIZE_BYTES):
             began_at = began_at or time.monotonic()
             self._room = anyio.Event()
-            self._share.start_waiting()
+            self._share.start_waiting(READ_SIZE_BYTES)
             await self._room.wait()
         if began_at is not None:
             self._held_up_seconds += time.monotonic() - began_at
--- a/banyanshore/routing/answer_memory.py
+++ b/banyanshore/routing/answer_memory.py
@@ -74,7 +74,7 @@
         else:
             del self._held_by_target[target]
         self._on_change(self.held_bytes)
-        self._wake_next()
+        self._wake_waiting()
 
     def wait(self, share):
         """Call the ``wake`` of a share once there is room for it, before larger ones.
@@ -87,12 +87,14 @@
         """Forget that a share waits."""
         self._waiting.discard(share)
 
-    def _wake_next(self):
-        ready = [share for share in self._waiting if share.has_room(1)]
-        if ready:
-            share = min(ready, key=lambda share: share.held_bytes)
-            self._waiting.discard(share)
-            share.wake()
+    def _wake_waiting(self):
+        """Wake those for which there is room, beside what the others get."""
+        promised = 0
+        for share in sorted(self._waiting, key=lambda share: share.held_bytes):
+            if share.has_room(share.wanted_bytes + promised):
+                promised += share.wanted_bytes
+                self._waiting.discard(share)
+                share.wake()
 
 
 class AnswerShare:
@@ -101,6 +103,7 @@
     :param memory: the :class:`AnswerMemory`.
     :param target: id of its target.
     :ivar held_bytes: bytes that are held of it.
+    :ivar wanted_bytes: bytes that it waits for.
     :ivar wake: called when there is room, see :meth:`AnswerMemory.wait`.
 
     >>> memory = AnswerMemory(1024)
@@ -113,6 +116,7 @@
         self._memory = memory
         self._target = target
         self.held_bytes = 0
+        self.wanted_bytes = 0
         self.wake = lambda: None
 
     def has_room(self, size):
@@ -145,6 +149,7 @@
         self._memory.stop_waiting(self)
         self.release(self.held_bytes)
 
-    def start_waiting(self):
-        """Have :attr:`wake` called once there is room."""
+    def start_waiting(self, size):
+        """Have :attr:`wake` called once there is room for some bytes."""
+        self.wanted_bytes = size
         self._memory.wait(self)
--- a/tests/routing/test_answer_memory.py
+++ b/tests/routing/test_answer_memory.py
@@ -9,12 +9,12 @@
 TARGET_BYTES = 1000
 
 
-def open_waiting(memory, target, held, woken):
-    """Return a share that holds some bytes and waits for room."""
+def open_waiting(memory, target, held, woken, size=200):
+    """Return a share that holds some bytes and waits for room for more."""
     share = memory.open(target)
     share.hold(held)
     share.wake = lambda: woken.append(share)
-    share.start_waiting()
+    share.start_waiting(size)
     return share
 
 
@@ -54,6 +54,41 @@
     assert memory.open("last").has_room(1)
 
 
+def test_answer_without_enough_room_does_not_hold_up_another():
+    """It was woken each time as the one that holds least, and nobody else was."""
+    memory = AnswerMemory(MEMORY_BYTES)
+    woken = []
+    memory.open("a").hold(850)
+    open_waiting(memory, "a", 0, woken)
+    larger = open_waiting(memory, "b", 300, woken)
+    other = memory.open("c")
+    other.hold(100)
+    other.release(100)
+    assert woken == [larger]
+
+
+def test_all_answers_go_on_for_which_there_is_room():
+    """One was woken for each release, and the others waited beside free room."""
+    memory = AnswerMemory(MEMORY_BYTES)
+    woken = []
+    full = memory.open("a")
+    full.hold(900)
+    shares = [open_waiting(memory, "a", held, woken) for held in (10, 20, 30)]
+    full.close()
+    assert woken == shares
+
+
+def test_room_is_not_promised_twice():
+    memory = AnswerMemory(MEMORY_BYTES)
+    woken = []
+    full = memory.open("a")
+    full.hold(900)
+    small = open_waiting(memory, "a", 10, woken, 400)
+    open_waiting(memory, "a", 20, woken, 400)
+    full.release(400)
+    assert woken == [small]
+
+
 def test_answer_that_has_ended_is_not_woken():
     memory = AnswerMemory(MEMORY_BYTES)
     woken = []
