Don't quote keys in the error that refuses them

An operator's mistake in a list of keys, a number among the texts or a text instead of the list, was answered with the value: check-declaration printed the workspace's keys, and control and entry did so in their answers and logs.

Errors of these fields name the type of the value instead. The new tests fail before in all three forms.

--- a/banyanshore/platform/declaration.py
+++ b/banyanshore/platform/declaration.py
@@ -224,7 +224,7 @@
 def _decode_workspace(reader):
     row = {
         "priority": reader.integer("priority", None),
-        "keys": reader.strings("apiKeys", None),
+        "keys": reader.secrets("apiKeys", None),
         "regions": reader.strings("allowedRegions", None) or None,
     }
     return _without_none(row)
--- a/banyanshore/platform/values.py
+++ b/banyanshore/platform/values.py
@@ -81,12 +81,15 @@
 
     def strings(self, name, default=_REQUIRED):
         """Return a list of strings."""
-        return self._read(
-            name,
-            default,
-            "a list of texts",
-            lambda v: isinstance(v, list) and all(map(_is_text, v)),
-        )
+        return self._read(name, default, "a list of texts", _is_list_of_texts)
+
+    def secrets(self, name, default=_REQUIRED):
+        """Return a list of strings that errors don't quote."""
+        value = self.document.get(name)
+        if value is not None and not _is_list_of_texts(value):
+            kind = type(value).__name__
+            raise DecodeError(self._path_of(name), kind, "a list of texts")
+        return self.strings(name, default)
 
     def objects(self, name, default=_REQUIRED):
         """Return a list of readers, one for each object of a list."""
@@ -128,6 +131,10 @@
     return True
 
 
+def _is_list_of_texts(value):
+    return isinstance(value, list) and all(map(_is_text, value))
+
+
 def _is_integer(value):
     return isinstance(value, int) and not isinstance(value, bool)
 
--- a/banyanshore/state/document.py
+++ b/banyanshore/state/document.py
@@ -185,7 +185,8 @@
         if field is None:
             raise error_at(f"{location}.{key}", value, f"one of {', '.join(fields)}")
         if not field.accepts(value):
-            raise error_at(f"{location}.{key}", value, field.expected)
+            shown = type(value).__name__ if field.is_secret else value
+            raise error_at(f"{location}.{key}", shown, field.expected)
     for key, field in fields.items():
         if field.required and key not in row:
             raise error_at(f"{location}.{key}", None, field.expected)
--- a/banyanshore/state/schema.py
+++ b/banyanshore/state/schema.py
@@ -16,6 +16,7 @@
     :param choices: accepted values; empty for any.
     :param minimum: smallest accepted number, ``None`` for values that aren't numbers.
     :param maximum: largest accepted number.
+    :param is_secret: whether errors must not quote the value.
     """
 
     types: tuple
@@ -24,6 +25,7 @@
     choices: tuple = ()
     minimum: float | None = None
     maximum: float = math.inf
+    is_secret: bool = False
 
     def accepts(self, value):
         """Return whether a value is valid for the field."""
@@ -85,7 +87,7 @@
         minimum=-MAX_PRIORITY,
         maximum=MAX_PRIORITY,
     ),
-    "keys": Field((list,), "a list of texts"),
+    "keys": Field((list,), "a list of texts", is_secret=True),
     "regions": Field((list,), "a list of regions"),
 }
 ROUTE_KINDS = ("streaming", "idempotent", "non_idempotent")
--- a/tests/management/test_check_declaration.py
+++ b/tests/management/test_check_declaration.py
@@ -86,6 +86,22 @@
     assert finding["place"].startswith("routes.")
 
 
+@pytest.mark.parametrize(
+    "content",
+    [
+        {**DECLARATION, "tenants": [{"name": "w", "apiKeys": ["secret", 5]}]},
+        {**DECLARATION, "tenants": [{"name": "w", "apiKeys": "secret"}]},
+        {"workspaces": {"w": {"keys": "secret"}}},
+    ],
+    ids=["list", "text", "patch"],
+)
+def test_refused_keys_are_not_printed(capsys, write, content):
+    code, printed = check(capsys, write(content))
+    assert code == ExitCode.INVALID
+    assert printed["findings"][0]["place"].lower().endswith("keys")
+    assert "secret" not in json.dumps(printed)
+
+
 def test_warnings_fail_only_if_strict(capsys, write):
     backends = [*DECLARATION["backends"], {"name": "other"}]
     path = write({**DECLARATION, "backends": backends})
