Find routes whose host or prefix holds letters beyond ASCII

No request matches them: hosts come as xn-- names, and paths with such letters escaped; raw ones are refused before routes are looked up. check-declaration had no findings for them, nor for control characters. The new rows of its test fail before.

--- a/banyanshore/state/declaration_checks.py
+++ b/banyanshore/state/declaration_checks.py
@@ -16,7 +16,7 @@
 
 # Characters that are never part of a path: it ends before a query or a fragment, and
 # the others are not valid in a request target.
-_NOT_IN_PATHS = frozenset('?# \t"<>\\^`{|}')
+_NOT_IN_PATHS = frozenset('?#"<>\\^`{|}')
 
 
 @dataclass(frozen=True)
@@ -69,14 +69,19 @@
         if ":" in host:
             hint = "remove the port, which is ignored in requests"
             yield _warn("route-host-port", f"{place}.host", f"got {host!r}", hint)
-        elif host != host.lower() or not host.strip() or any(map(str.isspace, host)):
-            hint = "hosts of requests are compared in lower case, without spaces"
+        elif host != host.lower() or not _is_visible_ascii(host):
+            hint = "hosts of requests come in lower case and ASCII, without spaces"
             yield _warn("route-host", f"{place}.host", f"got {host!r}", hint)
-        if not _NOT_IN_PATHS.isdisjoint(prefix):
+        if not _NOT_IN_PATHS.isdisjoint(prefix) or not _is_visible_ascii(prefix):
             hint = "no path of a request has such a character unescaped"
             yield _warn("route-prefix", f"{place}.prefix", f"got {prefix!r}", hint)
 
 
+def _is_visible_ascii(text):
+    """Return whether a text isn't empty, and has neither spaces nor other letters."""
+    return bool(text) and all("!" <= character <= "~" for character in text)
+
+
 def _check_route_shares(given):
     """Yield services to which a route sends nothing."""
     for name, route in given.rows("routes").items():
--- a/tests/state/test_declaration_checks.py
+++ b/tests/state/test_declaration_checks.py
@@ -43,7 +43,10 @@
     [
         ({"host": "a.example:80"}, "route-host-port", "routes.r.host"),
         ({"host": "A.example"}, "route-host", "routes.r.host"),
+        ({"host": "bücher.example"}, "route-host", "routes.r.host"),
         ({"prefix": "/x?y/"}, "route-prefix", "routes.r.prefix"),
+        ({"prefix": "/ü/"}, "route-prefix", "routes.r.prefix"),
+        ({"prefix": "/x\x01/"}, "route-prefix", "routes.r.prefix"),
         (
             {"objective_seconds": 7.0},
             "objective-above-timeout",
