Tell what really becomes of keys that a workspace loses

check-declaration said that keys which a workspace has no more are refused with 401, also if another workspace holds them now, or if no workspace is left, when requests need no key at all: the second is the opposite of what it said, and what an operator most needs to know.

The effect now tells the keys that are refused from those that belong to another workspace, and says when all requests are admitted. The two tests fail before. The earlier test of a moved key, which didn't look at the effect, is part of the new one.

--- a/banyanshore/state/declaration_diff.py
+++ b/banyanshore/state/declaration_diff.py
@@ -78,14 +78,14 @@
     if before is None:
         return Difference(Change.ADDED, place)
     if after is None:
-        effect = _EFFECT_OF_REMOVAL[table_name](before, table)
+        effect = _EFFECT_OF_REMOVAL.get(table_name, _no_effect)(before, table)
         return Difference(Change.REMOVED, place, (), effect)
     fields = tuple(
         _describe_field(name, before.get(name), after.get(name))
         for name in sorted(before.keys() | after.keys())
         if before.get(name) != after.get(name)
     )
-    effect = _EFFECT_OF_CHANGE[table_name](before, after)
+    effect = _EFFECT_OF_CHANGE.get(table_name, _no_effect)(before, after, table)
     return Difference(Change.CHANGED, place, fields, effect)
 
 
@@ -114,22 +114,35 @@
     return f"its requests go by the route {other.host}{other.prefix} to {names}"
 
 
-def _changed_route(before, after):
+def _changed_route(before, after, table):
     if before["services"] == after["services"]:
         return ""
     return "its requests go to other services or in other shares"
 
 
 def _removed_workspace(workspace, table):
-    keys = workspace.get("keys", ())
-    return f"its {len(keys)} keys are refused with 401" if keys else ""
+    return _describe_removed_keys(workspace.get("keys", ()), table)
 
 
-def _changed_workspace(before, after):
+def _changed_workspace(before, after, table):
     removed, _ = _key_changes(before.get("keys"), after.get("keys"))
-    if not removed:
-        return ""
-    return f"refused with 401: keys with SHA-256 {_digests(removed)}"
+    return _describe_removed_keys(removed, table)
+
+
+def _describe_removed_keys(keys, table):
+    """Return what becomes of the callers whose keys a workspace has no more."""
+    if keys and not table.requires_key:
+        return "without any workspace, all requests are admitted, also without a key"
+    moved = {key for key in keys if table.find_workspace(key) is not None}
+    refused = set(keys) - moved
+    effects = []
+    if refused:
+        effects.append(f"refused with 401: keys with SHA-256 {_digests(refused)}")
+    if moved:
+        names = sorted({table.find_workspace(key).name for key in moved})
+        digests = _digests(moved)
+        effects.append(f"now of {', '.join(names)}: keys with SHA-256 {digests}")
+    return "; ".join(effects)
 
 
 def _no_effect(*arguments):
@@ -148,7 +161,5 @@
 }
 _EFFECT_OF_CHANGE = {
     "routes": _changed_route,
-    "services": _no_effect,
     "workspaces": _changed_workspace,
-    "limits": _no_effect,
 }
--- a/tests/state/test_declaration_diff.py
+++ b/tests/state/test_declaration_diff.py
@@ -33,13 +33,30 @@
     assert "secret" not in row.to_line()
 
 
-def test_key_that_moves_to_another_workspace_is_still_taken_away():
-    before = make_document()
+def test_key_that_moves_to_another_workspace_is_not_refused():
+    """Its callers were reported as refused, but are admitted as the other workspace."""
+    before = make_document(workspace={"keys": ["secret", "gone"]})
     after = make_document(workspace={"keys": []})
     after["workspaces"]["v"] = {"keys": ["secret"]}
     rows = differences(before, after)
     assert rows["workspaces.v"].change is Change.ADDED
-    assert rows["workspaces.w"].change is Change.CHANGED
+    row = rows["workspaces.w"]
+    assert row.change is Change.CHANGED
+    assert row.fields == ("keys: 2 taken away, 0 added",)
+    refused, moved = row.effect.split("; ")
+    assert "401" in refused
+    assert "v" in moved and "401" not in moved
+    del after["workspaces"]["w"]
+    assert "401" in differences(before, after)["workspaces.w"].effect
+
+
+def test_last_workspace_that_is_removed_opens_all_routes():
+    """Its keys were reported as refused, but no request needs a key any more."""
+    after = make_document()
+    after["workspaces"] = {}
+    row = differences(make_document(), after)["workspaces.w"]
+    assert "401" not in row.effect
+    assert "without a key" in row.effect
 
 
 def test_changed_route_lists_its_fields():
