Report what a patch changes in the other tables

A patch that takes a data centre out of service, names a version of a model or changes a rollout was checked with "no findings" and no differences: only the tables of a declaration were compared. The tables that a document lacks, as a whole declaration does, are not reported. The new tests of the rows fail before.

--- a/banyanshore/state/declaration_diff.py
+++ b/banyanshore/state/declaration_diff.py
@@ -11,8 +11,10 @@
 from banyanshore.state.document import diff_documents
 from banyanshore.state.routes import RouteTable
 
-# Tables that are compared.
-TABLES = ("routes", "services", "workspaces", "limits")
+# Tables that a declaration holds whole: one that it lacks is empty.
+DECLARED_TABLES = ("routes", "services", "workspaces", "limits")
+# Tables that only patches change.
+OTHER_TABLES = ("models", "data_centres", "targets", "rollouts")
 # Characters of the digest that stands for a key, which is a secret.
 KEY_DIGEST_CHARACTERS = 8
 
@@ -63,7 +65,8 @@
     """
     table = RouteTable(after)
     differences = []
-    for name in TABLES:
+    changeable = [name for name in OTHER_TABLES if name in after]
+    for name in (*DECLARED_TABLES, *changeable):
         rows, wanted = before.get(name, {}), after.get(name, {})
         patch = diff_documents(rows, wanted)
         for key in sorted(patch):
--- a/tests/state/test_declaration_diff.py
+++ b/tests/state/test_declaration_diff.py
@@ -1,5 +1,7 @@
 """Tests of what differs between two versions, and of its effect on callers."""
 
+import pytest
+
 from banyanshore.state.declaration_diff import Change, find_differences
 from tests.state.test_declaration_checks import ROUTE, make_document
 
@@ -59,6 +61,21 @@
     assert "without a key" in row.effect
 
 
+@pytest.mark.parametrize("table", ["data_centres", "models", "targets", "rollouts"])
+def test_rows_of_all_tables_are_compared(table):
+    """A data centre that a patch takes out of service wasn't mentioned."""
+    before = make_document(**{table: {"a": {"in_service": True}}})
+    after = make_document(**{table: {"a": {"in_service": False}, "b": {}}})
+    rows = differences(before, after)
+    assert rows[f"{table}.a"].fields == ("in_service: True -> False",)
+    assert rows[f"{table}.b"].change is Change.ADDED
+
+
+def test_tables_that_no_declaration_holds_are_not_reported_as_removed():
+    before = make_document(data_centres={"a": {"in_service": True}})
+    assert find_differences(before, make_document()) == []
+
+
 def test_changed_route_lists_its_fields():
     after = make_document({"timeout_seconds": 4.0})
     row = differences(make_document(), after)["routes.r"]
