Find a declaration whose number is not above the one in force

Control acknowledges it and changes nothing. check-declaration, told which one is in force, listed its differences as if they would come into force. It now warns with version-not-higher; the very declaration in force has no finding, and patches have no number. Three of the five new rows fail before.

--- a/banyanshore/management/commands/check_declaration.py
+++ b/banyanshore/management/commands/check_declaration.py
@@ -50,7 +50,9 @@
         document, findings = make_document(file, in_force)
         differences = []
         if document is not None:
-            findings = check_effects(self._make_input(document))
+            # A patch has no number of its own.
+            declared = in_force if file.is_declaration else None
+            findings = check_effects(self._make_input(document, declared))
             if in_force is not None:
                 differences = find_differences(in_force, document)
         self.print_result(
@@ -80,9 +82,9 @@
             raise CommandError(error.message, ExitCode.UNREACHABLE) from None
         return tables
 
-    def _make_input(self, document):
+    def _make_input(self, document, in_force):
         if not self.values.settings:
-            return CheckInput(document)
+            return CheckInput(document, in_force=in_force)
         try:
             settings = load_settings(self.values.settings)
         except SettingsError as error:
@@ -93,4 +95,4 @@
                 ExitCode.USAGE,
             )
         budget = RetryBudget(settings.retries.ratio, settings.retries.burst)
-        return CheckInput(document, settings.regions, budget)
+        return CheckInput(document, settings.regions, budget, in_force)
--- a/banyanshore/state/declaration_checks.py
+++ b/banyanshore/state/declaration_checks.py
@@ -38,11 +38,13 @@
     :param document: a document of the desired state that is valid.
     :param region_by_data_centre: regions as in the settings; empty if unknown.
     :param retry_budget: the :class:`RetryBudget`, ``None`` if unknown.
+    :param in_force: the document in force, ``None`` if unknown.
     """
 
     document: dict
     region_by_data_centre: dict = field(default_factory=dict)
     retry_budget: RetryBudget | None = None
+    in_force: dict | None = None
 
     def rows(self, table):
         """Return the rows of a table by name."""
@@ -77,6 +79,34 @@
             yield _warn("route-prefix", f"{place}.prefix", f"got {prefix!r}", hint)
 
 
+def _check_number(given):
+    """Yield the number of a declaration that isn't higher than the one in force."""
+    number = _declared_number(given.document)
+    known = _declared_number(given.in_force or {})
+    if number is None or known is None or number > known:
+        return
+    if number == known and _has_same_tables(given.document, given.in_force):
+        return
+    yield _warn(
+        "version-not-higher",
+        "version",
+        f"{number}, and {known} is in force",
+        "it would be acknowledged and change nothing",
+    )
+
+
+def _declared_number(document):
+    return document.get("declarations", {}).get("operator", {}).get("number")
+
+
+def _has_same_tables(one, other):
+    return all(
+        rows == other.get(table, {})
+        for table, rows in one.items()
+        if table != "declarations"
+    )
+
+
 def _is_visible_ascii(text):
     """Return whether a text isn't empty, and has neither spaces nor other letters."""
     return bool(text) and all("!" <= character <= "~" for character in text)
@@ -273,6 +303,7 @@
 
 
 _CHECKS = (
+    _check_number,
     _check_route_matches,
     _check_route_shares,
     _check_route_times,
--- a/tests/management/test_check_declaration.py
+++ b/tests/management/test_check_declaration.py
@@ -145,6 +145,35 @@
     assert "404" in row["effect"]
 
 
+@pytest.mark.parametrize(
+    ("changes", "ids"),
+    [
+        ({"version": 6, "routes": []}, ["version-not-higher"]),
+        ({"version": 6}, ["version-not-higher"]),
+        ({"routes": []}, ["version-not-higher"]),
+        ({"version": 8, "routes": []}, []),
+        ({}, []),
+    ],
+    ids=["lower", "lower-and-equal", "same-number", "higher", "in-force"],
+)
+def test_declaration_that_would_change_nothing_is_found(
+    capsys, write, control, changes, ids
+):
+    """It is acknowledged, and its differences never come into force."""
+    path = write({**DECLARATION, **changes})
+    code, printed = check(capsys, path, "--control", control)
+    assert code == ExitCode.OK
+    found = [row["id"] for row in printed["findings"] if row["place"] == "version"]
+    assert found == ids
+
+
+def test_patch_of_the_declaration_in_force_has_no_number(capsys, write, control):
+    path = write({"routes": {"a.example/x/": {"timeout_seconds": 5.0}}})
+    code, printed = check(capsys, path, "--control", control)
+    assert (code, printed["findings"]) == (ExitCode.OK, [])
+    assert printed["differences"][0]["place"] == "routes.a.example/x/"
+
+
 def test_unreachable_control_has_an_exit_code_of_its_own(capsys, write):
     flags = ("--control", "http://127.0.0.1:1")
     assert check(capsys, write(DECLARATION), *flags)[0] == ExitCode.UNREACHABLE
