Find names that an object of a declaration holds more than once

JSON readers take the last value, control's too, so that the routes or keys of an earlier one vanish without a word: a merge by hand with two "routes" was checked with "no findings" but for what the loss caused elsewhere. check-declaration now warns with name-repeated and the place. The new test fails before, as it found nothing.

--- a/banyanshore/management/commands/check_declaration.py
+++ b/banyanshore/management/commands/check_declaration.py
@@ -52,7 +52,7 @@
         if document is not None:
             # A patch has no number of its own.
             declared = in_force if file.is_declaration else None
-            findings = check_effects(self._make_input(document, declared))
+            findings += check_effects(self._make_input(document, declared))
             if in_force is not None:
                 differences = find_differences(in_force, document)
         self.print_result(
--- a/banyanshore/management/declaration_files.py
+++ b/banyanshore/management/declaration_files.py
@@ -4,6 +4,7 @@
 """
 
 import json
+from collections import Counter
 from pathlib import Path
 
 from banyanshore.core.exceptions import BanyanshoreError
@@ -32,11 +33,13 @@
     :param document: the JSON object.
     :param is_declaration: whether it is a whole declaration in the platform's format;
         else it is a merge patch of the desired state.
+    :param repeated: dotted paths of the names that an object holds more than once.
     """
 
     body: bytes
     document: dict
     is_declaration: bool
+    repeated: tuple = ()
 
 
 def read_file(path):
@@ -54,8 +57,23 @@
             f"{path}: {len(body)} bytes, at most {MAX_DECLARATION_BYTES} are accepted",
             ExitCode.INVALID,
         )
+    # Names that occur more than once, by the identity of the object that holds them.
+    repeated_by_id = {}
+
+    def make_object(pairs):
+        rows = dict(pairs)
+        if len(rows) < len(pairs):
+            counts = Counter(name for name, _ in pairs)
+            names = [name for name, count in counts.items() if count > 1]
+            # The object is kept, so that no other one gets its identity.
+            repeated_by_id[id(rows)] = rows, names
+        return rows
+
     try:
-        document = json.loads(body)
+        document = json.loads(body, object_pairs_hook=make_object)
+        repeated = ()
+        if repeated_by_id:
+            repeated = tuple(_iter_places(document, repeated_by_id))
     except json.JSONDecodeError as error:
         where = f"line {error.lineno}, column {error.colno}"
         raise CommandError(
@@ -66,7 +84,22 @@
         raise CommandError(f"{path}: not JSON: {reason}", ExitCode.INVALID) from None
     if not isinstance(document, dict):
         raise CommandError(f"{path}: expected a JSON object", ExitCode.INVALID)
-    return DeclarationFile(body, document, is_declaration(document))
+    return DeclarationFile(body, document, is_declaration(document), repeated)
+
+
+def _iter_places(value, repeated_by_id, path=""):
+    """Yield the paths of the names that occur more than once."""
+    if isinstance(value, dict):
+        _, names = repeated_by_id.get(id(value), (None, ()))
+        for name in names:
+            yield f"{path}{name}"
+        rows = value.items()
+    elif isinstance(value, list):
+        rows = enumerate(value)
+    else:
+        return
+    for name, inner in rows:
+        yield from _iter_places(inner, repeated_by_id, f"{path}{name}.")
 
 
 def make_document(file, in_force):
@@ -77,13 +110,24 @@
     :return: the document, ``None`` if it is refused, and a list of
         :class:`~banyanshore.state.findings.Finding`.
     """
+    findings = [
+        Finding(
+            Level.WARNING,
+            "name-repeated",
+            place,
+            "the object holds this name more than once",
+            "only the last value counts",
+        )
+        for place in file.repeated
+    ]
     try:
         if file.is_declaration:
             _, document = decode_declaration(file.body)
         else:
             if len(file.body) > MAX_PATCH_BYTES:
                 text = f"{len(file.body)} bytes, at most {MAX_PATCH_BYTES} are accepted"
-                return None, [Finding(Level.ERROR, "too-large", "(body)", text)]
+                error = Finding(Level.ERROR, "too-large", "(body)", text)
+                return None, [error, *findings]
             patch = parse_patch(file.body)
             document = merge_patch(in_force or empty_document(), patch)
         check_document(document)
@@ -91,5 +135,5 @@
         place, _, message = error.message.partition(": ")
         if not message:
             place, message = "(body)", error.message
-        return None, [Finding(Level.ERROR, "refused", place, message)]
-    return document, []
+        return None, [Finding(Level.ERROR, "refused", place, message), *findings]
+    return document, findings
--- a/tests/management/test_check_declaration.py
+++ b/tests/management/test_check_declaration.py
@@ -102,6 +102,19 @@
     assert "secret" not in json.dumps(printed)
 
 
+def test_names_that_occur_twice_are_found_with_their_place(capsys, write):
+    """The last one counts, and the rows of the first vanished without a word."""
+    text = json.dumps(DECLARATION)
+    text = text.replace('"sloMs": 500', '"sloMs": 400, "sloMs": 500')
+    code, printed = check(capsys, write(f'{{"tenants": [], {text[1:]}'.encode()))
+    assert code == ExitCode.OK
+    found = {(row["id"], row["place"]) for row in printed["findings"]}
+    assert found == {
+        ("name-repeated", "tenants"),
+        ("name-repeated", "routes.0.sloMs"),
+    }
+
+
 def test_warnings_fail_only_if_strict(capsys, write):
     backends = [*DECLARATION["backends"], {"name": "other"}]
     path = write({**DECLARATION, "backends": backends})
