Tell whose requests an added or moved route takes, and who needs a key

What differs was listed without its effect for three changes that callers notice: an added route below another one takes that one's requests; a route that moves to another host or prefix leaves its earlier place; and a route that isn't public any more refuses callers without a key. Three of the four new tests fail before.

--- a/banyanshore/state/declaration_diff.py
+++ b/banyanshore/state/declaration_diff.py
@@ -63,7 +63,7 @@
     :param before: document in force.
     :param after: document to send.
     """
-    table = RouteTable(after)
+    table, table_before = RouteTable(after), RouteTable(before)
     differences = []
     changeable = [name for name in OTHER_TABLES if name in after]
     for name in (*DECLARED_TABLES, *changeable):
@@ -71,15 +71,18 @@
         patch = diff_documents(rows, wanted)
         for key in sorted(patch):
             differences.append(
-                _make_difference(name, key, rows.get(key), wanted.get(key), table)
+                _make_difference(
+                    name, key, rows.get(key), wanted.get(key), table_before, table
+                )
             )
     return differences
 
 
-def _make_difference(table_name, key, before, after, table):
+def _make_difference(table_name, key, before, after, table_before, table):
     place = f"{table_name}.{key}"
     if before is None:
-        return Difference(Change.ADDED, place)
+        effect = _EFFECT_OF_ADDITION.get(table_name, _no_effect)(after, table_before)
+        return Difference(Change.ADDED, place, (), effect)
     if after is None:
         effect = _EFFECT_OF_REMOVAL.get(table_name, _no_effect)(before, table)
         return Difference(Change.REMOVED, place, (), effect)
@@ -117,10 +120,27 @@
     return f"its requests go by the route {other.host}{other.prefix} to {names}"
 
 
-def _changed_route(before, after, table):
-    if before["services"] == after["services"]:
+def _added_route(route, table_before):
+    """Return whose requests a route takes."""
+    other = table_before.find_route(route["host"], route["prefix"])
+    if other is None or (other.host, other.prefix) == (route["host"], route["prefix"]):
         return ""
-    return "its requests go to other services or in other shares"
+    return f"requests below it went by the route {other.host}{other.prefix} before"
+
+
+def _changed_route(before, after, table):
+    effects = []
+    if (before["host"], before["prefix"]) != (after["host"], after["prefix"]):
+        place = f"{before['host']}{before['prefix']}"
+        effects.append(f"at {place} {_removed_route(before, table)}")
+    if before["services"] != after["services"]:
+        effects.append("its requests go to other services or in other shares")
+    was_public, is_public = before.get("public", False), after.get("public", False)
+    if was_public and not is_public and table.requires_key:
+        effects.append("requests without a key are refused with 401")
+    elif is_public and not was_public:
+        effects.append("requests without a key are admitted")
+    return "; ".join(effects)
 
 
 def _removed_workspace(workspace, table):
@@ -156,6 +176,7 @@
     return "its targets get no requests"
 
 
+_EFFECT_OF_ADDITION = {"routes": _added_route}
 _EFFECT_OF_REMOVAL = {
     "routes": _removed_route,
     "services": _removed_service,
--- a/tests/state/test_declaration_diff.py
+++ b/tests/state/test_declaration_diff.py
@@ -76,6 +76,33 @@
     assert find_differences(before, make_document()) == []
 
 
+def test_added_route_names_the_route_whose_requests_it_takes():
+    after = make_document()
+    narrow = {"prefix": "/x/y/", "services": [{"service": "other", "weight": 1}]}
+    after["routes"]["narrow"] = {**ROUTE, **narrow}
+    after["routes"]["apart"] = {**ROUTE, "prefix": "/z/"}
+    rows = differences(make_document(), after)
+    assert "a.example/x/" in rows["routes.narrow"].effect
+    assert rows["routes.apart"].effect == ""
+
+
+def test_renamed_route_takes_no_requests_of_another():
+    after = make_document()
+    after["routes"]["new"] = after["routes"].pop("r")
+    assert differences(make_document(), after)["routes.new"].effect == ""
+
+
+def test_route_that_moves_tells_what_becomes_of_its_earlier_place():
+    row = differences(make_document(), make_document({"prefix": "/y/"}))["routes.r"]
+    assert "/x/" in row.effect and "404" in row.effect
+
+
+def test_route_that_needs_a_key_or_none_tells_it():
+    public = make_document({"public": True})
+    assert "401" in differences(public, make_document())["routes.r"].effect
+    assert "without a key" in differences(make_document(), public)["routes.r"].effect
+
+
 def test_changed_route_lists_its_fields():
     after = make_document({"timeout_seconds": 4.0})
     row = differences(make_document(), after)["routes.r"]
