Count own requests that a report on its way does not know

A report counts the requests at a target when it was made, but the board took it to know all own requests sent until it arrived, so that each report cancelled those of the time it was on its way: a gateway sent to a target what it had just sent there. Own requests that began or ended within the age of news now stay beside the report; the age is the one measured on notices.

--- a/banyanshore/gateway/run.py
+++ b/banyanshore/gateway/run.py
@@ -297,7 +297,7 @@
             )
             has_returned = True
         finally:
-            board.end(row)
+            board.end(time.monotonic(), row)
             self._gateway.turns.record_end(self._screened.service, workspace)
             withdrawals.end(waiting_offer)
             load.record_end(time.monotonic(), now)
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -138,7 +138,7 @@
         load = self.load(report.address)
         if not supersedes(report, load.report):
             return
-        load.record_report(now, report)
+        load.record_report(now, report, self.unseen.age_seconds)
 
     def record_request(self, now, service, rank, is_late):
         """Record a request before it is looked for a target."""
@@ -150,7 +150,7 @@
         :param prefill_seconds: prefill time of its prompt.
         """
         load = self.load(row.address)
-        load.own_in_flight += 1
+        load.count_begin(now)
         load.add_prefill(now, prefill_seconds)
         self._cold_shares.record_sent(now, row.id)
 
@@ -175,9 +175,9 @@
             service = self._service_by_address.setdefault(address, "")
         return service
 
-    def end(self, row):
+    def end(self, now, row):
         """Count the end of a request that was sent to a target."""
-        self.load(row.address).own_in_flight -= 1
+        self.load(row.address).count_end(now)
 
     def record_success(self, row):
         """Record a successful answer of a target."""
--- a/banyanshore/routing/target_load.py
+++ b/banyanshore/routing/target_load.py
@@ -1,6 +1,7 @@
 """The load of a target as estimated by one gateway."""
 
 import math
+from collections import deque
 from dataclasses import field
 
 from banyanshore.core.values import dataclass
@@ -18,7 +19,9 @@
 
     :ivar own_in_flight: this gateway's requests in flight at the target.
     :ivar report: the last report, or ``None``.
-    :ivar own_in_flight_at_report: ``own_in_flight`` when the report arrived.
+    :ivar own_in_flight_at_report: ``own_in_flight`` when the report was made.
+    :ivar own_changes: times at which own requests began or ended lately, and the change
+        of ``own_in_flight`` then, 1 or -1.
     :ivar announced_since_report: requests that other gateways have announced since
         then.
     :ivar failures: consecutive offers that failed to reach it or lost its answer.
@@ -35,6 +38,7 @@
     report: object = None
     reported_at: float = -math.inf
     own_in_flight_at_report: int = 0
+    own_changes: deque = field(default_factory=deque)
     announced_since_report: int = 0
     failures: int = 0
     suspended_until: float = -math.inf
@@ -43,6 +47,20 @@
     first_byte_seconds: float = 0.0
     awaiting_first_byte: list = field(default_factory=list)
 
+    def count_begin(self, now):
+        """Count a request that this gateway sends to the target."""
+        self._change_own(now, 1)
+
+    def count_end(self, now):
+        """Count the end of a request that this gateway has sent to the target."""
+        self._change_own(now, -1)
+
+    def _change_own(self, now, change):
+        self.own_in_flight += change
+        self.own_changes.append((now, change))
+        while self.own_changes[0][0] < now - REPORT_EXPIRY_SECONDS:
+            self.own_changes.popleft()
+
     def record_sent(self, now):
         """Record that this gateway sends a request."""
         self.awaiting_first_byte.append(now)
@@ -90,11 +108,27 @@
         """
         self.prefill_until -= seconds
 
-    def record_report(self, now, report):
-        """Record a report, which counts all requests at the target when it was made."""
+    def record_report(self, now, report, news_age=0.0):
+        """Record a report, which counts all requests at the target when it was made.
+
+        Load pattern: news takes longer than the interval of requests. Own requests that
+        a report doesn't know must count beside it.
+
+        :param news_age: seconds that the report was on its way.
+
+        >>> from types import SimpleNamespace
+        >>> load = TargetLoad()
+        >>> load.count_begin(1.0)
+        >>> load.record_report(1.1, SimpleNamespace(active=3, queued=0), 0.2)
+        >>> load.estimated_in_flight(1.1)
+        4
+        """
         self.report = report
         self.reported_at = now
-        self.own_in_flight_at_report = self.own_in_flight
+        unknown = sum(
+            change for time, change in self.own_changes if time > now - news_age
+        )
+        self.own_in_flight_at_report = self.own_in_flight - unknown
         self.announced_since_report = 0
 
     def record_placement(self, now, seconds):
--- a/banyanshore/simulation/policies.py
+++ b/banyanshore/simulation/policies.py
@@ -105,7 +105,7 @@
 
     def end(self, now, row):
         """Remove the request from the load of its target and record a success."""
-        self._board.end(self._rows[row.target])
+        self._board.end(now, self._rows[row.target])
         self._board.record_success(self._rows[row.target])
 
     def record_failure(self, now, address):
--- a/tests/routing/test_board.py
+++ b/tests/routing/test_board.py
@@ -135,7 +135,7 @@
     board.begin(1.0, ROW, 0.0)
     board.begin(1.0, ROW, 0.0)
     assert choose(board).reason is Reason.FULL
-    board.end(ROW)
+    board.end(1.0, ROW)
     assert isinstance(choose(board), Choice)
     # Another gateway sends a request there.
     board.record_placement(1.0, PlacementNotice(ROW.address, 0.0))
@@ -144,6 +144,27 @@
     assert isinstance(choose(board), Choice)
 
 
+def test_own_requests_count_that_a_report_on_its_way_does_not_know():
+    """Reports cancelled the requests that were sent while they were on their way."""
+    board = make_board(ROW)
+    board.unseen.age_seconds = 0.2
+    board.begin(1.0, ROW, 0.0)
+    report = LoadReport(ROW.address, 1, 1, "m", 2, 16, 15, 0)
+    board.record_report(1.1, report)
+    assert choose(board, now=1.1).reason is Reason.FULL
+    board.record_report(1.25, replace(report, sequence=2))
+    assert isinstance(choose(board, now=1.25), Choice)
+
+
+def test_own_request_that_ended_after_the_report_leaves_its_place():
+    board = make_board(ROW)
+    board.unseen.age_seconds = 0.2
+    board.begin(1.0, ROW, 0.0)
+    board.end(1.25, ROW)
+    board.record_report(1.3, LoadReport(ROW.address, 1, 1, "m", 2, 16, 16, 0))
+    assert isinstance(choose(board, now=1.3), Choice)
+
+
 def test_target_with_a_prefill_backlog_gets_no_requests_until_it_shrinks():
     board = make_board(ROW)
     quick, patient = (replace(REQUIREMENTS, objective_seconds=s) for s in (0.4, 2.0))
@@ -182,7 +203,7 @@
     sent = 0
     while isinstance(found := choose(board, desired=desired_with()), Choice):
         board.begin(1.0, found.row, 0.0)
-        board.end(found.row)
+        board.end(1.0, found.row)
         sent += 1
     # The share is 0.8 * (2 * 1.5 + 5), rounded down.
     assert (sent, found.reason) == (6, Reason.COLD)
@@ -197,7 +218,7 @@
     sent = 0
     while isinstance(found := choose(board, now=2.0, desired=desired), Choice):
         board.begin(2.0, found.row, 0.0)
-        board.end(found.row)
+        board.end(2.0, found.row)
         sent += 1
     assert sent == 6
     assert isinstance(choose(board, now=6.0, desired=desired), Choice)
