--- a/banyanshore/gateway/offers.py
+++ b/banyanshore/gateway/offers.py
@@ -104,7 +104,7 @@
             )
             has_returned = True
         finally:
-            board.end(row)
+            board.end(time.monotonic(), row)
             self._gateway.turns.record_end(
                 self._screened.service, self._screened.workspace.name
             )
