Read the answers of targets without a timeout scope for each piece

Cause: each piece of an answer took a cancel scope with a timer of its own, and the streams of anyio stop and start reading for it. Opening a connection went through a task group, and its close through a cancelled scope.

The test of a stalled connect patches the function that opens connections now.

--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -24,11 +24,13 @@
     get_header,
     has_unread_bytes,
     receive_bytes,
+    receive_bytes_by,
     reset_on_close,
     send_bytes,
     set_timeouts,
 )
 from banyanshore.transport.links import split_address
+from banyanshore.transport.tcp_stream import connect_stream
 
 # Maximum size in bytes of the head of an answer.
 MAX_HEAD_BYTES = 64 * 1024
@@ -228,15 +230,23 @@
         if timeout <= 0 and self._may_read_late():
             # The process may have been frozen when the bytes arrived.
             return await receive_bytes(self._stream)
-        with anyio.move_on_after(timeout):
-            return await receive_bytes(self._stream)
-        raise PeerClosedError(
-            f"no progress for {self._progress_timeout:g} s", step="receive"
+        data = (
+            await receive_bytes_by(self._stream, self._due_at) if timeout > 0 else None
         )
+        if data is None:
+            raise PeerClosedError(
+                f"no progress for {self._progress_timeout:g} s", step="receive"
+            )
+        return data
 
     def _may_read_late(self):
         self._late_reads += 1
-        return self._late_reads <= MAX_LATE_READS and has_unread_bytes(self._stream)
+        return self._late_reads <= MAX_LATE_READS and _has_unread(self._stream)
+
+
+def _has_unread(stream):
+    """Return whether bytes, or the end of the stream, have arrived."""
+    return stream.has_received or has_unread_bytes(stream)
 
 
 class WithdrawnError(BanyanshoreError):
@@ -300,14 +310,13 @@
             yield answer
             tasks.cancel_scope.cancel()
     finally:
-        await _close(stream, answer)
+        _close(stream, answer)
 
 
-async def _close(stream, answer):
+def _close(stream, answer):
     if not answer.has_head:
         reset_on_close(stream)
-    with anyio.CancelScope(shield=True):
-        await anyio.aclose_forcefully(stream)
+    stream.abort()
 
 
 async def _send(stream, data):
@@ -351,12 +360,12 @@
     began_at = time.monotonic()
     try:
         with anyio.fail_after(timeout):
-            return await anyio.connect_tcp(host, port)
+            return await connect_stream(host, port)
     except TimeoutError:
         if time.monotonic() - began_at < timeout + LATE_TIMER_SECONDS:
             raise
     with anyio.fail_after(timeout):
-        return await anyio.connect_tcp(host, port)
+        return await connect_stream(host, port)
 
 
 async def _connect(address, timeout):
@@ -442,19 +451,19 @@
                 ) from None
             finally:
                 # Keep the connection only after a complete answer.
-                await self._close_unless_reusable()
+                self._close_unless_reusable()
 
     async def _fetch(self, request, max_bytes, timeout):
-        if self._stream is not None and has_unread_bytes(self._stream):
+        if self._stream is not None and _has_unread(self._stream):
             # A duplicate answer, or the end of the stream.
-            await self._close()
+            self._close()
         was_reused = self._stream is not None
         try:
             return await self._exchange(request, max_bytes, timeout)
         except BrokenAnswerError:
             if not was_reused:
                 raise
-        await self._close()
+        self._close()
         return await self._exchange(request, max_bytes, timeout)
 
     async def _exchange(self, request, max_bytes, timeout):
@@ -468,10 +477,10 @@
         self._is_reusable = answer.is_connection_reusable()
         return answer.status, answer.headers, body
 
-    async def _close_unless_reusable(self):
+    def _close_unless_reusable(self):
         if self._stream is not None and not self._is_reusable:
-            await self._close()
+            self._close()
 
-    async def _close(self):
+    def _close(self):
         stream, self._stream = self._stream, None
-        await _close(stream, self._answer)
+        _close(stream, self._answer)
--- a/banyanshore/http/wire.py
+++ b/banyanshore/http/wire.py
@@ -137,6 +137,21 @@
         raise PeerClosedError(f"connection lost: {error!r}", step="receive") from None
 
 
+async def receive_bytes_by(stream, due_at):
+    """Return the next bytes, empty at the end of the stream, ``None`` if they are late.
+
+    :param stream: the :class:`~banyanshore.transport.tcp_stream.TcpStream`.
+    :param due_at: monotonic time.
+    :raises PeerClosedError: the connection was reset.
+    """
+    try:
+        return await stream.receive_by(due_at, READ_SIZE_BYTES)
+    except anyio.EndOfStream:
+        return b""
+    except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+        raise PeerClosedError(f"connection lost: {error!r}", step="receive") from None
+
+
 async def send_bytes(stream, data):
     """Send bytes.
 
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -9,6 +9,7 @@
 import pytest
 
 from banyanshore.core.exceptions import UnavailableError
+from banyanshore.http import upstream
 from banyanshore.http.upstream import (
     BrokenAnswerError,
     HttpSession,
@@ -18,6 +19,7 @@
     open_answer,
     probe_address,
 )
+from banyanshore.transport.tcp_stream import connect_stream
 from tests.http.raw import read_until, reset, scripted_server
 from tests.ports import free_ports
 
@@ -244,20 +246,20 @@
     monkeypatch,
 ):
     """The timeout ended first, and a request was refused that a target could run."""
-    connect_tcp, calls = anyio.connect_tcp, []
+    calls = []
 
     async def connect_and_stall(host, port):
         calls.append(port)
         if len(calls) == 1:
             asyncio.get_running_loop().call_soon(time.sleep, 0.3)
-        return await connect_tcp(host, port)
+        return await connect_stream(host, port)
 
     async def answer_requests(stream):
         # The first connection closes without one.
         with contextlib.suppress(anyio.EndOfStream):
             await answering(OK)(stream)
 
-    monkeypatch.setattr(anyio, "connect_tcp", connect_and_stall)
+    monkeypatch.setattr(upstream, "connect_stream", connect_and_stall)
     async with (
         scripted_server(answer_requests) as server,
         open_answer(server.address, GET, connect_timeout=0.1) as answer,
