Open a task group for a request only if its body is long

Cause: a task group sends bodies over 8 KiB while the answer is read; all requests paid for its scope, its end and the text of its cancellation.

--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -133,6 +133,14 @@
         self.has_head = True
         self.record_progress()
 
+    def require_head(self):
+        """Check that the head has been received.
+
+        :raises WithdrawnError: the wait for it was cancelled.
+        """
+        if not self.has_head:
+            raise WithdrawnError("withdrawn", step="read-head", peer=self._peer)
+
     async def receive(self):
         """Return the next bytes of the body, empty once the answer is complete.
 
@@ -297,16 +305,19 @@
                 "withdrawn before it was sent", step="send", peer=address
             )
         data = answer.encode(request)
+        if len(data) <= MAX_INLINE_BYTES:
+            with head_scope:
+                await _send(stream, data)
+                await answer.read_head()
+            answer.require_head()
+            yield answer
+            return
         async with open_task_group() as tasks:
             with head_scope:
-                if len(data) <= MAX_INLINE_BYTES:
-                    await _send(stream, data)
-                else:
-                    # A target may answer before it has read all of a long body.
-                    tasks.start_soon(_send, stream, data)
+                # A target may answer before it has read all of a long body.
+                tasks.start_soon(_send, stream, data)
                 await answer.read_head()
-            if not answer.has_head:
-                raise WithdrawnError("withdrawn", step="read-head", peer=address)
+            answer.require_head()
             yield answer
             tasks.cancel_scope.cancel()
     finally:
