--- a/banyanshore/gateway/news.py
+++ b/banyanshore/gateway/news.py
@@ -125,9 +125,7 @@
             self._record_sent(item)
         if self._is_hub():
             self._gather(item)
-        for row in self._own_hubs():
-            link = self._links.get(row.address, row.instance)
-            await link.notify_or_drop(item)
+        await self._send(self._own_hubs(), item)
 
     def _record_sent(self, notice):
         unseen = self._board.unseen
@@ -257,9 +255,9 @@
                 if addressed:
                     await self._send(hubs, UpdateBatch(addressed, True))
 
-    async def _send(self, rows, batch):
+    async def _send(self, rows, body):
         links = [self._links.get(row.address, row.instance) for row in rows]
-        await notify_all_or_drop(links, batch)
+        await notify_all_or_drop(links, body)
 
     def forget_departed(self):
         """Forget senders and targets that are no longer registered."""
