Pass on the reports of an idle target only as often as gateways need them

Cause: loaders report each 150 ms with no request at all, and hubs passed each report on to every gateway: the idle cost grows with the gateways times the targets.

Change: a hub drops a report of an idle target of its data centre that repeats the one it has passed on less than half a second ago, unless a request was announced for the target in between.

--- a/banyanshore/gateway/news.py
+++ b/banyanshore/gateway/news.py
@@ -28,6 +28,7 @@
     UpdateBatch,
 )
 from banyanshore.membership.rendezvous import first
+from banyanshore.routing.repeated_reports import RepeatedReports
 from banyanshore.transport import LinkPool, notify_all_or_drop
 
 logger = logging.getLogger(__name__)
@@ -65,6 +66,8 @@
         # Updates to forward in this data centre, and those to send to others too.
         self._gathered = PendingUpdates()
         self._gathered_for_others = PendingUpdates()
+        # What others need not hear of loads in this data centre.
+        self._repeated_reports = RepeatedReports()
         self._has_updates = anyio.Event()
         self._has_updates_for_others = anyio.Event()
         self._hubs_by_data_centre = {}
@@ -123,6 +126,7 @@
         if isinstance(item, PlacementNotice):
             item = self._numbering.number(item)
             self._record_sent(item)
+            self._repeated_reports.record_placement(item.address)
         if self._is_hub():
             self._gather(item)
         await self._send(self._own_hubs(), item)
@@ -146,9 +150,13 @@
 
     async def on_item(self, connection, item):
         """Apply an update from an instance of this data centre, and forward it."""
-        if self._apply(item):
+        if self._apply(item) and not self._is_repeated(item):
             self._gather(item)
 
+    def _is_repeated(self, item):
+        reports = self._repeated_reports
+        return isinstance(item, LoadReport) and reports.may_drop(time.monotonic(), item)
+
     async def on_batch(self, connection, batch):
         """Apply the updates of a hub, and forward them if the batch is for hubs."""
         for item in batch.items:
@@ -183,6 +191,7 @@
 
     def _apply_placement(self, now, notice):
         self._board.record_placement(now, notice)
+        self._repeated_reports.record_placement(notice.address)
         if notice.seconds < 0:
             self.on_room()
         return True
@@ -264,6 +273,7 @@
         senders = {row.instance for row in self._registry.members_of(GATEWAY_ROLE)}
         addresses = {row.address for row in self._registry.targets.rows()}
         self._filter.keep_only(senders, addresses)
+        self._repeated_reports.keep_only(addresses)
         self._suspects.parts.forget_departed(senders)
         self._limits.forget_departed(time.monotonic())
 
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+from dataclasses import replace
 
 import anyio
 import pytest
@@ -120,3 +121,19 @@
         await wait_until(lambda: not any(load.announced_since_report for load in loads))
         now = time.monotonic()
         assert not any(load.remaining_prefill_seconds(now) for load in loads)
+
+
+async def test_hub_passes_on_an_idle_report_again_only_after_a_placement():
+    idle = replace(REPORT, active=0)
+    async with fleet("a", "a") as (hub, other):
+        load = other.board.load(idle.address)
+        for sequence in range(1, 4):
+            await hub.updates.on_item(None, replace(idle, sequence=sequence))
+        await wait_until(lambda: load.report is not None)
+        assert hub.board.load(idle.address).report.sequence == 3
+        await anyio.sleep(0.1)
+        assert load.report.sequence < 3
+        await other.updates.send(PlacementNotice(idle.address, 0.2, "a"))
+        await wait_until(lambda: hub.board.load(idle.address).announced_since_report)
+        await hub.updates.on_item(None, replace(idle, sequence=4))
+        await wait_until(lambda: load.report.sequence == 4)
