--- a/banyanshore/http/upstream.py
+++ b/banyanshore/http/upstream.py
@@ -25,11 +25,13 @@
     get_header,
     has_unread_bytes,
     receive_bytes,
+    receive_bytes_by,
     reset_on_close,
     send_bytes,
     set_timeouts,
 )
 from banyanshore.transport.links import split_address
+from banyanshore.transport.tcp_stream import connect_stream
 
 # Maximum size in bytes of the head of an answer.
 MAX_HEAD_BYTES = 64 * 1024
@@ -135,6 +137,14 @@
         self.has_head = True
         self.record_progress()
 
+    def require_head(self):
+        """Check that the head has been received.
+
+        :raises WithdrawnError: the wait for it was cancelled.
+        """
+        if not self.has_head:
+            raise WithdrawnError("withdrawn", step="read-head", peer=self._peer)
+
     async def receive(self):
         """Return the next bytes of the body, empty once the answer is complete.
 
@@ -232,15 +242,23 @@
         if timeout <= 0 and self._may_read_late():
             # The process may have been frozen when the bytes arrived.
             return await receive_bytes(self._stream)
-        with anyio.move_on_after(timeout):
-            return await receive_bytes(self._stream)
-        raise PeerClosedError(
-            f"no progress for {self._progress_timeout:g} s", step="receive"
+        data = (
+            await receive_bytes_by(self._stream, self._due_at) if timeout > 0 else None
         )
+        if data is None:
+            raise PeerClosedError(
+                f"no progress for {self._progress_timeout:g} s", step="receive"
+            )
+        return data
 
     def _may_read_late(self):
         self._late_reads += 1
-        return self._late_reads <= MAX_LATE_READS and has_unread_bytes(self._stream)
+        return self._late_reads <= MAX_LATE_READS and _has_unread(self._stream)
+
+
+def _has_unread(stream):
+    """Return whether bytes, or the end of the stream, have arrived."""
+    return stream.has_received or has_unread_bytes(stream)
 
 
 class WithdrawnError(BanyanshoreError):
@@ -291,27 +309,29 @@
                 "withdrawn before it was sent", step="send", peer=address
             )
         parts = answer.encode(request)
+        if _count_bytes(parts) <= MAX_INLINE_BYTES:
+            with head_scope:
+                await _send(stream, parts)
+                await answer.read_head()
+            answer.require_head()
+            yield answer
+            return
         async with open_task_group() as tasks:
             with head_scope:
-                if _count_bytes(parts) <= MAX_INLINE_BYTES:
-                    await _send(stream, parts)
-                else:
-                    # A target may answer before it has read all of a long body.
-                    tasks.start_soon(_send, stream, parts)
+                # A target may answer before it has read all of a long body.
+                tasks.start_soon(_send, stream, parts)
                 await answer.read_head()
-            if not answer.has_head:
-                raise WithdrawnError("withdrawn", step="read-head", peer=address)
+            answer.require_head()
             yield answer
             tasks.cancel_scope.cancel()
     finally:
-        await _close(stream, answer)
+        _close(stream, answer)
 
 
-async def _close(stream, answer):
+def _close(stream, answer):
     if not answer.has_head:
         reset_on_close(stream)
-    with anyio.CancelScope(shield=True):
-        await anyio.aclose_forcefully(stream)
+    stream.abort()
 
 
 def _count_bytes(parts):
@@ -361,12 +381,12 @@
     began_at = time.monotonic()
     try:
         with anyio.fail_after(timeout):
-            return await anyio.connect_tcp(host, port)
+            return await connect_stream(host, port)
     except TimeoutError:
         if time.monotonic() - began_at < timeout + LATE_TIMER_SECONDS:
             raise
     with anyio.fail_after(timeout):
-        return await anyio.connect_tcp(host, port)
+        return await connect_stream(host, port)
 
 
 async def _connect(address, timeout):
@@ -452,19 +472,19 @@
                 ) from None
             finally:
                 # Keep the connection only after a complete answer.
-                await self._close_unless_reusable()
+                self._close_unless_reusable()
 
     async def _fetch(self, request, max_bytes, timeout):
-        if self._stream is not None and has_unread_bytes(self._stream):
+        if self._stream is not None and _has_unread(self._stream):
             # A duplicate answer, or the end of the stream.
-            await self._close()
+            self._close()
         was_reused = self._stream is not None
         try:
             return await self._exchange(request, max_bytes, timeout)
         except BrokenAnswerError:
             if not was_reused:
                 raise
-        await self._close()
+        self._close()
         return await self._exchange(request, max_bytes, timeout)
 
     async def _exchange(self, request, max_bytes, timeout):
@@ -478,10 +498,10 @@
         self._is_reusable = answer.is_connection_reusable()
         return answer.status, answer.headers, body
 
-    async def _close_unless_reusable(self):
+    def _close_unless_reusable(self):
         if self._stream is not None and not self._is_reusable:
-            await self._close()
+            self._close()
 
-    async def _close(self):
+    def _close(self):
         stream, self._stream = self._stream, None
-        await _close(stream, self._answer)
+        _close(stream, self._answer)
