--- a/banyanshore/gateway/offers.py
+++ b/banyanshore/gateway/offers.py
@@ -126,11 +126,12 @@
             return False
         (row, waiting_offer, offer_in_flight), self._running = self._running, None
         gateway = self._gateway
-        gateway.board.end(row)
+        now = time.monotonic()
+        gateway.board.end(now, row)
         gateway.turns.record_end(self._screened.service, self._screened.workspace.name)
         gateway.withdrawals.end(waiting_offer)
         load = gateway.board.load(row.address)
-        load.record_end(time.monotonic(), offer_in_flight.offered_at)
+        load.record_end(now, offer_in_flight.offered_at)
         gateway.suspects.end(offer_in_flight)
         return True
 
