Don't quote keys that a patch holds in a wrong place

A misspelt field of a workspace, "apiKeys" in a patch, was refused with its value, as were a list instead of the row or of the table: the keys were printed. Errors on the structure of workspaces name the type of the value. The new test fails before in all three forms.

--- a/banyanshore/state/document.py
+++ b/banyanshore/state/document.py
@@ -9,7 +9,12 @@
 import math
 
 from banyanshore.core.exceptions import BanyanshoreError
-from banyanshore.state.schema import FIELDS_BY_LOCATION, FIELDS_BY_TABLE, NAMES_BY_TABLE
+from banyanshore.state.schema import (
+    FIELDS_BY_LOCATION,
+    FIELDS_BY_TABLE,
+    NAMES_BY_TABLE,
+    SECRET_TABLES,
+)
 
 # Largest document accepted, in bytes of JSON: room for the tables and the compressed
 # text of a declaration of 4 MiB, the largest body that operators may send.
@@ -138,7 +143,8 @@
         if fields is None:
             raise error_at(table, rows, f"one of {', '.join(FIELDS_BY_TABLE)}")
         if not isinstance(rows, dict):
-            raise error_at(table, rows, "an object of rows by name")
+            shown = _shown(rows, table in SECRET_TABLES)
+            raise error_at(table, shown, "an object of rows by name")
         for name, row in changed_rows(rows, valid.get(table, {})).items():
             names = NAMES_BY_TABLE.get(table, (name,))
             if name not in names:
@@ -178,20 +184,27 @@
 
 
 def _check_row(location, row, fields):
+    is_secret = location.partition(".")[0] in SECRET_TABLES
     if not isinstance(row, dict):
-        raise error_at(location, row, "an object")
+        raise error_at(location, _shown(row, is_secret), "an object")
     for key, value in row.items():
         field = fields.get(key)
         if field is None:
-            raise error_at(f"{location}.{key}", value, f"one of {', '.join(fields)}")
+            shown = _shown(value, is_secret)
+            raise error_at(f"{location}.{key}", shown, f"one of {', '.join(fields)}")
         if not field.accepts(value):
-            shown = type(value).__name__ if field.is_secret else value
+            shown = _shown(value, field.is_secret)
             raise error_at(f"{location}.{key}", shown, field.expected)
     for key, field in fields.items():
         if field.required and key not in row:
             raise error_at(f"{location}.{key}", None, field.expected)
 
 
+def _shown(value, is_secret):
+    """Return what an error tells of a value."""
+    return type(value).__name__ if is_secret else value
+
+
 def _check_references(document, valid):
     models = document.get("models", {})
     services = document.get("services", {})
--- a/banyanshore/state/schema.py
+++ b/banyanshore/state/schema.py
@@ -143,6 +143,8 @@
     "declarations": _DECLARATION_FIELDS,
     "rollouts": _ROLLOUT_FIELDS,
 }
+# Tables whose rows hold secrets, which errors must not quote from a wrong place.
+SECRET_TABLES = frozenset({"workspaces"})
 # Tables whose rows have fixed names.
 NAMES_BY_TABLE = {"limits": ("claims", "callers"), "declarations": ("operator",)}
 # Fields of rows that differ from those of their table.
--- a/tests/management/test_check_declaration.py
+++ b/tests/management/test_check_declaration.py
@@ -102,6 +102,18 @@
     assert "secret" not in json.dumps(printed)
 
 
+@pytest.mark.parametrize(
+    "workspaces",
+    [{"w": {"apiKeys": ["secret"]}}, {"w": ["secret"]}, ["secret"]],
+    ids=["name", "row", "table"],
+)
+def test_keys_in_a_wrong_place_are_not_printed(capsys, write, workspaces):
+    code, printed = check(capsys, write({"workspaces": workspaces}))
+    assert code == ExitCode.INVALID
+    assert printed["findings"][0]["place"].startswith("workspaces")
+    assert "secret" not in json.dumps(printed)
+
+
 def test_names_that_occur_twice_are_found_with_their_place(capsys, write):
     """The last one counts, and the rows of the first vanished without a word."""
     text = json.dumps(DECLARATION)
