Load no older version of two in a row that a target has no time to serve

Cause: which version to load was decided as if the load began at once.

Change: the time in which its requests are expected to end counts.

--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -31,7 +31,11 @@
     ManifestRequest,
     PieceReceived,
 )
-from banyanshore.weights.ready_time import CarryingState, expected_ready_seconds
+from banyanshore.weights.ready_time import (
+    CarryingState,
+    drain_seconds,
+    expected_ready_seconds,
+)
 from banyanshore.weights.relay_messages import ChunkPush, ChunkPushReply
 from banyanshore.weights.relay_rosters import RelayRosters
 from banyanshore.weights.uploads import Uploads
@@ -147,6 +151,7 @@
             self.settings.version_switch_seconds,
             self._served_version(rows[0]),
             self.carried.preferred,
+            drain_seconds(self.target.report.active) if self.target.report else 0.0,
         )
         return rows[0] if version == older.version else rows[1]
 
--- a/banyanshore/weights/version_order.py
+++ b/banyanshore/weights/version_order.py
@@ -115,20 +115,34 @@
     return VersionPlan(versions, gap_older_first, gap_newer_first)
 
 
-def version_to_load(now, older, newer, switch_seconds, served_version, preferred=0):
+def version_to_load(
+    now,
+    older,
+    newer,
+    switch_seconds,
+    served_version,
+    preferred=0,
+    end_seconds=0.0,
+):
     """Return the number of the version that a target should load next.
 
     Each load costs the target the time to finish its requests, so an older version is
-    passed over if the newer one will be whole before it is needed.
+    passed over if the newer one will be whole before it is needed, or if its requests
+    end too late for it to be served.
 
     :param served_version: version that the target holds, 0 for none.
     :param preferred: see :func:`plan_versions`.
+    :param end_seconds: seconds in which the requests of the target are expected to end.
     """
     if served_version >= older.version or not newer.missing:
         return newer.version
     plan = plan_versions(now, older, newer, switch_seconds, preferred=preferred)
     if plan.versions[0] != older.version:
         return newer.version
+    arrival_seconds = older.missing * COPY_SHARE * switch_seconds
+    ready = now + max(arrival_seconds, end_seconds) + LOAD_SECONDS
+    if ready > newer.known_since + switch_seconds - MIN_SERVING_SECONDS:
+        return newer.version
     if older.missing:
         return older.version
     is_needed = served_version == 0 or plan.gap_newer_first > 0
--- a/tests/weights/test_version_order.py
+++ b/tests/weights/test_version_order.py
@@ -124,6 +124,16 @@
     assert version_to_load(3.0, older, newer, SWITCH_SECONDS, 1) == 3
 
 
+@pytest.mark.parametrize("served", [0, 1])
+def test_target_whose_requests_end_too_late_passes_the_older_version_over(served):
+    """It loaded it 0.4 s after its bound, and unloaded it at once."""
+    older, newer = states(missing=(0.0, 1.0), known_since=(0.0, 2.3))
+    now = newer.known_since + SWITCH_SECONDS - MIN_SERVING_SECONDS - LOAD_SECONDS - 0.2
+    arguments = (now, older, newer, SWITCH_SECONDS, served)
+    assert version_to_load(*arguments, end_seconds=0.0) == 2
+    assert version_to_load(*arguments, end_seconds=1.0) == 3
+
+
 def test_target_that_serves_nothing_loads_the_version_that_is_whole():
     older, newer = states(missing=(0.0, 0.1))
     assert version_to_load(3.0, older, newer, SWITCH_SECONDS, 0) == 2
