Expect the end of a transfer that pauses from its average, to drain in time

Cause: a target drained once the rest of the chunks was expected within the time that its requests take, at the pace of the last chunks.

Change: for this, the rest takes at least as long as chunks took on average since the version was named.

Test: fails on the code before. A first version, known for ever, is tested too.

--- a/banyanshore/loader/target_turn.py
+++ b/banyanshore/loader/target_turn.py
@@ -1,6 +1,7 @@
 """The turn of one target from a version to the next one, as its loader plans it."""
 
 import logging
+import math
 import time
 from dataclasses import replace
 
@@ -15,6 +16,19 @@
 MAX_DRAIN_SECONDS = 2 * DRAIN_SECONDS
 
 
+def _seconds_until_whole(desired_version, transfer):
+    """Return the seconds until the chunks are expected to be complete.
+
+    Chunks that come fast between two pauses take as long on average as before: a target
+    that has begun to end its requests serves nobody while it waits.
+    """
+    progress = transfer.progress
+    if progress in (0.0, 1.0):
+        return 0.0 if progress else math.inf
+    average = (boottime_now() - desired_version.known_since) / progress
+    return (1.0 - progress) * max(transfer.copy_seconds(), average)
+
+
 class TargetTurn:
     """Plan the turn of the target to the version that it should load next.
 
@@ -58,7 +72,7 @@
         names = self._loader.rosters.loaders_by_data_centre()
         whole_at = transfer.completed_at
         if not transfer.completed.is_set():
-            whole_at = now + (1.0 - transfer.progress) * transfer.copy_seconds()
+            whole_at = now + _seconds_until_whole(desired_version, transfer)
         return TurnState(
             turn_share(self._loader.settings.instance, names, desired_version.version),
             max(1, sum(map(len, names.values()))),
--- a/tests/loader/test_named_while_turning.py
+++ b/tests/loader/test_named_while_turning.py
@@ -10,6 +10,7 @@
 from banyanshore.conf.loader import parse_settings
 from banyanshore.core.clock import boottime_now
 from banyanshore.loader.process import Loader
+from banyanshore.loader.target_turn import TargetTurn
 from banyanshore.state import Fence, PublishedState
 from banyanshore.state.document import empty_document, to_json
 from tests.loader.test_driver import LAYERS, Engine
@@ -181,3 +182,33 @@
             await wait_until(lambda: not loader.target.is_loading)
         tasks.cancel_scope.cancel()
     assert not engine.orders
+
+
+async def test_target_whose_chunks_come_with_pauses_does_not_drain_early():
+    """It drained four times, for 3 s in all, as chunks came fast between the pauses."""
+    engine = SlowEngine()
+    engine.report = replace(engine.report, active=9)
+    loader = make_loader(engine)
+    name_versions(loader, {2: 4.0})
+    transfer = carry(loader, 2, ALL >> 4)
+    transfer.copy_seconds = lambda: 2.0
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(loader.driver.run)
+        await anyio.sleep(0.2)
+        assert not loader.target.is_loading
+        transfer.planner.have = ALL >> 1
+        await wait_until(lambda: loader.target.is_loading)
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("have", [0, ALL >> 4, ALL])
+async def test_first_version_has_no_turn(have):
+    """It has been known for ever, and no weights before it may be used."""
+    loader = make_loader(SlowEngine())
+    name_versions(loader, {2: 2.0})
+    transfer = carry(loader, 2, 0)
+    transfer.planner.have = have
+    first = replace(loader.carried_versions()[0], version=1, known_since=-math.inf)
+    turn = TargetTurn(loader)
+    turn.plan(first, transfer)
+    assert not turn.is_draining
