Set the fields of messages without a look-up of their names

Cause: the constructor of a frozen data class set each field by object.__setattr__, and gateways decode hundreds of reports and notices a second.

Change: classes with slots, which all messages are, set fields by their descriptors.

--- a/banyanshore/core/values.py
+++ b/banyanshore/core/values.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 from operator import attrgetter
+from types import MemberDescriptorType
 
 _set_attribute = object.__setattr__
 _MISSING = dataclasses.MISSING
@@ -90,8 +91,7 @@
             parameter = f"{name}=_MISSING"
             value = f"_make_{name}() if {name} is _MISSING else {name}"
         parameters.append(parameter)
-        target = f"_set(self, {name!r}, {value})" if is_frozen else None
-        lines.append(target or f"self.{name} = {value}")
+        lines.append(_make_assignment(cls, name, value, is_frozen, namespace))
     if hasattr(cls, "__post_init__"):
         lines.append("self.__post_init__()")
     body = "\n    ".join(lines or ["pass"])
@@ -101,6 +101,18 @@
     return init
 
 
+def _make_assignment(cls, name, value, is_frozen, namespace):
+    """Return the line of a constructor that sets a field."""
+    if not is_frozen:
+        return f"self.{name} = {value}"
+    slot = getattr(cls, name, None)
+    if not isinstance(slot, MemberDescriptorType):
+        return f"_set(self, {name!r}, {value})"
+    # Without a look-up of the name: messages are made for each piece of news.
+    namespace[f"_set_{name}"] = slot.__set__
+    return f"_set_{name}(self, {value})"
+
+
 def _repr(self):
     pairs = ", ".join(f"{name}={getattr(self, name)!r}" for name in self.__match_args__)
     return f"{type(self).__qualname__}({pairs})"
