--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -11,6 +11,7 @@
     "__main__",
     "report",
     "baselines",
+    "gateway_surroundings",
     "link_model",
     "service_model",
     "usage",
