--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -23,7 +23,7 @@
 from banyanshore.routing.request_limits import RequestLimits
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.room import RoomRule
-from banyanshore.routing.shares import USED_PART
+from banyanshore.routing.shares import connection_share
 from banyanshore.routing.spread import Candidate, TargetSpread
 from banyanshore.routing.target_load import TargetLoad
 from banyanshore.routing.target_speed import PausesByService
@@ -90,19 +90,6 @@
     is_late: bool = False
 
 
-def connection_share(service, gateways):
-    """Return how many connections one gateway may have to a target, at least one.
-
-    :param service: row of the service in the desired state.
-    :param gateways: number of gateways that share the target's limit.
-
-    >>> connection_share({"max_connections": 51}, 8)
-    5
-    """
-    bound = service.get("max_connections", 0)
-    return max(1, int(USED_PART * bound / gateways)) if bound else math.inf
-
-
 class TargetBoard:
     """Select targets and track their load on behalf of one gateway.
 
--- a/banyanshore/routing/shares.py
+++ b/banyanshore/routing/shares.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import math
 from collections import deque
 from functools import lru_cache
 
@@ -121,3 +122,16 @@
 def _score(target, gateway):
     data = hashlib.blake2b(f"{target}\0{gateway}".encode(), digest_size=8).digest()
     return int.from_bytes(data, "big")
+
+
+def connection_share(service, gateways):
+    """Return how many connections one gateway may have to a target, at least one.
+
+    :param service: row of the service in the desired state.
+    :param gateways: number of gateways that share the target's limit.
+
+    >>> connection_share({"max_connections": 51}, 8)
+    5
+    """
+    bound = service.get("max_connections", 0)
+    return max(1, int(USED_PART * bound / gateways)) if bound else math.inf
