--- a/banyanshore/state/declaration_diff.py
+++ b/banyanshore/state/declaration_diff.py
@@ -11,8 +11,10 @@
 from banyanshore.state.document import diff_documents
 from banyanshore.state.routes import RouteTable
 
-# Tables that are compared.
-TABLES = ("routes", "services", "workspaces", "limits")
+# Tables that a declaration holds whole: one that it lacks is empty.
+DECLARED_TABLES = ("routes", "services", "workspaces", "limits")
+# Tables that only patches change.
+OTHER_TABLES = ("models", "data_centres", "targets", "rollouts")
 # Characters of the digest that stands for a key, which is a secret.
 KEY_DIGEST_CHARACTERS = 8
 
@@ -61,31 +63,35 @@
     :param before: document in force.
     :param after: document to send.
     """
-    table = RouteTable(after)
+    table, table_before = RouteTable(after), RouteTable(before)
     differences = []
-    for name in TABLES:
+    changeable = [name for name in OTHER_TABLES if name in after]
+    for name in (*DECLARED_TABLES, *changeable):
         rows, wanted = before.get(name, {}), after.get(name, {})
         patch = diff_documents(rows, wanted)
         for key in sorted(patch):
             differences.append(
-                _make_difference(name, key, rows.get(key), wanted.get(key), table)
+                _make_difference(
+                    name, key, rows.get(key), wanted.get(key), table_before, table
+                )
             )
     return differences
 
 
-def _make_difference(table_name, key, before, after, table):
+def _make_difference(table_name, key, before, after, table_before, table):
     place = f"{table_name}.{key}"
     if before is None:
-        return Difference(Change.ADDED, place)
+        effect = _EFFECT_OF_ADDITION.get(table_name, _no_effect)(after, table_before)
+        return Difference(Change.ADDED, place, (), effect)
     if after is None:
-        effect = _EFFECT_OF_REMOVAL[table_name](before, table)
+        effect = _EFFECT_OF_REMOVAL.get(table_name, _no_effect)(before, table)
         return Difference(Change.REMOVED, place, (), effect)
     fields = tuple(
         _describe_field(name, before.get(name), after.get(name))
         for name in sorted(before.keys() | after.keys())
         if before.get(name) != after.get(name)
     )
-    effect = _EFFECT_OF_CHANGE[table_name](before, after)
+    effect = _EFFECT_OF_CHANGE.get(table_name, _no_effect)(before, after, table)
     return Difference(Change.CHANGED, place, fields, effect)
 
 
@@ -114,22 +120,52 @@
     return f"its requests go by the route {other.host}{other.prefix} to {names}"
 
 
-def _changed_route(before, after):
-    if before["services"] == after["services"]:
+def _added_route(route, table_before):
+    """Return whose requests a route takes."""
+    other = table_before.find_route(route["host"], route["prefix"])
+    if other is None or (other.host, other.prefix) == (route["host"], route["prefix"]):
         return ""
-    return "its requests go to other services or in other shares"
+    return f"requests below it went by the route {other.host}{other.prefix} before"
+
+
+def _changed_route(before, after, table):
+    effects = []
+    if (before["host"], before["prefix"]) != (after["host"], after["prefix"]):
+        place = f"{before['host']}{before['prefix']}"
+        effects.append(f"at {place} {_removed_route(before, table)}")
+    if before["services"] != after["services"]:
+        effects.append("its requests go to other services or in other shares")
+    was_public, is_public = before.get("public", False), after.get("public", False)
+    if was_public and not is_public and table.requires_key:
+        effects.append("requests without a key are refused with 401")
+    elif is_public and not was_public:
+        effects.append("requests without a key are admitted")
+    return "; ".join(effects)
 
 
 def _removed_workspace(workspace, table):
-    keys = workspace.get("keys", ())
-    return f"its {len(keys)} keys are refused with 401" if keys else ""
+    return _describe_removed_keys(workspace.get("keys", ()), table)
 
 
-def _changed_workspace(before, after):
+def _changed_workspace(before, after, table):
     removed, _ = _key_changes(before.get("keys"), after.get("keys"))
-    if not removed:
-        return ""
-    return f"refused with 401: keys with SHA-256 {_digests(removed)}"
+    return _describe_removed_keys(removed, table)
+
+
+def _describe_removed_keys(keys, table):
+    """Return what becomes of the callers whose keys a workspace has no more."""
+    if keys and not table.requires_key:
+        return "without any workspace, all requests are admitted, also without a key"
+    moved = {key for key in keys if table.find_workspace(key) is not None}
+    refused = set(keys) - moved
+    effects = []
+    if refused:
+        effects.append(f"refused with 401: keys with SHA-256 {_digests(refused)}")
+    if moved:
+        names = sorted({table.find_workspace(key).name for key in moved})
+        digests = _digests(moved)
+        effects.append(f"now of {', '.join(names)}: keys with SHA-256 {digests}")
+    return "; ".join(effects)
 
 
 def _no_effect(*arguments):
@@ -140,6 +176,7 @@
     return "its targets get no requests"
 
 
+_EFFECT_OF_ADDITION = {"routes": _added_route}
 _EFFECT_OF_REMOVAL = {
     "routes": _removed_route,
     "services": _removed_service,
@@ -148,7 +185,5 @@
 }
 _EFFECT_OF_CHANGE = {
     "routes": _changed_route,
-    "services": _no_effect,
     "workspaces": _changed_workspace,
-    "limits": _no_effect,
 }
--- a/tests/management/test_check_declaration.py
+++ b/tests/management/test_check_declaration.py
@@ -86,6 +86,35 @@
     assert finding["place"].startswith("routes.")
 
 
+@pytest.mark.parametrize(
+    "content",
+    [
+        {**DECLARATION, "tenants": [{"name": "w", "apiKeys": ["secret", 5]}]},
+        {**DECLARATION, "tenants": [{"name": "w", "apiKeys": "secret"}]},
+        {"workspaces": {"w": {"keys": "secret"}}},
+    ],
+    ids=["list", "text", "patch"],
+)
+def test_refused_keys_are_not_printed(capsys, write, content):
+    code, printed = check(capsys, write(content))
+    assert code == ExitCode.INVALID
+    assert printed["findings"][0]["place"].lower().endswith("keys")
+    assert "secret" not in json.dumps(printed)
+
+
+def test_names_that_occur_twice_are_found_with_their_place(capsys, write):
+    """The last one counts, and the rows of the first vanished without a word."""
+    text = json.dumps(DECLARATION)
+    text = text.replace('"sloMs": 500', '"sloMs": 400, "sloMs": 500')
+    code, printed = check(capsys, write(f'{{"tenants": [], {text[1:]}'.encode()))
+    assert code == ExitCode.OK
+    found = {(row["id"], row["place"]) for row in printed["findings"]}
+    assert found == {
+        ("name-repeated", "tenants"),
+        ("name-repeated", "routes.0.sloMs"),
+    }
+
+
 def test_warnings_fail_only_if_strict(capsys, write):
     backends = [*DECLARATION["backends"], {"name": "other"}]
     path = write({**DECLARATION, "backends": backends})
@@ -129,6 +158,35 @@
     assert "404" in row["effect"]
 
 
+@pytest.mark.parametrize(
+    ("changes", "ids"),
+    [
+        ({"version": 6, "routes": []}, ["version-not-higher"]),
+        ({"version": 6}, ["version-not-higher"]),
+        ({"routes": []}, ["version-not-higher"]),
+        ({"version": 8, "routes": []}, []),
+        ({}, []),
+    ],
+    ids=["lower", "lower-and-equal", "same-number", "higher", "in-force"],
+)
+def test_declaration_that_would_change_nothing_is_found(
+    capsys, write, control, changes, ids
+):
+    """It is acknowledged, and its differences never come into force."""
+    path = write({**DECLARATION, **changes})
+    code, printed = check(capsys, path, "--control", control)
+    assert code == ExitCode.OK
+    found = [row["id"] for row in printed["findings"] if row["place"] == "version"]
+    assert found == ids
+
+
+def test_patch_of_the_declaration_in_force_has_no_number(capsys, write, control):
+    path = write({"routes": {"a.example/x/": {"timeout_seconds": 5.0}}})
+    code, printed = check(capsys, path, "--control", control)
+    assert (code, printed["findings"]) == (ExitCode.OK, [])
+    assert printed["differences"][0]["place"] == "routes.a.example/x/"
+
+
 def test_unreachable_control_has_an_exit_code_of_its_own(capsys, write):
     flags = ("--control", "http://127.0.0.1:1")
     assert check(capsys, write(DECLARATION), *flags)[0] == ExitCode.UNREACHABLE
