--- a/banyanshore/gateway/offers.py
+++ b/banyanshore/gateway/offers.py
@@ -16,7 +16,6 @@
 )
 from banyanshore.routing.attempts import Outcome
 from banyanshore.routing.caller_requests import Offer
-from banyanshore.routing.engine_model import EngineModel
 from banyanshore.routing.events import is_event_stream
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.timeouts import event_timeout, head_timeout
@@ -66,7 +65,6 @@
         state.answer = None
         self._events.incomplete_bytes = 0
         state.load = board.load(row.address).estimated_in_flight(now)
-        state.speed = board.load(row.address).speed.estimate(now)
         if not self._exchange.started:
             state.version = choice.model_version
         offer = Offer(
@@ -273,35 +271,19 @@
         content_type = answer.get_header(b"content-type")
         return content_type is None or is_event_stream(content_type)
 
-    def _follow_pauses(self):
-        """Return what records the pauses of an answer, ``None`` without an engine."""
-        name = self._screened.service
-        service = self._gateway.state.desired.service(name) or {}
-        if not service.get("engine"):
-            return None
-        board = self._gateway.board
-        model = EngineModel.from_row(service["engine"])
-        return board.pauses.follow(board.load(self._state.address), name, model)
-
     async def _relay_events(self, answer):
         """Relay events as they arrive.
 
         :raises BrokenAnswerError: the answer broke off, or its events are invalid.
         """
         offer = self._state.offer_in_flight
-        pauses = self._follow_pauses()
-
-        def event_timeout():
-            if pauses is not None:
-                pauses.record_event(time.monotonic())
-            return self._event_timeout()
 
         async def on_begun():
             self._on_begun()
             await self._gateway.suspects.record_begun(offer)
 
         await self._events.relay(
-            answer, self._state.target, event_timeout, on_begun, self._record_read
+            answer, self._state.target, self._event_timeout, on_begun, self._record_read
         )
         self._log.log_end("answered", answer.status, **self._log.body_details())
         return None
--- a/banyanshore/gateway/request_log.py
+++ b/banyanshore/gateway/request_log.py
@@ -56,7 +56,6 @@
             caller_ms=self._caller_timeout_ms(),
             rank=state.screened.rank.position,
             waited_ms=round(state.waited_seconds * 1000),
-            **_speed_details(state.speed),
             **details,
         )
 
@@ -90,14 +89,3 @@
         if not state.version or seconds == -math.inf:
             return {}
         return {"newer_known_for": round(seconds, 2)}
-
-
-def _speed_details(speed):
-    """Return the pace that a target was estimated at, and how old that was."""
-    if speed.age_seconds == math.inf:
-        return {}
-    return {
-        "pace": round(speed.pace, 2),
-        "pace_from": speed.source,
-        "pace_age_ms": round(speed.age_seconds * 1000),
-    }
--- a/banyanshore/gateway/request_state.py
+++ b/banyanshore/gateway/request_state.py
@@ -4,7 +4,6 @@
 
 from banyanshore.routing.attempts import Attempts
 from banyanshore.routing.part_evidence import shared_part_digests
-from banyanshore.routing.target_speed import UNKNOWN_SPEED
 
 
 def answer_seconds(screened):
@@ -31,8 +30,6 @@
     :ivar target: id of the last target, empty before the first offer.
     :ivar address: address of that target.
     :ivar load: estimated requests there when it was offered.
-    :ivar speed: the :class:`~banyanshore.routing.target_speed.SpeedEstimate` of the
-        target when it was offered.
     :ivar offer_in_flight: the :class:`~banyanshore.gateway.suspects.OfferInFlight`, or
         ``None``.
     :ivar answer: the answer to the current offer, or ``None``.
@@ -58,7 +55,6 @@
         self.target = ""
         self.address = ""
         self.load = 0
-        self.speed = UNKNOWN_SPEED
         self.offer_in_flight = None
         self.answer = None
         self.limit_details = {}
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -26,7 +26,6 @@
 from banyanshore.routing.shares import connection_share
 from banyanshore.routing.spread import Candidate, TargetSpread
 from banyanshore.routing.target_load import TargetLoad
-from banyanshore.routing.target_speed import PausesByService
 
 # Maximum delay until a gateway learns that a target has become cold, in seconds: a
 # heartbeat interval and the network latency.
@@ -110,7 +109,6 @@
         self._room = RoomRule(settings.data_centre)
         self._spread = TargetSpread(settings.data_centre, rng)
         self.unseen = UnseenRequests()
-        self.pauses = PausesByService()
         self._load_by_address = {}
         self._service_by_address = {}
         self._expected_cold_until = {}
@@ -211,7 +209,6 @@
         """Forget the state of targets that are no longer registered."""
         rows = self._table.rows()
         self.notices.keep_only(now, rows)
-        self.pauses.keep_only({row.service for row in rows})
         registered = {row.address for row in rows}
         for address in self._load_by_address.keys() - registered:
             if not self._load_by_address[address].own_in_flight:
--- a/banyanshore/routing/room.py
+++ b/banyanshore/routing/room.py
@@ -127,8 +127,7 @@
 
         Load pattern: for some seconds there are more requests than the targets can
         serve. Requests queued in an engine delay all later ones, so that even a short
-        queue there makes more requests miss their objective than it serves. A target
-        that is slow for a while takes as many requests as it can serve at its pace.
+        queue there makes more requests miss their objective than it serves.
 
         :param remote_part: result of :meth:`remote_capacity_part`.
         :param reserve: the :class:`Reserve` that the request has to leave.
@@ -140,8 +139,7 @@
         is_local = row.data_centre == self._data_centre
         part = 1.0 if is_local else remote_part
         kept = reserve.kept_places(row.slots)
-        slots = row.slots / load.speed.pace(now)
-        if in_flight >= part * slots - kept:
+        if in_flight >= part * row.slots - kept:
             return False
         part *= 1 - kept / row.slots
         backlog = load.remaining_prefill_seconds(now)
--- a/banyanshore/routing/spread.py
+++ b/banyanshore/routing/spread.py
@@ -178,7 +178,7 @@
             delay = PLAIN_REQUEST_SECONDS / slots
             start = count * delay
         else:
-            pace = load.speed.pace(now)
+            pace = max(1.0, load.pace)
             unread = unread_part(pace * prefill, news_age)
             delay = pace * (unread + DECODE_PART) * prefill
             step = model.step_seconds + count * model.request_seconds
--- a/banyanshore/routing/target_load.py
+++ b/banyanshore/routing/target_load.py
@@ -5,7 +5,6 @@
 from dataclasses import field
 
 from banyanshore.core.values import dataclass
-from banyanshore.routing.target_speed import TargetSpeed
 
 # Seconds after which a report is too old to estimate the load: several report
 # intervals.
@@ -33,9 +32,6 @@
         began.
     :ivar awaiting_first_byte: send times of this gateway's requests whose answer has
         not begun.
-    :ivar known_prefill_seconds: prefill time of all prompts that were sent to it, as
-        far as known here.
-    :ivar speed: the :class:`~banyanshore.routing.target_speed.TargetSpeed`.
     """
 
     own_in_flight: int = 0
@@ -50,8 +46,6 @@
     failure_rate: float = 0.0
     first_byte_seconds: float = 0.0
     awaiting_first_byte: list = field(default_factory=list)
-    known_prefill_seconds: float = 0.0
-    speed: TargetSpeed = field(default_factory=TargetSpeed)
 
     def count_begin(self, now):
         """Count a request that this gateway sends to the target."""
@@ -99,7 +93,6 @@
     def add_prefill(self, now, seconds):
         """Add the prefill time of a prompt that is sent to the target."""
         self.prefill_until = max(now, self.prefill_until) + seconds
-        self.known_prefill_seconds += seconds
 
     def remove_prefill(self, seconds):
         """Remove the prefill time of a prompt that the target did not read.
@@ -126,8 +119,7 @@
         >>> from types import SimpleNamespace
         >>> load = TargetLoad()
         >>> load.count_begin(1.0)
-        >>> report = SimpleNamespace(active=3, queued=0, pace=1.0)
-        >>> load.record_report(1.1, report, 0.2)
+        >>> load.record_report(1.1, SimpleNamespace(active=3, queued=0), 0.2)
         >>> load.estimated_in_flight(1.1)
         4
         """
@@ -137,7 +129,6 @@
             change for time, change in self.own_changes if time > now - news_age
         )
         self.own_in_flight_at_report = self.own_in_flight - unknown
-        self.speed.record_report(now - news_age, report.pace)
         self.announced_since_report = 0
 
     def record_placement(self, now, seconds):
