--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -282,9 +282,7 @@
             for k in within_limit
         ]
         unseen = self.unseen.expected(now, requirements.service)
-        best = self._spread.select(
-            now, candidates, model, unseen, self.unseen.age_seconds
-        )
+        best = self._spread.select(now, candidates, model, unseen)
         self._room.record_found(now, requirements)
         return Choice(best.row, self.version_at(best.row) if requirements.model else 0)
 
--- a/banyanshore/routing/spread.py
+++ b/banyanshore/routing/spread.py
@@ -4,19 +4,11 @@
 hundreds of milliseconds old; prompts differ tenfold in length, and some targets are 2.5
 times slower than others for a while. If all gateways chose the target that looks best,
 they would overrun the targets in turns. Each gateway therefore assumes that the
-requests of which it has no news yet fill up the targets to an even level, and spreads
-its own requests over the targets by their parts of these requests. With fresh news, or
+requests of which it has no news yet fill up the targets to an even level, and draws
+targets with the probability of their parts of these requests. With fresh news, or
 without other gateways, only the best target has a part.
-
-All gateways correct the same difference at once, and learn of it only after the age of
-their news: with strong corrections, the targets would be overrun in turns again. The
-unseen requests are therefore assumed to be several times as many.
 """
 
-import bisect
-import itertools
-import math
-
 from banyanshore.core.values import dataclass
 
 # Penalty of a target in another data centre, in seconds: the network latency and the
@@ -32,23 +24,16 @@
 # Passes of an engine from the arrival of a request to its first event: half of the one
 # in progress, and its own.
 PASSES_TO_FIRST_EVENT = 1.5
-# Weight of a request that is past its prefill, as a fraction of a usual prefill: it
-# delays others little as long as there are slots, but takes one of them.
-DECODE_PART = 0.2
+# Delay caused by a request that is past its prefill, as a fraction of a usual prefill:
+# it delays others only if the slots run out.
+DECODE_PART = 0.05
 # Targets of this data centre, and of others, that a choice looks at; of more, that many
 # are drawn at random.
 MAX_LOCAL = 24
 MAX_REMOTE = 8
-# Unseen requests that are assumed, as a multiple of the expected ones. The part of a
-# difference that is corrected within the age of news is the inverse; a control loop
-# with a delay overshoots from 1/e on.
-UNSEEN_FACTOR = 3.0
-# Maximum part of a target, as a multiple of the mean of all: prompts that arrive in
-# quick succession at one target delay each other.
-MAX_PART = 1.5
-# Distance between draws of one gateway in the unit interval: multiples of the golden
-# ratio are spread evenly, so that targets get their parts of each few requests.
-DRAW_STEP = (math.sqrt(5) - 1) / 2
+# Targets that are drawn for a choice, of which the better one is taken. Since that
+# prefers the best ones again, as many times the unseen requests are assumed.
+DRAWS = 2
 # Unseen requests that are assumed at least: notices may be lost.
 MIN_UNSEEN = 0.1
 
@@ -89,23 +74,6 @@
     return [max(0.0, (surface - start) / delay) for start, delay in levels]
 
 
-def unread_part(prefill, news_age):
-    """Return the part of a prompt that is still unread, of those sent unseen.
-
-    Prompts that were sent at any time within the age of news are read one after the
-    other, each in the same time.
-
-    :param prefill: time in seconds in which a prompt is read.
-    :param news_age: age of the newest news in seconds.
-
-    >>> unread_part(0.1, 0.0), unread_part(0.1, 0.1), unread_part(0.1, 0.5)
-    (1.0, 0.5, 0.1)
-    """
-    if news_age < prefill:
-        return 1 - news_age / prefill / 2
-    return prefill / news_age / 2 if news_age else 0.0
-
-
 class TargetSpread:
     """Select targets for one gateway.
 
@@ -116,10 +84,8 @@
     def __init__(self, data_centre, rng):
         self._data_centre = data_centre
         self._rng = rng
-        # Position of the last draw in the unit interval.
-        self._position = rng.random()
 
-    def select(self, now, candidates, model, unseen, news_age=0.0):
+    def select(self, now, candidates, model, unseen):
         """Return one of several candidates.
 
         :param candidates: the :class:`Candidate` rows, at least one.
@@ -127,11 +93,10 @@
             ``None`` for a plain service.
         :param unseen: expected number of requests of other gateways that have been
             placed at these candidates without being known here.
-        :param news_age: seconds that news from other gateways takes.
         """
         compared, compared_part = self._sample(candidates)
         prefill = model and model.prefill_seconds(model.usual_prompt_tokens)
-        levels = [self._level(now, k, model, prefill, news_age) for k in compared]
+        levels = [self._level(now, k, model, prefill) for k in compared]
         # Targets of another data centre are an alternative to the best of this one, not
         # to each of the others: their own gateways fill them up as well.
         best = min(range(len(levels)), key=levels.__getitem__)
@@ -141,16 +106,10 @@
             for number, candidate in enumerate(compared)
             if candidate.row.data_centre == data_centre
         ]
-        requests = UNSEEN_FACTOR * max(MIN_UNSEEN, unseen * compared_part)
+        requests = DRAWS * max(MIN_UNSEEN, unseen * compared_part)
         parts = fill_evenly([levels[number] for number in near], requests)
-        largest = MAX_PART * sum(parts) / len(parts)
-        return compared[near[self._draw([min(part, largest) for part in parts])]]
-
-    def _draw(self, weights):
-        """Return the position of one of several weights, each as often as it weighs."""
-        self._position = (self._position + DRAW_STEP) % 1.0
-        sums = list(itertools.accumulate(weights))
-        return bisect.bisect_right(sums, self._position * sums[-1], hi=len(sums) - 1)
+        drawn = self._rng.choices(near, parts, k=DRAWS)
+        return compared[min(drawn, key=lambda number: levels[number][0])]
 
     def _sample(self, candidates):
         """Return the candidates to look at, and the part of the local ones in them."""
@@ -165,7 +124,7 @@
             remote = self._rng.sample(remote, MAX_REMOTE)
         return local + remote, part
 
-    def _level(self, now, candidate, model, prefill, news_age):
+    def _level(self, now, candidate, model, prefill):
         """Return when a target starts a request, and how long each delays the next.
 
         :param model: the :class:`EngineModel`, or ``None`` for a plain target.
@@ -179,8 +138,7 @@
             start = count * delay
         else:
             pace = max(1.0, load.pace)
-            unread = unread_part(pace * prefill, news_age)
-            delay = pace * (unread + DECODE_PART) * prefill
+            delay = pace * (1 + DECODE_PART) * prefill
             step = model.step_seconds + count * model.request_seconds
             start = prefill + load.remaining_prefill_seconds(now)
             start += PASSES_TO_FIRST_EVENT * model.steps_per_pass * step
