Start one task alone that stages the chunks of a transfer

The log of the loader ends with IndexError: pop from an empty deque in loader/transfer.py: the whole process ended, and its target never turned.

Cause: a chunk was removed from the queue once it was staged, and a task was started whenever the queue had one chunk. One that arrived while the first task, with an empty queue, passed its checkpoint started a second task; both staged that chunk, and the second one removed it from an empty queue.

Change: a flag tells that a task runs; it takes a chunk from the queue before it stages it.

tests/loader/test_staging.py failed before with the same IndexError.

--- a/banyanshore/loader/transfer.py
+++ b/banyanshore/loader/transfer.py
@@ -30,8 +30,9 @@
         self._loads_next = loads_next
         self._engine = target.engine
         self._pace = ChunkPace()
-        # Chunks that have arrived and aren't staged yet, with their positions.
+        # Chunks that have arrived and whose staging hasn't begun, with their positions.
         self._unstaged = deque()
+        self._is_staging = False
 
     def copy_seconds(self):
         """Return the seconds that a copy is expected to take."""
@@ -118,7 +119,8 @@
         await super()._store_chunk(index, data)
         self._pace.record(time.monotonic())
         self._unstaged.append((index, data))
-        if len(self._unstaged) == 1:
+        if not self._is_staging:
+            self._is_staging = True
             # The link would be idle if the next chunk came only after the staging.
             self._tasks.start_soon(self._stage_arrived)
 
@@ -132,11 +134,11 @@
                 # A chunk of a transfer that is given up meanwhile must not arrive at
                 # the target once another one has the lock.
                 with anyio.CancelScope(shield=True):
-                    await self._stage_one(*self._unstaged[0])
+                    await self._stage_one(*self._unstaged.popleft())
             except StagedEngineError as error:
                 logger.info("chunk not staged", extra={"why": str(error)})
-            self._unstaged.popleft()
             await anyio.lowlevel.checkpoint()
+        self._is_staging = False
 
     async def _stage_one(self, index, data):
         staging = self._target.staging
--- a/tests/loader/test_staging.py
+++ b/tests/loader/test_staging.py
@@ -46,6 +46,23 @@
     assert loader.engine.staged == dict.fromkeys((8, 9), b"\x02")
 
 
+async def test_chunk_that_arrives_as_the_last_one_is_staged_ends_no_loader(monkeypatch):
+    """A second task staged the same chunk, and removed it from an empty queue."""
+    loader, transfer = make_transfer(monkeypatch)
+    loader.engine.may_stage.set()
+    arriving = iter([9])
+
+    def on_stage():
+        for index in arriving:
+            transfer._tasks.start_soon(store, transfer, index)
+
+    loader.engine.on_stage = on_stage
+    async with anyio.create_task_group() as transfer._tasks:
+        await store(transfer, 8)
+        await anyio.sleep(0.02)
+    assert loader.engine.begun == [8, 9]
+
+
 async def test_transfer_that_is_given_up_ends_what_it_stages_and_stages_no_more(
     monkeypatch,
 ):
