Try suspected parts of prompts one request a second at each gateway

All 8 targets crash within 0.8 s. The first part explains most of these crashes, so that fewer than three are left for the second one, and no evidence comes while all targets are down. When they are back, 4 s later, the requests with the second part come in numbers until its third crash is judged.

Change: a part with two crashes or more, explained or not, and a likelihood ratio of 100 is suspected. Each gateway sends one request a second with it, and refuses the others with the new reason "suspected" (503, Retry-After 1 to 2 s). An answer that begins counts for the part, a crash against it. Verdicts are as before.

Tried, not kept: see docs/design/crashing-parts.md.

Effects on callers: a request with a suspected part, sound or not, may be told to come back in 1 to 2 s; one that was lost at a target and may be repeated is not offered again within that second.

--- a/banyanshore/gateway/suspected_parts.py
+++ b/banyanshore/gateway/suspected_parts.py
@@ -41,9 +41,20 @@
 
     def find_refused(self, parts):
         """Return the :class:`RefusedPart` that a prompt contains, or ``None``."""
-        if not self._detector.has_refused:
+        if not self._detector.has_suspects:
             return None
-        return self._detector.find_refused(time.monotonic(), parts)
+        return self._detector.find_proven(time.monotonic(), parts)
+
+    def is_held(self, parts):
+        """Return whether a request may not be sent yet because of a suspected part."""
+        if not self._detector.has_suspects:
+            return False
+        return self._detector.find_held(time.monotonic(), parts) is not None
+
+    def record_sent(self, parts):
+        """Record that a target was chosen for a request."""
+        if self._detector.has_suspects:
+            self._detector.record_sent(time.monotonic(), parts)
 
     async def record_begun(self, offer):
         """Record that the answer to an offer has begun."""
--- a/banyanshore/gateway/target_finder.py
+++ b/banyanshore/gateway/target_finder.py
@@ -72,15 +72,20 @@
             return NoChoice(Reason.CUT_OFF)
         if gateway.suspects.is_refused(self._screened, state.body, state.parts):
             return NoChoice(Reason.CRASHES_TARGETS)
+        if gateway.suspects.parts.is_held(state.parts):
+            return NoChoice(Reason.SUSPECTED)
         now = time.monotonic()
         names = gateway.gateway_names()
-        return gateway.board.choose(
+        choice = gateway.board.choose(
             now,
             self.requirements(now),
             gateway.state.desired,
             names,
             gateway.padded_names(names),
         )
+        if not isinstance(choice, NoChoice):
+            gateway.suspects.parts.record_sent(state.parts)
+        return choice
 
     def _is_still_allowed(self):
         gateway = self._gateway
--- a/banyanshore/routing/prompt_parts.py
+++ b/banyanshore/routing/prompt_parts.py
@@ -15,12 +15,17 @@
 All gateways know of all crashes; each counts the answers that have begun by itself, and
 reports those that share a part with a crash. A part that one gateway refuses is refused
 by all.
+
+While a part is suspected and not refused yet, each gateway lets its requests through
+one at a time: several parts may crash all targets before the evidence against each is
+enough, and their requests would come in numbers as soon as the targets are back.
 """
 
 import math
 from collections import deque
 
 from banyanshore.routing.crashes import CRASHES_TO_REFUSE, EXPIRY_SECONDS
+from banyanshore.routing.held_parts import CRASHES_TO_SUSPECT, HeldParts
 from banyanshore.routing.part_evidence import (
     COUNTING_SECONDS,
     RecentCounts,
@@ -74,13 +79,34 @@
         self._weigh_until = -math.inf
         # Answers after the last crash of a refused part.
         self._survivals_by_part = {}
+        self._held = HeldParts(self._ratio_now)
 
     @property
-    def has_refused(self):
-        """Return whether any part is refused."""
-        return bool(self._refused_by_part)
+    def has_suspects(self):
+        """Return whether any part is refused or suspected."""
+        return bool(self._refused_by_part) or self._held.has_suspects
 
     def find_refused(self, now, parts):
+        """Return the part that keeps a request from being sent now, or ``None``.
+
+        A request without such a part counts as sent.
+
+        :return: a :class:`RefusedPart`, also for a part that is only suspected.
+        """
+        row = self.find_proven(now, parts) or self.find_held(now, parts)
+        if row is None:
+            self.record_sent(now, parts)
+        return row
+
+    def find_held(self, now, parts):
+        """Return the suspected part whose requests have to wait, or ``None``."""
+        return self._held.find(now, parts)
+
+    def record_sent(self, now, parts):
+        """Record that a request is sent to a target."""
+        self._held.record_sent(now, parts)
+
+    def find_proven(self, now, parts):
         """Return the :class:`RefusedPart` that a prompt contains, or ``None``."""
         for part in parts:
             row = self._refused_by_part.get(part)
@@ -206,9 +232,11 @@
         return count
 
     def _is_likely_cause(self, now, row):
+        return self._ratio_now(now, row) >= math.log(REFUSAL_RATIO)
+
+    def _ratio_now(self, now, row):
         begun = self._count_begun(now, row.part)
-        ratio = log_likelihood_ratio(row.crashes, begun, row.base_rate)
-        return ratio >= math.log(REFUSAL_RATIO)
+        return log_likelihood_ratio(row.crashes, begun, row.base_rate)
 
     def weigh(self, now):
         """Weigh the evidence; return the :class:`RefusedPart` rows that are new."""
@@ -224,8 +252,34 @@
                 weighed.add(row.part)
                 self.refuse(row)
             found += rows
+        self._held.suspect(self._find_suspects(now))
         return found
 
+    def _find_suspects(self, now):
+        """Return the :class:`RefusedPart` rows of the parts to try one at a time.
+
+        Crashes that another part explains count, too: where two parts crash all targets
+        at once, most crashes have requests with both.
+        """
+        losses = self._recent_losses(now)
+        rows = []
+        for part in find_common_parts(losses, CRASHES_TO_SUSPECT):
+            if part not in self._refused_by_part:
+                times = self._uncleared_times(part, losses)
+                crashes = count_distinct(times)
+                if crashes >= CRASHES_TO_SUSPECT:
+                    base_rate = self._base_rate(now, part)
+                    rows.append(RefusedPart(part, crashes, max(times), base_rate))
+        return rows
+
+    def _uncleared_times(self, part, losses):
+        """Return the times of the crashes with a part that it isn't cleared of."""
+        return [
+            loss.lost_at
+            for loss in losses
+            if part in loss.parts and not self._is_cleared(part, loss.lost_at)
+        ]
+
     def take_explained(self):
         """Clear and return the refused parts whose crashes another part explains."""
         taken = []
@@ -276,11 +330,7 @@
         ]
         ratio_by_row = {}
         for part in find_common_parts(losses, CRASHES_TO_REFUSE):
-            times = [
-                loss.lost_at
-                for loss in losses
-                if part in loss.parts and not self._is_cleared(part, loss.lost_at)
-            ]
+            times = self._uncleared_times(part, losses)
             crashes = count_distinct(times)
             if crashes < CRASHES_TO_REFUSE:
                 continue
--- a/banyanshore/routing/retry_after.py
+++ b/banyanshore/routing/retry_after.py
@@ -37,6 +37,7 @@
     CUT_OFF = "cut-off"
     LEAVING = "leaving"
     CRASHES_TARGETS = "crashes-targets"
+    SUSPECTED = "suspected"
     TARGETS_PAUSED = "targets-asked-for-time"
     TARGETS_LIMITED = "targets-limited"
 
@@ -86,6 +87,8 @@
         Reason.TARGETS_LIMITED: Span(0.0, 1.0),
         # The first refusal period of a request that crashes targets.
         Reason.CRASHES_TARGETS: Span(60.0, 60.0),
+        # A suspected part of prompts is proven or cleared within a second or two.
+        Reason.SUSPECTED: Span(1.0, 2.0),
     }
 )
 
