--- a/tests/ports.py
+++ b/tests/ports.py
@@ -9,8 +9,8 @@
 # Below the ephemeral ports that the system assigns to outgoing connections.
 PORT_RANGE = (12_000, 32_000)
 # Has a byte for each port, locked by the test process that uses it; the system releases
-# the locks when that process exits. All test runs on a machine share the file, also those
-# with another folder for temporary files.
+# the locks when that process exits. All test runs on a machine share the file, also
+# those with another folder for temporary files.
 PORT_LOCK_FILE = Path("/tmp/banyanshore-test-ports")
 # Ports already returned; their processes may not have bound them yet.
 _handed_out = set()
