Refuse a suspect that is cancelled while it waits to run alone

Found by reading, for state that is read before an await and used after it: the agent looked for the mark of a cancelled request once, before the wait of up to 3 s in which a suspect's target becomes empty. A cancel, or a resume over a new connection that was answered with "cancelled", came in that time: the request ran all the same, although its entry had been told that it never would, and might have offered it elsewhere.

Change: the mark is looked for before each attempt, and the answer is "cancelled". tests/agent/test_request_runner.py::test_suspect_cancelled_while_it_waits_never_runs failed before.

--- a/banyanshore/agent/requests.py
+++ b/banyanshore/agent/requests.py
@@ -187,6 +187,8 @@
             return None
         if dispatch.exclusive and await self._acquire_exclusively(dispatch):
             return None
+        if dispatch.request_id in self._tombstones:
+            return Refused(RefusalReason.CANCELLED)
         return Refused(RefusalReason.FULL, FULL_RETRY_AFTER)
 
     async def _acquire_exclusively(self, dispatch):
@@ -195,7 +197,7 @@
         is_admitted = False
         try:
             with anyio.move_on_after(min(EXCLUSIVE_WAIT, dispatch.seconds_left)):
-                while self.get_refusal_reason() is None:
+                while self._may_still_run(request_id):
                     is_admitted = self._acquire(dispatch)
                     if is_admitted or self._admission.exclusive_id != request_id:
                         break
@@ -206,6 +208,11 @@
                 self._admission.abandon_exclusive(request_id)
         return is_admitted
 
+    def _may_still_run(self, request_id):
+        # It may be cancelled while it waits.
+        is_cancelled = request_id in self._tombstones
+        return not is_cancelled and self.get_refusal_reason() is None
+
     def _acquire(self, dispatch):
         return self._admission.try_acquire(
             time.monotonic(), dispatch.request_id, dispatch.exclusive
--- a/tests/agent/test_request_runner.py
+++ b/tests/agent/test_request_runner.py
@@ -111,6 +111,24 @@
     assert refused.reason == RefusalReason.FULL
 
 
+async def test_suspect_cancelled_while_it_waits_never_runs():
+    """It ran although its entry had been told that it never would."""
+    runner = make_runner()
+    assert await runner._admit(make_dispatch("running")) is None
+    refusals = []
+
+    async def admit():
+        refusals.append(await runner._admit(make_dispatch("suspect", exclusive=True)))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(admit)
+        await anyio.sleep(0.05)
+        runner.cancel("suspect")
+        runner._admission.release(1.0, "running", 1.0, True)
+    assert [refusal.reason for refusal in refusals] == [RefusalReason.CANCELLED]
+    assert await runner._admit(make_dispatch("other")) is None
+
+
 async def test_request_whose_replies_are_still_read_is_kept():
     """Its retention ended while a slow caller read, so that a stop forgot it."""
     runner = make_runner()
