Keep the connections of web servers to HTTP/1.1

A caller of the control, entry or agent process could turn its connection to HTTP/2, by an upgrade to h2c or by the preface: hypercorn offers both without being asked. A connection then has up to 100 requests at a time, and its share in the account of bytes knows of one. The upgrade is ignored now, as RFC 9110, 7.8 allows, and a request of version 2.0 is answered by HTTP/1.1.

--- a/banyanshore/http/connections.py
+++ b/banyanshore/http/connections.py
@@ -6,6 +6,7 @@
 
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.events import Closed, RawData, Updated
+from hypercorn.protocol.h11 import H11Protocol
 
 from banyanshore.core.byte_account import Stage
 from banyanshore.core.sockets import count_unacknowledged_bytes, count_unread_bytes
@@ -23,6 +24,16 @@
 LAYERS_BYTES = 8 * PIECE_BYTES
 
 
+class Http1Protocol(H11Protocol):
+    """HTTP/1.1, to which a connection keeps whatever its caller asks for.
+
+    By HTTP/2 a connection would have many requests at a time, beyond its share.
+    """
+
+    async def _check_protocol(self, event):
+        """Ignore the upgrade or the version that a request asks for."""
+
+
 class WebConnection(TCPServer):
     """Serve the requests of one connection, one after another.
 
@@ -129,6 +140,18 @@
         self._task.cancel()
 
     async def _read_data(self):
+        made = self.protocol
+        self.protocol = Http1Protocol(
+            made.app,
+            made.config,
+            made.context,
+            made.task_group,
+            made.state,
+            made.ssl,
+            made.client,
+            made.server,
+            made.send,
+        )
         # A task of its own, since hypercorn's loop doesn't end by itself if a further
         # request was read before the connection is closed.
         self._reading = asyncio.create_task(super()._read_data())
--- /dev/null
+++ b/tests/http/test_web_account.py
@@ -0,0 +1,70 @@
+"""What a web server counts for callers, and by which protocols it serves them."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from banyanshore.core.byte_account import MEMORY_FRACTION
+from banyanshore.http.asgi import make_application
+from banyanshore.http.caller_account import CallerAccount
+from banyanshore.http.server import WebServer
+from tests.http.raw import connect, read_until
+from tests.ports import free_ports
+
+pytestmark = pytest.mark.anyio
+
+BUDGET = 1_000_000
+GET = b"GET / HTTP/1.1\r\nhost: x\r\n"
+HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+H2C = b"connection: upgrade, http2-settings\r\nupgrade: h2c\r\nhttp2-settings: AAMAAABk\r\n"
+WEB_SOCKET = (
+    b"connection: upgrade\r\nupgrade: websocket\r\nsec-websocket-version: 13\r\n"
+    b"sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
+)
+
+
+async def handle(request):
+    """Answer at ``/long`` with a long body, else with a short one."""
+    size = 500_000 if request.path == "/long" else 2
+    await request.respond(200, b"x" * size, "text/plain")
+
+
+@contextlib.asynccontextmanager
+async def serving():
+    """Run a web server with a small account; yield its address and the account."""
+    (port,) = free_ports(1)
+    address = f"127.0.0.1:{port}"
+    callers = CallerAccount(int(BUDGET / MEMORY_FRACTION))
+    server = WebServer(make_application(handle), address, callers)
+    shutdown = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, shutdown)
+        with anyio.fail_after(5):
+            while True:
+                with contextlib.suppress(OSError):
+                    await (await connect(address)).aclose()
+                    break
+                await anyio.sleep(0.01)
+        yield address, callers.account
+        shutdown.set()
+
+
+async def wait_until(check):
+    with anyio.fail_after(5):
+        while not check():
+            await anyio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [HTTP2_PREFACE, GET + H2C + b"\r\n", GET + WEB_SOCKET + b"\r\n"],
+    ids=["http2", "h2c", "websocket"],
+)
+async def test_connection_stays_with_http_1(sent):
+    """By HTTP/2 one connection had many requests, of which the account saw one."""
+    async with serving() as (address, _), await connect(address) as stream:
+        await stream.send(sent)
+        answer = await read_until(stream, b"\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.1 "), answer
+    assert not answer.startswith(b"HTTP/1.1 101 "), answer
