--- a/tests/http/test_web_account.py
+++ b/tests/http/test_web_account.py
@@ -17,7 +17,10 @@
 BUDGET = 1_000_000
 GET = b"GET / HTTP/1.1\r\nhost: x\r\n"
 HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00"
-H2C = b"connection: upgrade, http2-settings\r\nupgrade: h2c\r\nhttp2-settings: AAMAAABk\r\n"
+H2C = (
+    b"connection: upgrade, http2-settings\r\nupgrade: h2c\r\n"
+    b"http2-settings: AAMAAABk\r\n"
+)
 WEB_SOCKET = (
     b"connection: upgrade\r\nupgrade: websocket\r\nsec-websocket-version: 13\r\n"
     b"sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
