Count what the parser keeps of chunks, not all that it was given

The bytes of framing (sizes of chunks, their extensions and line ends) were added to the share of a connection and never taken off, only the bytes of bodies were. What the parser has left whenever it asks for more is counted now; it is at most the bound of a head, for trailers and extensions too.

--- a/banyanshore/http/caller_connection.py
+++ b/banyanshore/http/caller_connection.py
@@ -67,7 +67,7 @@
         self.is_cut_off = False
         # What has arrived of the body that is being read.
         self._body = BodyBuffer()
-        # Bytes that arrived since the parser last had none left.
+        # Bytes that the parser keeps, or has got since it last asked for more.
         self._unparsed_bytes = 0
         stream.on_blocked = self._on_blocked
         share.holder = self
@@ -266,6 +266,8 @@
                 raise RequestError(error.error_status_hint, str(error)) from None
             if event is not h11.NEED_DATA:
                 return event
+            # All that the parser keeps is a part of the next event.
+            self._unparsed_bytes = len(self._h11.trailing_data[0])
             self._take(await self._receive_request_bytes(), body_bytes)
 
     async def _receive_request_bytes(self):
@@ -327,7 +329,6 @@
         if isinstance(event, h11.ConnectionClosed):
             raise PeerClosedError("the caller left", step="read-body")
         body.append(event.data)
-        self._unparsed_bytes = max(0, self._unparsed_bytes - len(event.data))
         if len(body) > self.limits.max_body_bytes:
             raise RequestError(413, "the body is too long")
         return False
--- a/tests/http/test_caller_account.py
+++ b/tests/http/test_caller_account.py
@@ -11,7 +11,7 @@
 from banyanshore.http.listener import Listener
 from banyanshore.http.wire import has_unread_bytes
 from banyanshore.telemetry.light import LightRegistry, add_stopped_callers
-from tests.http.raw import connect, read_all, running_listener
+from tests.http.raw import connect, read_all, read_until, running_listener
 
 pytestmark = pytest.mark.anyio
 
@@ -20,6 +20,7 @@
 BODY_BYTES = 900_000
 GET = b"GET / HTTP/1.1\r\nhost: x\r\n"
 LAST = b"connection: close\r\n\r\n"
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
 POST = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n" % BODY_BYTES
 
 
@@ -133,3 +134,17 @@
     assert sum(stopped._values.values()) == count
     assert stopped._values["reading", "memory"] == count
     assert 0 < len(caplog.records) <= 2 * MAX_LOGGED_IN_SECOND
+
+
+async def test_framing_of_chunks_that_were_parsed_is_not_counted():
+    """A small body in small chunks with extensions was refused in calm."""
+    chunk = b"10;%s\r\n%s\r\n" % (b"x" * 1000, bytes(16))
+    count = 2 * BUDGET // len(chunk)
+    async with (
+        serving(Handler()) as (address, _),
+        await connect(address) as stream,
+    ):
+        await stream.send(b"POST / HTTP/1.1\r\nhost: x\r\n" + CHUNKED)
+        await stream.send(chunk * count + b"0\r\n\r\n")
+        answer = await read_until(stream, b"\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.1 200 ")
