Bound the rest of a body that is discarded after its answer

The body of a request that was rejected by its head (a path of no route, no key) was read to its end, however long: only a pause of 5 s between two pieces ended it. Meanwhile the connection counted as running, so nobody could ask it to stop, and all that it had sent counted as held. One caller with an endless body took the whole account, and others were refused in its place.

The rest is read like any body now: within its largest size, at its least pace, and as one that may be asked to stop; what was discarded isn't counted.

--- a/banyanshore/http/body_buffer.py
+++ b/banyanshore/http/body_buffer.py
@@ -30,6 +30,11 @@
         """Return the number of bytes."""
         return len(self._in_heap) + sum(len(block) for block in self._blocks)
 
+    @property
+    def held_bytes(self):
+        """Return the bytes that it takes."""
+        return len(self)
+
     def append(self, data):
         """Add the next bytes."""
         rest = memoryview(data)
@@ -53,6 +58,29 @@
         return data
 
 
+class DiscardedBody:
+    """A body of which only the number of bytes is kept.
+
+    >>> body = DiscardedBody()
+    >>> body.append(b"abc")
+    >>> len(body), body.held_bytes
+    (3, 0)
+    """
+
+    held_bytes = 0
+
+    def __init__(self):
+        self._length = 0
+
+    def __len__(self):
+        """Return the number of bytes."""
+        return self._length
+
+    def append(self, data):
+        """Count the next bytes."""
+        self._length += len(data)
+
+
 class _Block:
     """Memory of the system's own, apart from the heap."""
 
--- a/banyanshore/http/caller_connection.py
+++ b/banyanshore/http/caller_connection.py
@@ -14,7 +14,7 @@
     count_unread_bytes,
     find_socket,
 )
-from banyanshore.http.body_buffer import BodyBuffer
+from banyanshore.http.body_buffer import BodyBuffer, DiscardedBody
 from banyanshore.http.caller_stream import StoppedError
 from banyanshore.http.closing import linger
 from banyanshore.http.exchange import (
@@ -305,26 +305,29 @@
             await self.send_events(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        body = self._body
+        await self._receive_body(self._body)
+        return self._body.take()
+
+    async def _receive_body(self, body):
+        """Add the pieces of the body to a buffer, to its end."""
         due_at = anyio.current_time() + self.limits.header_timeout
         progress_mark = 0
         while True:
             with anyio.CancelScope(deadline=due_at) as scope:
-                is_whole = await self._read_piece()
+                is_whole = await self._receive_piece(body)
             if scope.cancelled_caught:
                 raise RequestError(408, "the body took too long")
             if is_whole:
-                return body.take()
+                return
             if len(body) - progress_mark >= BODY_PROGRESS_BYTES:
                 progress_mark = len(body)
                 due_at = anyio.current_time() + self.limits.header_timeout
 
-    async def _read_piece(self):
-        """Read the next piece of the body; return whether the body is whole."""
-        body = self._body
-        event = await self._next_event(len(body))
+    async def _receive_piece(self, body):
+        """Add the next piece of the body; return whether the body is whole."""
+        event = await self._next_event(body.held_bytes)
         if isinstance(event, h11.EndOfMessage):
-            self._callers.hold(self.share, len(body))
+            self._callers.hold(self.share, body.held_bytes)
             return True
         if isinstance(event, h11.ConnectionClosed):
             raise PeerClosedError("the caller left", step="read-body")
@@ -400,13 +403,26 @@
         """Prepare for the next request; return whether there can be one."""
         if self._peer_closed or self._must_close:
             return False
-        # Discard the rest of a body that the handler hasn't read.
-        while self._h11.their_state is h11.SEND_BODY:
-            with anyio.move_on_after(self.limits.header_timeout) as scope:
-                await self._next_event()
-            if scope.cancelled_caught:
-                return False
+        if self._h11.their_state is h11.SEND_BODY and not await self._discard_body():
+            return False
         if (self._h11.our_state, self._h11.their_state) != (h11.DONE, h11.DONE):
             return False
         self._h11.start_next_cycle()
         return True
+
+    async def _discard_body(self):
+        """Discard the rest of a body that the handler hasn't read.
+
+        :return: whether it ended within the limits of a body.
+        """
+        # May be stopped: its answer was written.
+        self.share.stage = Stage.READING
+        try:
+            await self._receive_body(DiscardedBody())
+        except RequestError as error:
+            logger.info(
+                "connection ended within a body",
+                extra={"request_id": self.request_id, "why": str(error)},
+            )
+            return False
+        return True
--- a/tests/http/test_caller_account.py
+++ b/tests/http/test_caller_account.py
@@ -148,3 +148,29 @@
         await stream.send(chunk * count + b"0\r\n\r\n")
         answer = await read_until(stream, b"\r\n\r\n")
     assert answer.startswith(b"HTTP/1.1 200 ")
+
+
+async def reject(exchange):
+    """Answer requests at ``/none`` without reading their bodies."""
+    status = 404 if exchange.path == "/none" else 200
+    if status == 200:
+        await exchange.read_body()
+    await exchange.respond(status)
+
+
+async def test_endless_body_of_a_rejected_request_is_bounded():
+    """It was discarded without end, counted as held, and couldn't be stopped."""
+    async with (
+        serving(reject) as (address, account),
+        await connect(address) as endless,
+        await connect(address) as other,
+    ):
+        await other.send(POST + b"x")
+        await endless.send(b"POST /none HTTP/1.1\r\nhost: x\r\n" + CHUNKED)
+        chunk = b"10000\r\n%s\r\n" % bytes(0x10000)
+        with anyio.fail_after(20), pytest.raises(anyio.BrokenResourceError):
+            while True:
+                await endless.send(chunk)
+                assert account.total < BUDGET / 2
+        await other.send(bytes(BODY_BYTES // 2 - 1))
+        await wait_until(lambda: account.total > BODY_BYTES // 2)
