Count answers that the system took without a wait, and cut off those left unread

The system takes some megabytes of an answer at once (4 MB on loopback; its default may grow to 32 MB). Such an answer never waited, and buffers were looked at each 0.5 s only while a connection was in use: once idle it counted 16 KB, whatever its caller had left unread. An answer that was still running counted, but couldn't be stopped, so ordinary callers were refused in its place. And a web server closed in order what it cut off, which leaves the rest with the system.

Bytes written are counted at 64 KB, while idle too; a connection whose caller leaves more than that unread may be asked to stop in any stage, and is reset.

--- a/banyanshore/core/byte_account.py
+++ b/banyanshore/core/byte_account.py
@@ -51,16 +51,29 @@
     :ivar held: bytes that the process holds for it.
     :ivar buffered: bytes in the buffers of its transport and of the system.
     :ivar moved_at: time at which its caller last made progress, in seconds.
+    :ivar unseen: bytes that were written since the buffers were last looked at.
+    :ivar is_unread: whether its caller leaves much of an answer unread.
     :ivar is_stopped: whether it was asked to stop, and counts no longer.
     """
 
-    __slots__ = ("buffered", "held", "holder", "is_stopped", "moved_at", "stage")
+    __slots__ = (
+        "buffered",
+        "held",
+        "holder",
+        "is_stopped",
+        "is_unread",
+        "moved_at",
+        "stage",
+        "unseen",
+    )
 
     def __init__(self, now):
         self.holder = None
         self.stage = Stage.IDLE
         self.held = CONNECTION_BYTES
         self.buffered = 0
+        self.unseen = 0
+        self.is_unread = False
         self.moved_at = now
         self.is_stopped = False
 
@@ -132,17 +145,29 @@
         share.moved_at = now
         self._resize(share, CONNECTION_BYTES + size, share.buffered)
 
-    def record_buffered(self, share, size, now):
-        """Set the bytes in buffers; a change means that the caller makes progress."""
+    def record_buffered(self, share, size, now, unsent=0):
+        """Set the bytes in buffers; a change means that the caller makes progress.
+
+        :param unsent: those of answers among them, which its system has not
+            acknowledged.
+        """
+        share.unseen = 0
+        share.is_unread = unsent > LARGE_BYTES
         if size != share.buffered:
             share.moved_at = now
             self._resize(share, share.held, size)
 
+    def needs_look(self, share):
+        """Return whether there may be bytes of a connection in buffers."""
+        is_idle = share.stage is Stage.IDLE
+        return not is_idle or share.buffered > 0 or share.unseen > 0
+
     def choose(self, now):
         """Choose the shares to stop while the budget is exceeded.
 
         The largest of those whose callers make no progress come first, then the largest
-        of the others. A request that is being processed is never stopped here.
+        of the others. A request that is being processed is never stopped here, unless
+        its caller leaves the answer unread.
         """
         chosen = []
         if not self.is_over:
@@ -171,7 +196,11 @@
         if not shares:
             return None
         chosen = min(
-            shares, key=lambda share: (share.stage is not Stage.IDLE, share.moved_at)
+            shares,
+            key=lambda share: (
+                share.stage is not Stage.IDLE or share.is_unread,
+                share.moved_at,
+            ),
         )
         self._stop(chosen)
         return chosen
@@ -191,11 +220,13 @@
         )
 
     def _may_stop(self, share):
-        is_running = share.stage is Stage.RUNNING
+        is_running = share.stage is Stage.RUNNING and not share.is_unread
         return share.holder is not None and not share.is_stopped and not is_running
 
     def _stop(self, share):
         self._count(share, -1)
+        if share.is_unread:
+            share.stage = Stage.SENDING
         share.is_stopped = True
         self._stopped += 1
 
--- a/banyanshore/http/caller_account.py
+++ b/banyanshore/http/caller_account.py
@@ -18,8 +18,10 @@
 DEFAULT_DESCRIPTORS = 4096
 # Callers that are logged one by one within a second; the next line counts the others.
 MAX_LOGGED_IN_SECOND = 20
-# Seconds between looks at the buffers of connections that are in use.
+# Seconds between looks at the buffers of connections that are in use, and bytes that
+# are written to one before the next look at it.
 LOOK_SECONDS = 0.5
+LOOK_BYTES = 64 * 1024
 
 
 class CallerAccount:
@@ -79,10 +81,18 @@
         """Add to the bytes that are held for a caller."""
         self.hold(share, share.held - CONNECTION_BYTES + size)
 
+    def record_written(self, share, size):
+        """Record that bytes were given to the system for a caller."""
+        share.unseen += size
+        if share.unseen >= LOOK_BYTES:
+            self.look_at(share)
+            self.make_room()
+
     def look_at(self, share):
         """Count the bytes in the buffers of a connection."""
-        size = share.holder.count_buffered_bytes()
-        self.account.record_buffered(share, size, time.monotonic())
+        unsent, unread = share.holder.count_buffered_bytes()
+        now = time.monotonic()
+        self.account.record_buffered(share, unsent + unread, now, unsent)
 
     def make_room(self):
         """Stop connections until the others are within the budget."""
--- a/banyanshore/http/caller_connection.py
+++ b/banyanshore/http/caller_connection.py
@@ -96,7 +96,7 @@
         return self._exchange.request_id if self._exchange else ""
 
     def count_buffered_bytes(self):
-        """Return the bytes in the buffers of the connection."""
+        """Return the bytes of answers in buffers, and those that arrived."""
         return self._stream.count_buffered_bytes()
 
     def stop(self):
@@ -365,7 +365,7 @@
                 self._arrived_after = self._listener.earliest_arrival()
             self._h11.receive_data(data)
             self._callers.hold_more(self.share, len(data))
-        while not is_closed_by_peer(self._stream):
+        while not (self.share.is_stopped or is_closed_by_peer(self._stream)):
             await anyio.sleep(HANGUP_CHECK_INTERVAL)
         self._peer_closed = True
         scope.cancel()
@@ -396,6 +396,7 @@
         data = b"".join(part for part in parts if part)
         if data:
             await send_bytes(self._stream, data)
+            self._callers.record_written(self.share, len(data))
         if isinstance(events[-1], h11.EndOfMessage):
             self._phase = Phase.DELIVERING
 
--- a/banyanshore/http/caller_stream.py
+++ b/banyanshore/http/caller_stream.py
@@ -87,16 +87,13 @@
         }
 
     def count_buffered_bytes(self):
-        """Return the bytes that wait to be sent, acknowledged or read."""
+        """Return the bytes that the caller has to acknowledge, and those to be read."""
         if self._transport.is_closing():
-            return 0
+            return 0, 0
         raw = find_socket(self)
-        return (
-            self._transport.get_write_buffer_size()
-            + (count_unacknowledged_bytes(raw) or 0)
-            + (count_unread_bytes(raw) or 0)
-            + len(self._protocol.data)
-        )
+        unsent = self._transport.get_write_buffer_size()
+        unsent += count_unacknowledged_bytes(raw) or 0
+        return unsent, (count_unread_bytes(raw) or 0) + len(self._protocol.data)
 
     def interrupt(self):
         """End what is being sent or received with a :class:`StoppedError`."""
--- a/banyanshore/http/connections.py
+++ b/banyanshore/http/connections.py
@@ -12,6 +12,7 @@
 from banyanshore.core.sockets import count_unacknowledged_bytes, count_unread_bytes
 from banyanshore.http.lingering import CHECK_SECONDS, PIECE_BYTES, Linger
 from banyanshore.http.unfinished import Phase, Unfinished
+from banyanshore.http.wire import reset_socket_on_close
 
 # Title of the refusal of a request that isn't read to its end, as others need the
 # memory.
@@ -107,10 +108,10 @@
         return transport.get_write_buffer_size() + (count or 0)
 
     def count_buffered_bytes(self):
-        """Return the bytes that wait to be sent, acknowledged or read."""
+        """Return the bytes of answers in buffers, and those that arrived."""
         raw = self.writer.transport.get_extra_info("socket")
         unread = self.reader.count_unread_bytes() + (count_unread_bytes(raw) or 0)
-        return self.count_undelivered_bytes() + unread
+        return self.count_undelivered_bytes(), unread
 
     def hold_body(self, size):
         """Count the bytes that are held of the body of the request."""
@@ -130,7 +131,10 @@
         is_reading = self.share.stage is Stage.READING
         if is_reading and self.request.refuse_body(NO_ROOM):
             return
-        # An answer that was begun must not look complete.
+        if self.share.stage in (Stage.SENDING, Stage.LINGERING):
+            # An answer that was begun must not look complete, and the system would
+            # keep the rest of it.
+            reset_socket_on_close(self.writer.transport.get_extra_info("socket"))
         self.writer.transport.abort()
         self.cut()
 
@@ -176,11 +180,21 @@
             return
         stage, self.share.stage = self.share.stage, Stage.SENDING
         try:
-            await super().protocol_send(event)
+            await self._write(event.data)
         finally:
             if self.share.stage is Stage.SENDING:
                 self.share.stage = stage
 
+    async def _write(self, data):
+        async with self.send_lock:
+            try:
+                self.writer.write(data)
+                # Before the wait for a caller that doesn't read.
+                self._server.callers.record_written(self.share, len(data))
+                await self.writer.drain()
+            except (ConnectionError, RuntimeError):
+                await self.protocol.handle(Closed())
+
     async def _close(self):
         if self._closing is None:
             self._closing = asyncio.create_task(self._deliver_and_close())
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -10,7 +10,6 @@
 import anyio
 import h11
 
-from banyanshore.core.byte_account import Stage
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.groups import wait_for_first
 from banyanshore.core.sockets import find_socket, is_peer_lost
@@ -106,7 +105,7 @@
             await anyio.sleep(LOOK_SECONDS)
             for connection, stream in list(self._stream_by_connection.items()):
                 share = connection.share
-                if share.stage is not Stage.IDLE or share.buffered:
+                if self.callers.account.needs_look(share):
                     self.callers.look_at(share)
                 if share.buffered and is_peer_lost(find_socket(stream)):
                     await self._drop_lost(connection, stream)
--- a/banyanshore/http/server.py
+++ b/banyanshore/http/server.py
@@ -8,7 +8,6 @@
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
 
-from banyanshore.core.byte_account import Stage
 from banyanshore.core.groups import open_task_group
 from banyanshore.http.accepting import open_acceptor
 from banyanshore.http.caller_account import LOOK_SECONDS, CallerAccount
@@ -115,7 +114,7 @@
             await anyio.sleep(LOOK_SECONDS)
             for connection in self._connections:
                 share = connection.share
-                if share.stage is not Stage.IDLE or share.buffered:
+                if self.callers.account.needs_look(share):
                     self.callers.look_at(share)
             self.callers.make_room()
 
--- a/banyanshore/http/wire.py
+++ b/banyanshore/http/wire.py
@@ -105,8 +105,12 @@
     After an orderly close the kernel still delivers what was queued before it.
     """
     raw = find_socket(stream)
-    if raw is None:
-        return
+    if raw is not None:
+        reset_socket_on_close(raw)
+
+
+def reset_socket_on_close(raw):
+    """Make the close of a socket drop unsent bytes and reset its connection."""
     # The peer may have closed the connection already.
     with contextlib.suppress(OSError):
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_WITHOUT_WAIT)
--- a/tests/core/test_byte_account.py
+++ b/tests/core/test_byte_account.py
@@ -79,6 +79,29 @@
     assert account.choose(NOW) == []
 
 
+def test_a_running_request_is_stopped_if_its_answer_is_left_unread():
+    account = ByteAccount(BUDGET, 100)
+    for _ in range(8):
+        open_share(account, BODY, LONG_AGO, Stage.RUNNING)
+    unread = open_share(account, 0, LONG_AGO, Stage.RUNNING)
+    account.record_buffered(unread, 4 * BODY, LONG_AGO, unsent=4 * BODY)
+    assert account.choose(NOW) == [unread]
+    # What the system still has of the answer is dropped.
+    assert unread.stage is Stage.SENDING
+
+
+def test_bytes_that_were_written_are_looked_at_while_a_connection_idles():
+    account = ByteAccount(BUDGET, 100)
+    share = open_share(account, 0, NOW, Stage.IDLE)
+    assert not account.needs_look(share)
+    share.unseen = 1
+    assert account.needs_look(share)
+    account.record_buffered(share, BODY, NOW, unsent=BODY)
+    assert account.needs_look(share)
+    account.record_buffered(share, 0, NOW)
+    assert not account.needs_look(share)
+
+
 def test_bytes_in_buffers_that_change_are_progress():
     account = ByteAccount(BUDGET, 100)
     stuck = open_share(account, 0, LONG_AGO, Stage.SENDING)
--- a/tests/http/test_caller_account.py
+++ b/tests/http/test_caller_account.py
@@ -1,12 +1,17 @@
 """What callers get when a process needs the memory or descriptors that they take."""
 
 import contextlib
+import socket
 
 import anyio
 import pytest
 
 from banyanshore.core.byte_account import MEMORY_FRACTION, Stage
-from banyanshore.http.caller_account import MAX_LOGGED_IN_SECOND, CallerAccount
+from banyanshore.http.caller_account import (
+    LOOK_SECONDS,
+    MAX_LOGGED_IN_SECOND,
+    CallerAccount,
+)
 from banyanshore.http.exchange import NO_ROOM_SECONDS
 from banyanshore.http.listener import Listener
 from banyanshore.http.wire import has_unread_bytes
@@ -18,6 +23,7 @@
 BUDGET = 1_000_000
 MEMORY_BYTES = int(BUDGET / MEMORY_FRACTION)
 BODY_BYTES = 900_000
+UNREAD_BYTES = 200_000
 GET = b"GET / HTTP/1.1\r\nhost: x\r\n"
 LAST = b"connection: close\r\n\r\n"
 CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
@@ -174,3 +180,80 @@
                 assert account.total < BUDGET / 2
         await other.send(bytes(BODY_BYTES // 2 - 1))
         await wait_until(lambda: account.total > BODY_BYTES // 2)
+
+
+async def answer_long(exchange):
+    """Answer with a body that the buffers of the system take at once."""
+    await exchange.respond(200, (), bytes(UNREAD_BYTES))
+
+
+def call_without_reading(address):
+    """Send a request; return the socket, of which nothing is read."""
+    host, _, port = address.partition(":")
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.connect((host, int(port)))
+    caller.send(GET + b"\r\n")
+    return caller
+
+
+async def read_rest(caller):
+    """Return how many bytes a caller gets, and whether its connection is reset."""
+    caller.settimeout(1.0)
+    count = 0
+    try:
+        while data := await anyio.to_thread.run_sync(caller.recv, 65536):
+            count += len(data)
+    except TimeoutError:
+        return count, False
+    except ConnectionResetError:
+        return count, True
+    return count, False
+
+
+async def test_answers_that_the_system_took_are_counted_and_cut_off():
+    """An answer that never had to wait was in no share, and stayed with the system."""
+    async with serving(answer_long) as (address, account):
+        with contextlib.ExitStack() as stack:
+            first = stack.enter_context(call_without_reading(address))
+            await wait_until(lambda: account.total > UNREAD_BYTES * 9 // 10)
+            others = []
+            for _ in range(2 * BUDGET // UNREAD_BYTES):
+                others.append(stack.enter_context(call_without_reading(address)))
+                await anyio.sleep(0.02)
+            await wait_until(lambda: not account.is_over)
+            ends = [await read_rest(caller) for caller in (first, *others)]
+        whole = [count for count, _ in ends if count > UNREAD_BYTES]
+        assert 0 < len(whole) * UNREAD_BYTES <= BUDGET
+        assert all(was_reset for count, was_reset in ends if count <= UNREAD_BYTES)
+
+
+async def test_running_answer_that_is_left_unread_is_cut_off():
+    """What the system had taken of it held the account, and others were refused."""
+    began = []
+
+    async def begin(exchange):
+        if exchange.path == "/body":
+            await Handler()(exchange)
+            return
+
+        async def work():
+            await exchange.start(200, ((b"content-length", b"%d" % BODY_BYTES),))
+            await exchange.send(bytes(UNREAD_BYTES))
+            began.append(exchange)
+            await anyio.sleep(60)
+
+        await exchange.run_while_connected(work)
+
+    async with serving(begin) as (address, _):
+        with contextlib.ExitStack() as stack:
+            for _ in range(2 * BUDGET // UNREAD_BYTES):
+                stack.enter_context(call_without_reading(address))
+                await anyio.sleep(0.02)
+            await wait_until(lambda: began)
+            # Until the buffers were looked at.
+            await anyio.sleep(2 * LOOK_SECONDS)
+            async with await connect(address) as other:
+                head = b"POST /body HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n"
+                await other.send(head + LAST + bytes(9))
+                assert (await read_all(other)).startswith(b"HTTP/1.1 200 ")
