--- a/tests/http/raw.py
+++ b/tests/http/raw.py
@@ -69,6 +69,30 @@
     return data
 
 
+def call_without_reading(address, request):
+    """Send a request; return the socket, of which nothing is read."""
+    host, _, port = address.partition(":")
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.connect((host, int(port)))
+    caller.send(request)
+    return caller
+
+
+async def read_rest(caller):
+    """Return how many bytes a caller gets, and whether its connection is reset."""
+    caller.settimeout(1.0)
+    count = 0
+    try:
+        while data := await anyio.to_thread.run_sync(caller.recv, 65536):
+            count += len(data)
+    except TimeoutError:
+        return count, False
+    except ConnectionResetError:
+        return count, True
+    return count, False
+
+
 def reset(stream):
     """Make the next close of a connection reset it."""
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
--- a/tests/http/test_caller_account.py
+++ b/tests/http/test_caller_account.py
@@ -1,7 +1,6 @@
 """What callers get when a process needs the memory or descriptors that they take."""
 
 import contextlib
-import socket
 
 import anyio
 import pytest
@@ -16,7 +15,14 @@
 from banyanshore.http.listener import Listener
 from banyanshore.http.wire import has_unread_bytes
 from banyanshore.telemetry.light import LightRegistry, add_stopped_callers
-from tests.http.raw import connect, read_all, read_until, running_listener
+from tests.http.raw import (
+    call_without_reading,
+    connect,
+    read_all,
+    read_rest,
+    read_until,
+    running_listener,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -187,39 +193,17 @@
     await exchange.respond(200, (), bytes(UNREAD_BYTES))
 
 
-def call_without_reading(address):
-    """Send a request; return the socket, of which nothing is read."""
-    host, _, port = address.partition(":")
-    caller = socket.socket()
-    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    caller.connect((host, int(port)))
-    caller.send(GET + b"\r\n")
-    return caller
-
-
-async def read_rest(caller):
-    """Return how many bytes a caller gets, and whether its connection is reset."""
-    caller.settimeout(1.0)
-    count = 0
-    try:
-        while data := await anyio.to_thread.run_sync(caller.recv, 65536):
-            count += len(data)
-    except TimeoutError:
-        return count, False
-    except ConnectionResetError:
-        return count, True
-    return count, False
-
-
 async def test_answers_that_the_system_took_are_counted_and_cut_off():
     """An answer that never had to wait was in no share, and stayed with the system."""
     async with serving(answer_long) as (address, account):
         with contextlib.ExitStack() as stack:
-            first = stack.enter_context(call_without_reading(address))
+            first = stack.enter_context(call_without_reading(address, GET + b"\r\n"))
             await wait_until(lambda: account.total > UNREAD_BYTES * 9 // 10)
             others = []
             for _ in range(2 * BUDGET // UNREAD_BYTES):
-                others.append(stack.enter_context(call_without_reading(address)))
+                others.append(
+                    stack.enter_context(call_without_reading(address, GET + b"\r\n"))
+                )
                 await anyio.sleep(0.02)
             await wait_until(lambda: not account.is_over)
             ends = [await read_rest(caller) for caller in (first, *others)]
@@ -248,7 +232,7 @@
     async with serving(begin) as (address, _):
         with contextlib.ExitStack() as stack:
             for _ in range(2 * BUDGET // UNREAD_BYTES):
-                stack.enter_context(call_without_reading(address))
+                stack.enter_context(call_without_reading(address, GET + b"\r\n"))
                 await anyio.sleep(0.02)
             await wait_until(lambda: began)
             # Until the buffers were looked at.
--- a/tests/http/test_web_account.py
+++ b/tests/http/test_web_account.py
@@ -9,12 +9,14 @@
 from banyanshore.http.asgi import make_application
 from banyanshore.http.caller_account import CallerAccount
 from banyanshore.http.server import WebServer
-from tests.http.raw import connect, read_until
+from tests.http.raw import call_without_reading, connect, read_rest, read_until
 from tests.ports import free_ports
 
 pytestmark = pytest.mark.anyio
 
 BUDGET = 1_000_000
+LONG_BYTES = 200_000
+LONG = b"GET /long HTTP/1.1\r\nhost: x\r\n\r\n"
 GET = b"GET / HTTP/1.1\r\nhost: x\r\n"
 HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00"
 H2C = (
@@ -29,7 +31,7 @@
 
 async def handle(request):
     """Answer at ``/long`` with a long body, else with a short one."""
-    size = 500_000 if request.path == "/long" else 2
+    size = LONG_BYTES if request.path == "/long" else 2
     await request.respond(200, b"x" * size, "text/plain")
 
 
@@ -71,3 +73,19 @@
         answer = await read_until(stream, b"\r\n\r\n")
     assert answer.startswith(b"HTTP/1.1 "), answer
     assert not answer.startswith(b"HTTP/1.1 101 "), answer
+
+
+async def test_answers_that_are_left_unread_are_cut_off_recognizably():
+    """They were counted only while the connection was in use, and closed in order."""
+    async with serving() as (address, account):
+        with contextlib.ExitStack() as stack:
+            callers = []
+            for _ in range(2 * BUDGET // LONG_BYTES):
+                caller = call_without_reading(address, LONG)
+                callers.append(stack.enter_context(caller))
+                await anyio.sleep(0.02)
+            ends = [await read_rest(caller) for caller in callers]
+            assert not account.is_over
+    whole = [count for count, _ in ends if count > LONG_BYTES]
+    assert 0 < len(whole) * LONG_BYTES <= BUDGET
+    assert all(was_reset for count, was_reset in ends if count <= LONG_BYTES)
