Count the heads of requests that arrive at web servers

The control, entry and agent processes counted bytes only from the body on; a head that doesn't end may take 64 KB for a minute.

--- a/banyanshore/http/connections.py
+++ b/banyanshore/http/connections.py
@@ -61,6 +61,7 @@
         self._closing = None
         self.share = share
         share.holder = self
+        reader.on_read = self._count_head
         # Bytes that the event loop takes from the system at a time.
         writer.transport.max_size = RECEIVED_BYTES
 
@@ -113,6 +114,11 @@
         unread = self.reader.count_unread_bytes() + (count_unread_bytes(raw) or 0)
         return self.count_undelivered_bytes(), unread
 
+    def _count_head(self, size):
+        """Count bytes that arrived while no request is being processed."""
+        if self.share.stage is Stage.IDLE:
+            self._server.callers.hold_more(self.share, size)
+
     def hold_body(self, size):
         """Count the bytes that are held of the body of the request."""
         self.share.stage = Stage.READING
--- a/banyanshore/http/lingering.py
+++ b/banyanshore/http/lingering.py
@@ -53,17 +53,21 @@
 
     :ivar ended: event that is set once the caller has closed the connection.
     :ivar discarded_bytes: bytes that arrived after :meth:`discard`.
+    :ivar on_read: called with the number of bytes of each piece that is read.
     """
 
     def __init__(self):
         super().__init__(limit=PIECE_BYTES)
+        self.on_read = lambda count: None
         self.ended = asyncio.Event()
         self.discarded_bytes = 0
         self._is_discarding = False
 
     async def read(self, n=-1):
         """Return the next bytes, at most :data:`PIECE_BYTES`."""
-        return await super().read(min(n, PIECE_BYTES) if n > 0 else PIECE_BYTES)
+        data = await super().read(min(n, PIECE_BYTES) if n > 0 else PIECE_BYTES)
+        self.on_read(len(data))
+        return data
 
     def count_unread_bytes(self):
         """Return the bytes that were received and not read yet."""
--- a/tests/http/test_web_account.py
+++ b/tests/http/test_web_account.py
@@ -89,3 +89,20 @@
     whole = [count for count, _ in ends if count > LONG_BYTES]
     assert 0 < len(whole) * LONG_BYTES <= BUDGET
     assert all(was_reset for count, was_reset in ends if count <= LONG_BYTES)
+
+
+async def test_heads_that_do_not_end_are_counted():
+    """Each caller could leave 64 KB of a head in the process."""
+    head = GET + b"x-fill: " + b"x" * 60_000
+    count = 8
+    async with serving() as (address, account), contextlib.AsyncExitStack() as stack:
+        for _ in range(count):
+            stream = await stack.enter_async_context(await connect(address))
+            await stream.send(head)
+        await wait_until(lambda: account.total >= count * len(head))
+        for _ in range(2 * BUDGET // len(head)):
+            stream = await stack.enter_async_context(await connect(address))
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await stream.send(head)
+            assert not account.is_over
+    await wait_until(lambda: account.total < BUDGET / 10)
