--- a/tests/http/test_caller_account.py
+++ b/tests/http/test_caller_account.py
@@ -6,20 +6,33 @@
 import pytest
 
 from banyanshore.core.byte_account import MEMORY_FRACTION, Stage
-from banyanshore.http.caller_account import MAX_LOGGED_IN_SECOND, CallerAccount
+from banyanshore.http.caller_account import (
+    LOOK_SECONDS,
+    MAX_LOGGED_IN_SECOND,
+    CallerAccount,
+)
 from banyanshore.http.exchange import NO_ROOM_SECONDS
 from banyanshore.http.listener import Listener
 from banyanshore.http.wire import has_unread_bytes
 from banyanshore.telemetry.light import LightRegistry, add_stopped_callers
-from tests.http.raw import connect, read_all, running_listener
+from tests.http.raw import (
+    call_without_reading,
+    connect,
+    read_all,
+    read_rest,
+    read_until,
+    running_listener,
+)
 
 pytestmark = pytest.mark.anyio
 
 BUDGET = 1_000_000
 MEMORY_BYTES = int(BUDGET / MEMORY_FRACTION)
 BODY_BYTES = 900_000
+UNREAD_BYTES = 200_000
 GET = b"GET / HTTP/1.1\r\nhost: x\r\n"
 LAST = b"connection: close\r\n\r\n"
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
 POST = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n" % BODY_BYTES
 
 
@@ -133,3 +146,98 @@
     assert sum(stopped._values.values()) == count
     assert stopped._values["reading", "memory"] == count
     assert 0 < len(caplog.records) <= 2 * MAX_LOGGED_IN_SECOND
+
+
+async def test_framing_of_chunks_that_were_parsed_is_not_counted():
+    """A small body in small chunks with extensions was refused in calm."""
+    chunk = b"10;%s\r\n%s\r\n" % (b"x" * 1000, bytes(16))
+    count = 2 * BUDGET // len(chunk)
+    async with (
+        serving(Handler()) as (address, _),
+        await connect(address) as stream,
+    ):
+        await stream.send(b"POST / HTTP/1.1\r\nhost: x\r\n" + CHUNKED)
+        await stream.send(chunk * count + b"0\r\n\r\n")
+        answer = await read_until(stream, b"\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.1 200 ")
+
+
+async def reject(exchange):
+    """Answer requests at ``/none`` without reading their bodies."""
+    status = 404 if exchange.path == "/none" else 200
+    if status == 200:
+        await exchange.read_body()
+    await exchange.respond(status)
+
+
+async def test_endless_body_of_a_rejected_request_is_bounded():
+    """It was discarded without end, counted as held, and couldn't be stopped."""
+    async with (
+        serving(reject) as (address, account),
+        await connect(address) as endless,
+        await connect(address) as other,
+    ):
+        await other.send(POST + b"x")
+        await endless.send(b"POST /none HTTP/1.1\r\nhost: x\r\n" + CHUNKED)
+        chunk = b"10000\r\n%s\r\n" % bytes(0x10000)
+        with anyio.fail_after(20), pytest.raises(anyio.BrokenResourceError):
+            while True:
+                await endless.send(chunk)
+                assert account.total < BUDGET / 2
+        await other.send(bytes(BODY_BYTES // 2 - 1))
+        await wait_until(lambda: account.total > BODY_BYTES // 2)
+
+
+async def answer_long(exchange):
+    """Answer with a body that the buffers of the system take at once."""
+    await exchange.respond(200, (), bytes(UNREAD_BYTES))
+
+
+async def test_answers_that_the_system_took_are_counted_and_cut_off():
+    """An answer that never had to wait was in no share, and stayed with the system."""
+    async with serving(answer_long) as (address, account):
+        with contextlib.ExitStack() as stack:
+            first = stack.enter_context(call_without_reading(address, GET + b"\r\n"))
+            await wait_until(lambda: account.total > UNREAD_BYTES * 9 // 10)
+            others = []
+            for _ in range(2 * BUDGET // UNREAD_BYTES):
+                others.append(
+                    stack.enter_context(call_without_reading(address, GET + b"\r\n"))
+                )
+                await anyio.sleep(0.02)
+            await wait_until(lambda: not account.is_over)
+            ends = [await read_rest(caller) for caller in (first, *others)]
+        whole = [count for count, _ in ends if count > UNREAD_BYTES]
+        assert 0 < len(whole) * UNREAD_BYTES <= BUDGET
+        assert all(was_reset for count, was_reset in ends if count <= UNREAD_BYTES)
+
+
+async def test_running_answer_that_is_left_unread_is_cut_off():
+    """What the system had taken of it held the account, and others were refused."""
+    began = []
+
+    async def begin(exchange):
+        if exchange.path == "/body":
+            await Handler()(exchange)
+            return
+
+        async def work():
+            await exchange.start(200, ((b"content-length", b"%d" % BODY_BYTES),))
+            await exchange.send(bytes(UNREAD_BYTES))
+            began.append(exchange)
+            await anyio.sleep(60)
+
+        await exchange.run_while_connected(work)
+
+    async with serving(begin) as (address, _):
+        with contextlib.ExitStack() as stack:
+            for _ in range(2 * BUDGET // UNREAD_BYTES):
+                stack.enter_context(call_without_reading(address, GET + b"\r\n"))
+                await anyio.sleep(0.02)
+            await wait_until(lambda: began)
+            # Until the buffers were looked at.
+            await anyio.sleep(2 * LOOK_SECONDS)
+            async with await connect(address) as other:
+                head = b"POST /body HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n"
+                await other.send(head + LAST + bytes(9))
+                assert (await read_all(other)).startswith(b"HTTP/1.1 200 ")
