Don't count prompts as unread that a target has answered

Cause: five short requests in 0.1 s each added the prefill time of the service's cost model to the backlog of a target, though it had begun to answer each after 1 ms. 0.15 s then counted over a quarter of the objective, and the idle target was refused as full (traced in tests/processes/test_platform.py::test_drained_data_centre_gets_no_requests_until_it_is_restored, about 1 of 8 runs beside load).

Change: routing/prompt_backlog.py keeps the prompts themselves. As an own answer begins (first event, or body of a 2xx), its prompt is read, and those of others heard of before it, if nothing of the service is less urgent. Own prompts count until their own answers begin, later ones always. The estimate is lowered to the time for what isn't known to be read, never raised. A prompt taken back is subtracted only as far as it still counted; before, one that had been read by estimate was subtracted from the time for the others.

--- a/banyanshore/gateway/offers.py
+++ b/banyanshore/gateway/offers.py
@@ -51,6 +51,8 @@
         # What runs at a target: its row, and the offer as the withdrawals and the
         # suspects know it; or ``None``.
         self._running = None
+        # The prompt that is sent to the target, or ``None``.
+        self._prompt = None
         self._notices = NoticeRecorder(state.gateway, state.request)
 
     async def offer(self, choice):
@@ -77,7 +79,7 @@
         )
         request = self._gateway.dialect.build(self._request, state.body, offer)
         placements = self._gateway.placements
-        await placements.announce(now, row, self._screened)
+        self._prompt = await placements.announce(now, row, self._screened)
         self._finder.record_offer()
         state.is_offered = True
         load = board.load(row.address)
@@ -113,7 +115,7 @@
         state.offer_in_flight = None
         self._record_target_outcome(row, outcome)
         if outcome in _NOT_RUN_OUTCOMES:
-            await placements.take_back(row, self._screened)
+            await placements.take_back(row, self._prompt)
         if outcome in (Outcome.LOST, Outcome.BROKEN_OFF):
             await suspects.record_lost(offer_in_flight)
         elif outcome is None:
@@ -135,6 +137,16 @@
         gateway.suspects.end(offer_in_flight)
         return True
 
+    def _record_prompt_read(self):
+        """Record that the target has begun to answer, after it read the prompt."""
+        if self._prompt is None or self._running is None:
+            return
+        row, *_ = self._running
+        screened = self._screened
+        now = time.monotonic()
+        if self._gateway.board.record_read(now, row, self._prompt, screened.rank):
+            self._gateway.turns.record_room(screened.service)
+
     def _record_read(self):
         """Record that the last byte has arrived; only the caller is waited for."""
         self._end_at_target()
@@ -247,6 +259,8 @@
         held = HeldAnswer(answer, self._gateway.answer_memory, self._state.target)
         try:
             await held.hold()
+            if 200 <= answer.status < 300:
+                self._record_prompt_read()
             headers = self._gateway.dialect.answer_headers(answer)
             if answer.status >= 500:
                 held.require_complete()
@@ -279,6 +293,7 @@
         offer = self._state.offer_in_flight
 
         async def on_begun():
+            self._record_prompt_read()
             self._on_begun()
             await self._gateway.suspects.record_begun(offer)
 
--- a/banyanshore/gateway/placements.py
+++ b/banyanshore/gateway/placements.py
@@ -24,10 +24,12 @@
 
         :param row: row of the target.
         :param screened: the :class:`~banyanshore.gateway.screening.Screened` request.
+        :return: its :class:`~banyanshore.routing.prompt_backlog.Prompt`, ``None`` if
+            the target needs no time for it.
         """
         seconds = self._prefill_seconds(screened)
-        self._board.begin(now, row, seconds)
-        if seconds:
+        prompt = self._board.begin(now, row, seconds)
+        if prompt is not None:
             unseen = self._board.unseen
             self._metrics.news_age.labels().set(unseen.age_seconds)
             self._metrics.unseen_requests.labels(row.service).set(
@@ -35,13 +37,13 @@
             )
             notice = PlacementNotice(row.address, seconds, row.data_centre)
             await self._updates.send(notice)
+        return prompt
 
-    async def take_back(self, row, screened):
+    async def take_back(self, row, prompt):
         """Take back the announcement of a request that a target did not run."""
-        seconds = self._prefill_seconds(screened)
-        if seconds:
-            self._board.take_back(row, seconds)
-            notice = PlacementNotice(row.address, -seconds, row.data_centre)
+        if prompt is not None:
+            self._board.take_back(row, prompt)
+            notice = PlacementNotice(row.address, -prompt.seconds, row.data_centre)
             await self._updates.send(notice)
 
     def _prefill_seconds(self, screened):
--- a/banyanshore/gateway/turns.py
+++ b/banyanshore/gateway/turns.py
@@ -63,6 +63,10 @@
         if len(self.queue):
             self._has_news.set()
 
+    def record_room(self, service):
+        """Record that a target may have room, of which only this gateway knows."""
+        self.queue.wake_next(service)
+
     def record_end(self, service, workspace):
         """Record that a request has left a target, and pass its place on."""
         self.queue.record_end(time.monotonic(), service, workspace)
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -134,16 +134,29 @@
     def begin(self, now, row, prefill_seconds):
         """Count a request that is sent to a target.
 
-        :param prefill_seconds: prefill time of its prompt.
+        :param prefill_seconds: prefill time of its prompt, 0 without one.
+        :return: the :class:`~banyanshore.routing.prompt_backlog.Prompt`, or ``None``.
         """
         load = self.load(row.address)
         load.count_begin(now)
-        load.add_prefill(now, prefill_seconds)
         self._cold_shares.record_sent(now, row.id)
+        if not prefill_seconds:
+            return None
+        return load.prompts.add(now, prefill_seconds, is_own=True)
 
-    def take_back(self, row, prefill_seconds):
+    def record_read(self, now, row, prompt, rank):
+        """Record that a target has begun to answer a request of this gateway.
+
+        :param prompt: its :class:`~banyanshore.routing.prompt_backlog.Prompt`.
+        :param rank: its :class:`~banyanshore.routing.ranks.Rank`.
+        :return: whether the target has less to read than was estimated.
+        """
+        prompts = self.load(row.address).prompts
+        return prompts.record_read(now, prompt, rank.position == rank.count - 1)
+
+    def take_back(self, row, prompt):
         """Forget the prompt of a request that a target did not run."""
-        self.load(row.address).remove_prefill(prefill_seconds)
+        self.load(row.address).prompts.remove(prompt)
 
     def record_placement(self, now, notice):
         """Record a :class:`~banyanshore.membership.load_reports.PlacementNotice`."""
--- a/banyanshore/routing/target_load.py
+++ b/banyanshore/routing/target_load.py
@@ -5,6 +5,7 @@
 from dataclasses import field
 
 from banyanshore.core.values import dataclass
+from banyanshore.routing.prompt_backlog import PromptBacklog
 
 # Seconds after which a report is too old to estimate the load: several report
 # intervals.
@@ -26,7 +27,7 @@
         then.
     :ivar failures: consecutive offers that failed to reach it or lost its answer.
     :ivar suspended_until: time until which no requests are sent to it.
-    :ivar prefill_until: time at which it will have prefilled the prompts sent to it.
+    :ivar prompts: the prompts that it has still to read.
     :ivar failure_rate: moving average of the part of its answers that were failures.
     :ivar first_byte_seconds: time until the answer to this gateway's last request
         began.
@@ -42,7 +43,7 @@
     announced_since_report: int = 0
     failures: int = 0
     suspended_until: float = -math.inf
-    prefill_until: float = -math.inf
+    prompts: PromptBacklog = field(default_factory=PromptBacklog)
     failure_rate: float = 0.0
     first_byte_seconds: float = 0.0
     awaiting_first_byte: list = field(default_factory=list)
@@ -90,24 +91,6 @@
         """Record whether a request to the target has failed."""
         self.failure_rate += FAILURE_WEIGHT * (has_failed - self.failure_rate)
 
-    def add_prefill(self, now, seconds):
-        """Add the prefill time of a prompt that is sent to the target."""
-        self.prefill_until = max(now, self.prefill_until) + seconds
-
-    def remove_prefill(self, seconds):
-        """Remove the prefill time of a prompt that the target did not read.
-
-        Load pattern: a request that is larger than the memory of any target is rejected
-        by each of them. Its prefill time kept all others away for minutes.
-
-        >>> load = TargetLoad()
-        >>> load.add_prefill(10.0, 100.0)
-        >>> load.remove_prefill(100.0)
-        >>> load.remaining_prefill_seconds(10.0)
-        0.0
-        """
-        self.prefill_until -= seconds
-
     def record_report(self, now, report, news_age=0.0):
         """Record a report, which counts all requests at the target when it was made.
 
@@ -139,10 +122,11 @@
         """
         if seconds < 0:
             self.announced_since_report = max(0, self.announced_since_report - 1)
-            self.remove_prefill(-seconds)
+            self.prompts.remove_of_others(-seconds)
             return
         self.announced_since_report += 1
-        self.add_prefill(now, seconds)
+        if seconds:
+            self.prompts.add(now, seconds)
 
     @property
     def pace(self):
@@ -151,7 +135,7 @@
 
     def remaining_prefill_seconds(self, now):
         """Return the time that the target still needs to prefill its prompts."""
-        return max(0.0, self.prefill_until - now)
+        return self.prompts.remaining_seconds(now)
 
     def estimated_in_flight(self, now):
         """Return the estimated number of requests at the target now."""
--- a/banyanshore/simulation/policies.py
+++ b/banyanshore/simulation/policies.py
@@ -10,6 +10,7 @@
 from banyanshore.membership.registry import RowTable, TargetRow
 from banyanshore.routing.board import Choice, TargetBoard, TargetRequirements
 from banyanshore.routing.engine_model import EngineModel
+from banyanshore.routing.ranks import ONLY_RANK
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.shares import ColdShares
 from banyanshore.state import DesiredState, Fence, PublishedState
@@ -43,6 +44,9 @@
     def begin(self, now, row):
         """Record that a request is sent to its target."""
 
+    def record_first_event(self, now, row):
+        """Record that a target has begun to answer a request."""
+
     def end(self, now, row):
         """Record that a request ended at its target."""
 
@@ -84,6 +88,8 @@
         self._rows = {row.address: row for row in table.rows()}
         shares = ColdShares(name, 1.0, 0.0)
         self._board = TargetBoard(self, table, shares, self.rng)
+        # The prompts that the targets have still to read, by the id of the arrival.
+        self._prompts = {}
         self._gateways = [f"gateway-{number}" for number in range(plan.gateways)]
         self._sequence = 0
 
@@ -101,7 +107,13 @@
     def begin(self, now, row):
         """Add the request to the load of its target."""
         seconds = self._model.prefill_seconds(row.prompt)
-        self._board.begin(now, self._rows[row.target], seconds)
+        target = self._rows[row.target]
+        self._prompts[id(row)] = self._board.begin(now, target, seconds)
+
+    def record_first_event(self, now, row):
+        """Record that a target has read the prompt of a request."""
+        prompt = self._prompts.pop(id(row))
+        self._board.record_read(now, self._rows[row.target], prompt, ONLY_RANK)
 
     def end(self, now, row):
         """Remove the request from the load of its target and record a success."""
--- a/banyanshore/simulation/run.py
+++ b/banyanshore/simulation/run.py
@@ -124,6 +124,7 @@
             return
         for row in prefilled:
             row.first_event_at = now
+            self._policy_by_gateway[row.gateway].record_first_event(now, row)
         for row in completed:
             row.completed_at = now
             self._policy_by_gateway[row.gateway].end(now, row)
--- a/tests/routing/test_room.py
+++ b/tests/routing/test_room.py
@@ -78,7 +78,8 @@
 
 def test_least_urgent_requests_keep_part_of_the_prefill_time():
     rule = make_rule(0, 1, 2)
-    load = TargetLoad(prefill_until=0.09)
+    load = TargetLoad()
+    load.prompts.add(0.0, 0.09)
     for position, has_room in ((0, True), (1, True), (2, False)):
         requirements = TargetRequirements(
             "llm", objective_seconds=0.4, rank=Rank(position, 3)
--- a/tests/routing/test_spread.py
+++ b/tests/routing/test_spread.py
@@ -116,7 +116,7 @@
 
 def make_load(prefill_seconds=0.0):
     load = TargetLoad()
-    load.add_prefill(1.0, prefill_seconds)
+    load.prompts.add(1.0, prefill_seconds)
     return load
 
 
