Try again when the prompts that kept a request away are read

Cause: a request that found the only target full because of 0.15 s of prompts waited 0.5 s and was refused, although the backlog had passed after 25 ms: only ends of own requests, reports and placements taken back woke it, and reports of an idle target come each 0.6 s since.

Change: NoChoice.room_in tells in how many seconds the first target with free places is expected to have read so much that there is room (RoomRule.seconds_to_room). TurnExchange wakes the first request of the service then, within 0.06 s as after news, so that not all gateways go at the same moment. One time a service, the earliest; each try that finds none sets the next. The queue chooses who tries, so that nobody passes a more urgent request. Refusals log room_in_ms.

--- a/banyanshore/gateway/endings.py
+++ b/banyanshore/gateway/endings.py
@@ -1,5 +1,6 @@
 """The answers that a gateway gives itself at the end of a request."""
 
+import math
 import time
 
 from banyanshore.routing.attempts import Step
@@ -15,6 +16,11 @@
     await exchange.respond(status, headers, body)
 
 
+def _round_ms(seconds):
+    """Return finite seconds in milliseconds, else ``None``."""
+    return round(seconds * 1000) if seconds < math.inf else None
+
+
 class RequestEnding:
     """End one request that no target's answer has ended.
 
@@ -71,6 +77,7 @@
             why=why,
             retry_after=retry_after,
             report_age_ms=round(choice.report_age * 1000) if choice else None,
+            room_in_ms=_round_ms(choice.room_in) if choice else None,
             **returning.describe(),
         )
         await self._exchange.respond(503, headers)
--- a/banyanshore/gateway/turns.py
+++ b/banyanshore/gateway/turns.py
@@ -1,16 +1,19 @@
 """Wait of requests that have found no room until a target may have some."""
 
+import math
 import time
 
 import anyio
 
+from banyanshore.core.groups import open_task_group
 from banyanshore.routing.board import NoChoice
 from banyanshore.routing.retry_after import Reason
 from banyanshore.routing.turns import TurnQueue
 
-# Seconds after a report or a taken-back placement within which a request that waits
-# tries again. All gateways hear of it at about the same time, and hear of each other's
-# placements some tens of milliseconds later.
+# Seconds after a report, a taken-back placement, or the time at which a target has read
+# its prompts, within which a request that waits tries again. All gateways hear of it or
+# expect it at about the same time, and hear of each other's placements some tens of
+# milliseconds later.
 MAX_TRY_DELAY = 0.06
 
 
@@ -57,6 +60,20 @@
         self._rng = rng
         self._metrics = metrics
         self._has_news = anyio.Event()
+        # Times at which targets are expected to have room, by service.
+        self._room_at_by_service = {}
+        self._expects_room = anyio.Event()
+
+    def expect_room(self, service, seconds):
+        """Let requests try again when a target is expected to have room.
+
+        :param seconds: seconds until then, ``inf`` if unknown.
+        """
+        delay = seconds + self._rng.uniform(0, MAX_TRY_DELAY)
+        room_at = time.monotonic() + delay
+        if room_at < self._room_at_by_service.get(service, math.inf):
+            self._room_at_by_service[service] = room_at
+            self._expects_room.set()
 
     def record_news(self):
         """Record that another gateway or a target has told of room."""
@@ -77,7 +94,24 @@
         self._metrics.waits.labels(rank.position, outcome).inc()
 
     async def run(self):
-        """Let requests try again after news, until cancelled."""
+        """Let requests try again when there may be room, until cancelled."""
+        async with open_task_group() as tasks:
+            tasks.start_soon(self._try_after_news)
+            tasks.start_soon(self._try_when_expected)
+
+    async def _try_when_expected(self):
+        while True:
+            next_at = min(self._room_at_by_service.values(), default=math.inf)
+            with anyio.move_on_after(max(0.0, next_at - time.monotonic())):
+                await self._expects_room.wait()
+            self._expects_room = anyio.Event()
+            now = time.monotonic()
+            for service, room_at in list(self._room_at_by_service.items()):
+                if room_at <= now:
+                    del self._room_at_by_service[service]
+                    self.queue.wake_next(service)
+
+    async def _try_after_news(self):
         while True:
             await self._has_news.wait()
             await anyio.sleep(self._rng.uniform(0, MAX_TRY_DELAY))
@@ -138,11 +172,13 @@
 
     async def _wait(self, turn, waiting, choice):
         """Return a choice other than that all targets are full, or the last one."""
+        self._turns.expect_room(turn.service, choice.room_in)
         while await waiting.wait(turn.ends_at - time.monotonic()):
             choice = self._choose()
             if not _is_full(choice):
                 self._full_needs = waiting.full_needs
                 break
+            self._turns.expect_room(turn.service, choice.room_in)
             self._queue.wake_next(turn.service, waiting.full_needs | {turn.needs})
         return choice
 
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -56,11 +56,14 @@
         have asked for a pause or are at their limits.
     :param report_age: seconds since the oldest of the reports that it is based on, 0
         without any.
+    :param room_in: seconds until the first target is expected to have read so much of
+        its prompts that it has room, ``inf`` if none is full for this reason alone.
     """
 
     reason: Reason
     available_in: float = 0.0
     report_age: float = 0.0
+    room_in: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -266,17 +269,20 @@
         connections = connection_share(service, len(gateways))
         remote_part = self._room.remote_capacity_part(serving, len(gateways))
         reserve = self._room.reserve(now, requirements)
-        free = [
-            candidate
-            for candidate in unsuspended
-            if self._has_room(
-                now, candidate.row, service, requirements, remote_part, reserve
+        room_in, free = math.inf, []
+        for candidate in unsuspended:
+            load = self.load(candidate.row.address)
+            if load.own_in_flight >= connections:
+                continue
+            seconds = self._room.seconds_to_room(
+                now, load, candidate.row, service, requirements, remote_part, reserve
             )
-            and self.load(candidate.row.address).own_in_flight < connections
-        ]
+            room_in = min(room_in, seconds)
+            if not seconds:
+                free.append(candidate)
         if not free:
             age = self._oldest_report_age(now, unsuspended)
-            return NoChoice(Reason.FULL, report_age=age)
+            return NoChoice(Reason.FULL, report_age=age, room_in=room_in)
         eligible = [
             candidate
             for candidate in free
@@ -389,12 +395,6 @@
             return False
         return version >= max(1, self._oldest_version(now, row, requirements))
 
-    def _has_room(self, now, row, service, requirements, remote_part, reserve):
-        load = self.load(row.address)
-        return self._room.has_room(
-            now, load, row, service, requirements, remote_part, reserve
-        )
-
     def _is_within_cold_rate(self, now, candidate, service, gateways):
         per_second = service.get("cold_per_second", 0)
         if self.cold_until(candidate) <= now or not per_second:
--- a/banyanshore/routing/room.py
+++ b/banyanshore/routing/room.py
@@ -123,7 +123,16 @@
         return 1 - reserve * min(1.0, local_count / fair_share)
 
     def has_room(self, now, load, row, service, requirements, remote_part, reserve):
-        """Return whether a target can start another request in time.
+        """Return whether a target can start another request in time."""
+        seconds = self.seconds_to_room(
+            now, load, row, service, requirements, remote_part, reserve
+        )
+        return seconds == 0
+
+    def seconds_to_room(
+        self, now, load, row, service, requirements, remote_part, reserve
+    ):
+        """Return the seconds until a target can start another request in time.
 
         Load pattern: for some seconds there are more requests than the targets can
         serve. Requests queued in an engine delay all later ones, so that even a short
@@ -131,17 +140,19 @@
 
         :param remote_part: result of :meth:`remote_capacity_part`.
         :param reserve: the :class:`Reserve` that the request has to leave.
+        :return: 0 if it can now, ``inf`` if it is unknown when one of its requests
+            ends.
         """
         in_flight = load.estimated_in_flight(now)
         if not service.get("engine"):
             places = row.slots * (1 + PLAIN_QUEUE_FACTOR)
-            return in_flight < places - reserve.kept_places(places)
+            return 0.0 if in_flight < places - reserve.kept_places(places) else math.inf
         is_local = row.data_centre == self._data_centre
         part = 1.0 if is_local else remote_part
         kept = reserve.kept_places(row.slots)
         if in_flight >= part * row.slots - kept:
-            return False
+            return math.inf
         part *= 1 - kept / row.slots
         backlog = load.remaining_prefill_seconds(now)
         longest = part * MAX_BACKLOG_PART * requirements.objective_seconds or math.inf
-        return backlog <= longest
+        return max(0.0, backlog - longest)
--- a/tests/gateway/test_prompt_backlog.py
+++ b/tests/gateway/test_prompt_backlog.py
@@ -47,6 +47,8 @@
         keep_confirmed(gateway)
         document = make_document(**route)
         document["services"]["s"] = {"kind": "direct", "engine": ENGINE}
+        document["workspaces"]["urgent"] = {"keys": ["urgent-key"], "priority": 0}
+        document["workspaces"]["later"] = {"keys": ["later-key"], "priority": 1}
         gateway.state.apply(PublishedState(2, Fence(1, 2), to_json(document)))
         gateway.versions.oldest_allowed_version = lambda now, model: 1
         for row in list(gateway.registry.targets.rows()):
@@ -116,3 +118,86 @@
         gateway.placements._prefill_seconds = lambda screened: 100.0
         assert (await ask(address, make_request(model="m")))[0] == 500
         assert backlog(gateway) > 90.0
+
+
+class SlowTarget(Target):
+    """A target that answers nothing until it is told to."""
+
+    def __init__(self):
+        super().__init__(self._hold)
+        self.read_at = []
+        self.marks = []
+        self._may_answer = anyio.Event()
+
+    async def _hold(self, stream):
+        self.read_at.append(time.monotonic())
+        mark = self.requests[-1].split(b"x-mark: ")[1].split(b"\r\n")[0]
+        self.marks.append(mark.decode())
+        await self._may_answer.wait()
+        await stream.send(COMPLETE)
+
+    def answer_all(self):
+        self._may_answer.set()
+
+
+@contextlib.asynccontextmanager
+async def busy_gateway(prefill_seconds):
+    """Yield a gateway, its target that reads a prompt, and a function that asks.
+
+    Requests that follow have short prompts.
+    """
+    target = SlowTarget()
+    async with (
+        running_engines(target) as (gateway, address),
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(gateway.turns.run)
+        status_by_mark = {}
+
+        async def ask_marked(mark, key="key"):
+            request = make_request(model="m", x_mark=mark, key=key)
+            status_by_mark[mark], _ = await ask(address, request)
+
+        seconds = iter([prefill_seconds])
+        gateway.placements._prefill_seconds = lambda screened: next(seconds, 0.05)
+        tasks.start_soon(ask_marked, "first")
+        await until(lambda: target.read_at)
+        yield gateway, target, lambda *args: tasks.start_soon(ask_marked, *args)
+        target.answer_all()
+        await until(lambda: len(status_by_mark) == len(target.marks))
+        assert set(status_by_mark.values()) == {200}
+        tasks.cancel_scope.cancel()
+
+
+async def until(condition):
+    with anyio.fail_after(4.0):
+        while not condition():
+            await anyio.sleep(0.002)
+
+
+async def test_request_that_waits_is_sent_once_prompts_before_it_are_read():
+    """It waited to the end and was refused: nothing told that there was room."""
+    async with busy_gateway(0.25) as (_, target, ask_marked):
+        ask_marked("next")
+        await until(lambda: len(target.read_at) == 2)
+        # A quarter of the objective may be left to read, and gateways spread their
+        # tries.
+        seconds = target.read_at[1] - target.read_at[0]
+        assert 0.25 - 0.125 - 0.02 <= seconds <= 0.25 - 0.125 + 0.06 + 0.1
+
+
+async def test_more_urgent_request_goes_first_when_prompts_are_read():
+    async with busy_gateway(0.3) as (gateway, target, ask_marked):
+        ask_marked("later", "later-key")
+        await until(lambda: len(gateway.turns.queue) == 1)
+        ask_marked("urgent", "urgent-key")
+        await until(lambda: len(target.marks) == 3)
+        assert target.marks == ["first", "urgent", "later"]
+
+
+async def test_waiting_request_is_sent_when_the_prompt_before_it_was_read_early():
+    async with busy_gateway(100.0) as (gateway, target, ask_marked):
+        ask_marked("next")
+        await until(lambda: len(gateway.turns.queue) == 1)
+        target.answer_all()
+        await until(lambda: "next" in target.marks)
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -1,6 +1,7 @@
 """Requests that wait at a gateway until a target has room for them."""
 
 import contextlib
+import math
 import random
 import time
 
@@ -9,7 +10,7 @@
 
 from banyanshore.conf.loader import parse_settings
 from banyanshore.gateway.process import Gateway
-from banyanshore.gateway.turns import TurnExchange
+from banyanshore.gateway.turns import MAX_TRY_DELAY, TurnExchange
 from banyanshore.platform.caller_dialect import PlatformDialect
 from banyanshore.state import Fence, PublishedState
 from banyanshore.state.document import to_json
@@ -233,6 +234,37 @@
         tasks.cancel_scope.cancel()
 
 
+class RecordingQueue:
+    """A queue that records when the requests of a service are woken."""
+
+    def __init__(self):
+        self.woken = []
+
+    def wake_next(self, service):
+        self.woken.append((service, time.monotonic()))
+
+
+async def test_requests_are_woken_once_when_a_target_is_expected_to_have_room():
+    turns = TurnExchange(random.Random(1), GatewayMetrics())
+    queue = turns.queue = RecordingQueue()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(turns.run)
+        began_at = time.monotonic()
+        turns.expect_room("late", 0.3)
+        turns.expect_room("early", 5.0)
+        turns.expect_room("never", math.inf)
+        await anyio.sleep(0.05)
+        for seconds in (0.1, 0.2):
+            turns.expect_room("early", seconds)
+        await until(lambda: len(queue.woken) == 2)
+        await anyio.sleep(0.3)
+        tasks.cancel_scope.cancel()
+    assert [service for service, _ in queue.woken] == ["early", "late"]
+    early, late = (at - began_at for _, at in queue.woken)
+    assert 0.15 <= early < late
+    assert 0.3 <= late < 0.3 + MAX_TRY_DELAY + 0.2
+
+
 async def test_request_that_returns_late_gets_the_place_after_one_that_can_be_in_time():
     """It took the place of one that could be in time, and was late all the same."""
     async with full_gateway() as full:
--- a/tests/routing/test_board.py
+++ b/tests/routing/test_board.py
@@ -1,5 +1,6 @@
 """Target selection: exclusion criteria, and load patterns that it must handle."""
 
+import math
 import random
 from dataclasses import replace
 
@@ -174,6 +175,25 @@
     assert isinstance(choose(board, quick, now=1.25), Choice)
 
 
+def test_refusal_tells_when_the_first_target_has_read_its_prompts():
+    other = replace(ROW, id="i-2", address="10.0.0.2:80")
+    board = make_board(ROW, other)
+    quick = replace(REQUIREMENTS, objective_seconds=0.4)
+    board.begin(1.0, ROW, 0.5)
+    board.begin(1.0, other, 0.3)
+    found = choose(board, quick)
+    assert found.reason is Reason.FULL
+    assert found.room_in == pytest.approx(0.2)
+    assert isinstance(choose(board, quick, now=1.0 + found.room_in + 0.001), Choice)
+
+
+def test_refusal_for_want_of_places_does_not_tell_when_there_is_room():
+    board = make_board(ROW)
+    board.record_report(1.0, LoadReport(ROW.address, 1, 1, "m", 2, 16, 19, 9))
+    board.begin(1.0, ROW, 0.5)
+    assert choose(board).room_in == math.inf
+
+
 def test_older_report_is_ignored():
     board = make_board(ROW)
     board.record_report(1.0, LoadReport(ROW.address, 1, 5, "m", 2, 16, 19, 9))
