Log one line for each error that ends a process unexpectedly

What was seen: loaders that ended by an IndexError left nothing in their logs. The interpreter wrote the group of errors to standard error over many lines, after the end of the log; there it belongs to no instance, and some have no standard error.

Change: each error of the group is logged as "ended by an unexpected error", with the error, and its traceback in one line; the exit code stays 1.

--- a/banyanshore/daemon/run.py
+++ b/banyanshore/daemon/run.py
@@ -7,6 +7,7 @@
 import os
 import sys
 import time
+import traceback
 
 import anyio
 
@@ -71,6 +72,18 @@
         for error in _iter_errors(group):
             logger.critical("stopping: %s", error)
         exit_code = EXIT_FAILED
+    except* Exception as group:
+        # The interpreter would tell it on standard error, over many lines, after the
+        # end of the log.
+        for error in _iter_errors(group):
+            logger.critical(
+                "ended by an unexpected error",
+                extra={
+                    "why": repr(error),
+                    "exception": "".join(traceback.format_exception(error)),
+                },
+            )
+        exit_code = EXIT_FAILED
     finally:
         _tell_lost_records(log_writer.stop())
     return exit_code
