--- a/banyanshore/http/caller_connection.py
+++ b/banyanshore/http/caller_connection.py
@@ -14,7 +14,7 @@
     count_unread_bytes,
     find_socket,
 )
-from banyanshore.http.body_buffer import BodyBuffer
+from banyanshore.http.body_buffer import BodyBuffer, DiscardedBody
 from banyanshore.http.caller_stream import StoppedError
 from banyanshore.http.closing import linger
 from banyanshore.http.exchange import (
@@ -67,7 +67,7 @@
         self.is_cut_off = False
         # What has arrived of the body that is being read.
         self._body = BodyBuffer()
-        # Bytes that arrived since the parser last had none left.
+        # Bytes that the parser keeps, or has got since it last asked for more.
         self._unparsed_bytes = 0
         stream.on_blocked = self._on_blocked
         share.holder = self
@@ -96,7 +96,7 @@
         return self._exchange.request_id if self._exchange else ""
 
     def count_buffered_bytes(self):
-        """Return the bytes in the buffers of the connection."""
+        """Return the bytes of answers in buffers, and those that arrived."""
         return self._stream.count_buffered_bytes()
 
     def stop(self):
@@ -266,6 +266,8 @@
                 raise RequestError(error.error_status_hint, str(error)) from None
             if event is not h11.NEED_DATA:
                 return event
+            # All that the parser keeps is a part of the next event.
+            self._unparsed_bytes = len(self._h11.trailing_data[0])
             self._take(await self._receive_request_bytes(), body_bytes)
 
     async def _receive_request_bytes(self):
@@ -303,31 +305,33 @@
             await self.send_events(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        body = self._body
+        await self._receive_body(self._body)
+        return self._body.take()
+
+    async def _receive_body(self, body):
+        """Add the pieces of the body to a buffer, to its end."""
         due_at = anyio.current_time() + self.limits.header_timeout
         progress_mark = 0
         while True:
             with anyio.CancelScope(deadline=due_at) as scope:
-                is_whole = await self._read_piece()
+                is_whole = await self._receive_piece(body)
             if scope.cancelled_caught:
                 raise RequestError(408, "the body took too long")
             if is_whole:
-                return body.take()
+                return
             if len(body) - progress_mark >= BODY_PROGRESS_BYTES:
                 progress_mark = len(body)
                 due_at = anyio.current_time() + self.limits.header_timeout
 
-    async def _read_piece(self):
-        """Read the next piece of the body; return whether the body is whole."""
-        body = self._body
-        event = await self._next_event(len(body))
+    async def _receive_piece(self, body):
+        """Add the next piece of the body; return whether the body is whole."""
+        event = await self._next_event(body.held_bytes)
         if isinstance(event, h11.EndOfMessage):
-            self._callers.hold(self.share, len(body))
+            self._callers.hold(self.share, body.held_bytes)
             return True
         if isinstance(event, h11.ConnectionClosed):
             raise PeerClosedError("the caller left", step="read-body")
         body.append(event.data)
-        self._unparsed_bytes = max(0, self._unparsed_bytes - len(event.data))
         if len(body) > self.limits.max_body_bytes:
             raise RequestError(413, "the body is too long")
         return False
@@ -361,7 +365,7 @@
                 self._arrived_after = self._listener.earliest_arrival()
             self._h11.receive_data(data)
             self._callers.hold_more(self.share, len(data))
-        while not is_closed_by_peer(self._stream):
+        while not (self.share.is_stopped or is_closed_by_peer(self._stream)):
             await anyio.sleep(HANGUP_CHECK_INTERVAL)
         self._peer_closed = True
         scope.cancel()
@@ -392,6 +396,7 @@
         data = b"".join(part for part in parts if part)
         if data:
             await send_bytes(self._stream, data)
+            self._callers.record_written(self.share, len(data))
         if isinstance(events[-1], h11.EndOfMessage):
             self._phase = Phase.DELIVERING
 
@@ -399,13 +404,26 @@
         """Prepare for the next request; return whether there can be one."""
         if self._peer_closed or self._must_close:
             return False
-        # Discard the rest of a body that the handler hasn't read.
-        while self._h11.their_state is h11.SEND_BODY:
-            with anyio.move_on_after(self.limits.header_timeout) as scope:
-                await self._next_event()
-            if scope.cancelled_caught:
-                return False
+        if self._h11.their_state is h11.SEND_BODY and not await self._discard_body():
+            return False
         if (self._h11.our_state, self._h11.their_state) != (h11.DONE, h11.DONE):
             return False
         self._h11.start_next_cycle()
         return True
+
+    async def _discard_body(self):
+        """Discard the rest of a body that the handler hasn't read.
+
+        :return: whether it ended within the limits of a body.
+        """
+        # May be stopped: its answer was written.
+        self.share.stage = Stage.READING
+        try:
+            await self._receive_body(DiscardedBody())
+        except RequestError as error:
+            logger.info(
+                "connection ended within a body",
+                extra={"request_id": self.request_id, "why": str(error)},
+            )
+            return False
+        return True
