Look at the verdict on a request again once its connection is there

Found by reading, for state that is read before an await and used after it: an entry looked at the quarantine when it chose a target, and waited up to 0.5 s for the first connection to its agent then. News of a crash that came in that time had no effect: a suspect was sent beside others, a quarantined request was sent at all, and a suspect that was to wait 0.5 s for the news of further crashes went on at once. Each may crash one target more than the two that are allowed.

Change: the entry looks again before it sends; if the verdict is another one, the offer counts as refused ("quarantined") and the request is looked at anew.

Effect on callers: none but the wait of a request that has become suspected.

--- a/banyanshore/entry/exchange.py
+++ b/banyanshore/entry/exchange.py
@@ -34,13 +34,16 @@
     :param incarnation: incarnation of the agent, required to resume an answer.
     :param get_reconnect_timeout: callable that returns the seconds to wait for a new
         connection after one was lost.
+    :param may_send: callable that returns whether the request may still be sent once
+        the connection is there.
     """
 
-    def __init__(self, link, incarnation, get_reconnect_timeout, metrics):
+    def __init__(self, link, incarnation, get_reconnect_timeout, metrics, may_send):
         self._link = link
         self._incarnation = incarnation
         self._get_reconnect_timeout = get_reconnect_timeout
         self._metrics = metrics
+        self._may_send = may_send
 
     async def run(self, dispatch, on_reply):
         """Return the last reply; call ``on_reply`` with each earlier one."""
@@ -51,6 +54,8 @@
             )
         except UnavailableError as error:
             return Refused(RefusalReason.NO_CONNECTION, 0.0, str(error))
+        if not self._may_send():
+            return Refused(RefusalReason.QUARANTINED)
         received = 0
         message = dispatch
         try:
--- a/banyanshore/entry/proxy.py
+++ b/banyanshore/entry/proxy.py
@@ -285,8 +285,21 @@
                 return self._options.connection_wait
             return self._options.resume_seconds
 
+        verdict = Verdict.EXCLUSIVE if exclusive else Verdict.FREE
+
+        def may_send():
+            # News of a crash may have come since the destination was chosen.
+            now = time.monotonic()
+            if self._quarantine.verdict(now, call.fingerprint) is not verdict:
+                return False
+            return not exclusive or now >= self._quarantine.settled_at(call.fingerprint)
+
         exchange = Exchange(
-            link, destination.incarnation, get_reconnect_timeout, self._metrics
+            link,
+            destination.incarnation,
+            get_reconnect_timeout,
+            self._metrics,
+            may_send,
         )
         if destination.data_centre:
             dispatch = replace(dispatch, data_centre=destination.data_centre)
