Keep a connection while its caller leaves the end of an answer unread

A connection to which nothing more is written was closed in order after 3 s without an acknowledgement, at once if its caller had sent the end of its bytes. What the caller had not read then stays with the system for minutes, in no account: callers that ask with Connection: close and read nothing took megabytes each and came again.

While the process doesn't stop, such a connection stays open for 30 s without progress, counts, may be asked to stop, and is reset then; a caller that pauses for more than 3 s and reads on gets all. While it stops it is closed after 3 s as before. A caller whose system doesn't answer is reset too, not closed in order. In the test 0 bytes counted 4 s after the end of an unread answer of 0.2 MB, now all of them do.

--- a/banyanshore/http/caller_connection.py
+++ b/banyanshore/http/caller_connection.py
@@ -172,14 +172,21 @@
 
     async def deliver(self):
         """Wait until the caller has received the last answer, for a bounded time."""
-        if self._peer_closed or self.must_reset():
+        if self.must_reset():
             return
         is_recent = time.monotonic() - self._answered_at < DELIVERED_SECONDS
+        is_waited_for = is_recent and not self._peer_closed
         raw = find_socket(self._stream)
-        if not is_recent and not count_unacknowledged_bytes(raw):
+        if not is_waited_for and not count_unacknowledged_bytes(raw):
             return
         self.share.stage = Stage.LINGERING
-        discarded = await linger(self._stream, time.monotonic)
+        listener = self._listener
+        discarded = await linger(
+            self._stream, time.monotonic, lambda: listener.is_closing
+        )
+        if count_unacknowledged_bytes(raw) and not listener.is_closing:
+            # The system would keep it, uncounted.
+            self.is_cut_off = True
         if discarded:
             # Further requests, which the caller has to send again.
             logger.info(
--- a/banyanshore/http/connections.py
+++ b/banyanshore/http/connections.py
@@ -140,10 +140,17 @@
         if self.share.stage in (Stage.SENDING, Stage.LINGERING):
             # An answer that was begun must not look complete, and the system would
             # keep the rest of it.
-            reset_socket_on_close(self.writer.transport.get_extra_info("socket"))
+            self._abort()
         self.writer.transport.abort()
         self.cut()
 
+    def _abort(self):
+        """Reset the connection, and drop what its caller has not read."""
+        raw = self.writer.transport.get_extra_info("socket")
+        if raw is not None:
+            reset_socket_on_close(raw)
+        self.writer.transport.abort()
+
     def cut(self):
         """End the connection, whatever it does."""
         self._is_cut = True
@@ -229,7 +236,12 @@
         self.writer.transport.resume_reading()
         linger = Linger(time.monotonic())
         while not self._is_cut and not self.reader.ended.is_set():
-            if linger.is_over(time.monotonic(), self.count_undelivered_bytes()):
+            undelivered = self.count_undelivered_bytes()
+            is_stopping = self._server.is_stopping
+            if linger.is_over(time.monotonic(), undelivered, is_stopping):
+                if undelivered and not is_stopping:
+                    # The system would keep it, uncounted.
+                    self._abort()
                 return
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.reader.ended.wait(), CHECK_SECONDS)
--- a/banyanshore/http/lingering.py
+++ b/banyanshore/http/lingering.py
@@ -15,6 +15,10 @@
 DELIVERED_SECONDS = 2.0
 # Seconds without any acknowledgement after which the caller counts as lost.
 STALLED_SECONDS = TCP_USER_TIMEOUT_MS / 1000
+# The same while the process isn't stopping: a caller that reads slowly may still pause,
+# and the process may ask it to stop earlier. What the system would keep of a closed
+# connection counts nowhere.
+UNREAD_SECONDS = 30.0
 # Bytes that a web server takes at a time of what a caller sends; its layers hold some
 # of these pieces for each connection.
 PIECE_BYTES = 16 * 1024
@@ -34,17 +38,19 @@
         self._unacknowledged = None
         self._changed_at = now
 
-    def is_over(self, now, unacknowledged):
+    def is_over(self, now, unacknowledged, is_stopping=True):
         """Return whether to close the connection.
 
         :param now: monotonic time.
         :param unacknowledged: bytes that the caller's system has not acknowledged,
             ``None`` if that isn't known.
+        :param is_stopping: whether the process stops.
         """
         if unacknowledged != self._unacknowledged:
             self._unacknowledged = unacknowledged
             self._changed_at = now
-        seconds = STALLED_SECONDS if unacknowledged else DELIVERED_SECONDS
+        unread_seconds = STALLED_SECONDS if is_stopping else UNREAD_SECONDS
+        seconds = unread_seconds if unacknowledged else DELIVERED_SECONDS
         return now - self._changed_at >= seconds
 
 
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -119,6 +119,8 @@
                 "bytes": connection.share.buffered,
             },
         )
+        # The system would keep what was not acknowledged.
+        reset_on_close(stream)
         await stream.aclose()
 
     async def close(self, seconds, cut_short=None):
--- a/banyanshore/http/server.py
+++ b/banyanshore/http/server.py
@@ -50,6 +50,11 @@
         # One for each connection, so that none is collected while it runs.
         self._tasks = set()
 
+    @property
+    def is_stopping(self):
+        """Whether connections are closed without waiting long for their callers."""
+        return self.is_closing or self._context.terminated.is_set()
+
     async def serve(self, shutdown, get_close_seconds=lambda: GRACEFUL_SECONDS):
         """Serve until cancelled, or until an event is set and the connections ended.
 
--- a/tests/http/test_caller_account.py
+++ b/tests/http/test_caller_account.py
@@ -6,12 +6,14 @@
 import pytest
 
 from banyanshore.core.byte_account import MEMORY_FRACTION, Stage
+from banyanshore.http import lingering
 from banyanshore.http.caller_account import (
     LOOK_SECONDS,
     MAX_LOGGED_IN_SECOND,
     CallerAccount,
 )
 from banyanshore.http.exchange import NO_ROOM_SECONDS
+from banyanshore.http.lingering import STALLED_SECONDS
 from banyanshore.http.listener import Listener
 from banyanshore.http.wire import has_unread_bytes
 from banyanshore.telemetry.light import LightRegistry, add_stopped_callers
@@ -241,3 +243,25 @@
                 head = b"POST /body HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n"
                 await other.send(head + LAST + bytes(9))
                 assert (await read_all(other)).startswith(b"HTTP/1.1 200 ")
+
+
+async def test_what_a_caller_leaves_unread_at_the_end_is_counted():
+    """The connection was closed, and the system kept the answer for minutes."""
+    async with serving(answer_long) as (address, account):
+        with call_without_reading(address, GET + LAST) as caller:
+            await anyio.sleep(STALLED_SECONDS + 1)
+            assert account.total > UNREAD_BYTES * 9 // 10
+            count, was_reset = await read_rest(caller)
+            assert count > UNREAD_BYTES
+            assert not was_reset
+
+
+async def test_caller_that_never_reads_the_end_is_reset(monkeypatch):
+    monkeypatch.setattr(lingering, "UNREAD_SECONDS", 0.5)
+    async with serving(answer_long) as (address, account):
+        with call_without_reading(address, GET + LAST) as caller:
+            await wait_until(lambda: account.total > UNREAD_BYTES * 9 // 10)
+            await wait_until(lambda: not account.total)
+            count, was_reset = await read_rest(caller)
+            assert count < UNREAD_BYTES
+            assert was_reset
