Count the callers that an agent asks to stop

They were logged alone; the control, entry and gateway processes count them as banyanshore_stopped_callers_total.

--- a/banyanshore/agent/process.py
+++ b/banyanshore/agent/process.py
@@ -149,7 +149,11 @@
         from banyanshore.http.server import serve_http
 
         settings = self.settings
-        callers = CallerAccount(settings.memory_bytes, settings.max_descriptors)
+        callers = CallerAccount(
+            settings.memory_bytes,
+            settings.max_descriptors,
+            self.metrics.stopped_callers,
+        )
         application = metrics_application(self.metrics)
         await serve_http(application, settings.metrics_bind, callers=callers)
 
--- a/banyanshore/telemetry/metrics.py
+++ b/banyanshore/telemetry/metrics.py
@@ -10,6 +10,15 @@
 _LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.1, 2.5, 5, 10, 30)
 
 
+def _add_stopped_callers(registry):
+    return Counter(
+        "banyanshore_stopped_callers_total",
+        "Callers refused or cut off for memory or descriptors, by what they did.",
+        ["stage", "reason"],
+        registry=registry,
+    )
+
+
 def _add_peer_bytes(registry):
     for direction in ("sent", "received"):
         gauge = Gauge(
@@ -32,12 +41,7 @@
             ["service", "outcome"],
             registry=self.registry,
         )
-        self.stopped_callers = Counter(
-            "banyanshore_stopped_callers_total",
-            "Callers refused or cut off for memory or descriptors, by what they did.",
-            ["stage", "reason"],
-            registry=self.registry,
-        )
+        self.stopped_callers = _add_stopped_callers(self.registry)
         self.refusals = Counter(
             "banyanshore_refusals_total",
             "Offers of a request that were refused, by reason.",
@@ -89,6 +93,7 @@
     def __init__(self):
         self.registry = CollectorRegistry()
         _add_peer_bytes(self.registry)
+        self.stopped_callers = _add_stopped_callers(self.registry)
         self.admitted = Counter(
             "banyanshore_admitted_total", "Requests admitted.", registry=self.registry
         )
