--- a/tests/crowds/checks.py
+++ b/tests/crowds/checks.py
@@ -16,6 +16,8 @@
 # The limit of descriptors of a process, and the callers that connect and send nothing.
 DESCRIPTORS = 160
 SILENT_CALLERS = 220
+# Seconds between callers that come one after the other.
+TURN_SECONDS = 0.05
 # Seconds within which an ordinary request has to be answered; far more than it takes.
 ANSWER_SECONDS = 15.0
 
@@ -40,10 +42,23 @@
 
 async def check_crowd(served, content, size=CALLERS):
     """Assert the bounds, and that an ordinary request is answered afterwards."""
+    await _check_crowds(served, [Crowd(served.address, size, content)])
+
+
+async def check_callers_in_turn(served, content, size=CALLERS):
+    """Do as :func:`check_crowd` with callers that come one after the other."""
+    crowds = [Crowd(served.address, 1, content) for _ in range(size)]
+    await _check_crowds(served, crowds)
+
+
+async def _check_crowds(served, crowds):
     observed = ObservedProcess(served.process.pid, served.ports)
-    crowd = Crowd(served.address, size, content)
-    with contextlib.closing(crowd):
-        await anyio.to_thread.run_sync(crowd.send, observed.look)
+    with contextlib.ExitStack() as stack:
+        for crowd in crowds:
+            stack.enter_context(contextlib.closing(crowd))
+            await anyio.to_thread.run_sync(crowd.send, observed.look)
+            await anyio.sleep(TURN_SECONDS)
+            observed.look()
         status, answer = await ask(served.asked_at, served.request, ANSWER_SECONDS)
         observed.look()
     assert served.process.process.poll() is None, "the process has ended"
--- a/tests/crowds/contents.py
+++ b/tests/crowds/contents.py
@@ -33,11 +33,11 @@
     return whole(call)[:-1]
 
 
-def in_chunks(call):
+def in_chunks(call, size=BODY_BYTES):
     """Return a request whose body lacks its last chunk."""
     chunk = b"%x\r\n%s\r\n" % (CHUNK_BYTES, bytes(CHUNK_BYTES))
     head = call.head("transfer-encoding: chunked")
-    return head + chunk * (BODY_BYTES // CHUNK_BYTES)
+    return head + chunk * (size // CHUNK_BYTES)
 
 
 def whole(call):
--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -8,6 +8,7 @@
     MEMORY_MB,
     SILENT_CALLERS,
     ServedProcess,
+    check_callers_in_turn,
     check_crowd,
     few_descriptors,
 )
@@ -24,9 +25,19 @@
 
 pytestmark = pytest.mark.anyio
 
+# Bytes of an answer that the system takes at once.
+LONG_BYTES = 2_000_000
+# Callers whose bodies don't end, and the bytes that each one sends.
+ENDLESS_CALLERS = 12
+ENDLESS_BYTES = 8_000_000
+
 POST = Call("POST /p", ("request-id: id-2", "authorization: Bearer key"))
 READY = Call("GET /ready")
+LONG = Call("GET /p?long", ("request-id: id-1", "authorization: Bearer key"))
+LONG_ANSWER = b"HTTP/1.1 200 OK\r\nreplica-signature: s\r\nrequest-id: id-1\r\n"
+LONG_ANSWER += b"content-length: %d\r\n\r\n" % LONG_BYTES + bytes(LONG_BYTES)
 NO_ROUTE = Call("GET /none", ("request-id: id-3",), "none.example")
+NO_ROUTE_POST = Call("POST /none", ("request-id: id-4",), "none.example")
 
 
 async def answer_unless_post(stream):
@@ -34,6 +45,8 @@
     data = await read_request(stream)
     if data.startswith(b"POST"):
         await hang(stream)
+    elif b"/p?long" in data:
+        await stream.send(LONG_ANSWER)
     elif data:
         await stream.send(COMPLETE)
 
@@ -88,6 +101,19 @@
         await check_crowd(served, ahead(READY))
 
 
+async def test_long_answers_that_are_left_unread_stay_within_memory(tmp_path):
+    """What the system had taken of them was counted only if they had waited."""
+    async with serving_gateway(tmp_path) as served:
+        await check_callers_in_turn(served, LONG.head())
+
+
+async def test_bodies_without_end_at_no_route_leave_room_for_others(tmp_path):
+    """They counted as held while they were discarded, and couldn't be stopped."""
+    async with serving_gateway(tmp_path) as served:
+        content = in_chunks(NO_ROUTE_POST, ENDLESS_BYTES)
+        await check_crowd(served, content, ENDLESS_CALLERS)
+
+
 @pytest.mark.parametrize("bind", ["callers_bind", "ready_bind"])
 async def test_silent_connections_leave_descriptors_for_others(tmp_path, bind):
     """Connections without a request took all descriptors."""
