Ask an origin that returns for the preferred of two versions first

While the origin was away the plan had turned to version 3, 25 in 100 of version 2 lacking.

Cause: "a version that the origin doesn't send holds up no other" was also true of an origin that can't be reached. Both versions asked it again and again, and the one whose retry came first after the return was sent first, by chance.

Change: OriginAwayError tells an origin that can't be connected to from one that refuses a version. Chunks are still wanted from an origin that is away, so that the other version leaves it to the preferred one; a refused version still holds up no other.

--- a/banyanshore/platform/origin.py
+++ b/banyanshore/platform/origin.py
@@ -2,11 +2,11 @@
 
 from urllib.parse import quote
 
-from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.exceptions import BanyanshoreError, UnavailableError
 from banyanshore.http.upstream import CONNECT_TIMEOUT, fetch
 from banyanshore.platform.engine import MAX_REPORT_BYTES, make_request
 from banyanshore.platform.values import DecodeError, Reader, parse_object
-from banyanshore.weights.exceptions import OriginError
+from banyanshore.weights.exceptions import OriginAwayError, OriginError
 from banyanshore.weights.staged import StagedOrigin
 
 # Timeout in seconds of a chunk from the origin, whose bandwidth all fetchers share.
@@ -44,6 +44,8 @@
             status, _, body = await fetch(
                 self.address, request, max_bytes, ORIGIN_TIMEOUT, CONNECT_TIMEOUT
             )
+        except UnavailableError as error:
+            raise OriginAwayError(error.message, step=step, peer=self.address) from None
         except BanyanshoreError as error:
             raise self._error(step, error.message) from None
         if status != 200:
--- a/banyanshore/weights/relay.py
+++ b/banyanshore/weights/relay.py
@@ -16,7 +16,7 @@
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.weights.carried import CarriedVersions
-from banyanshore.weights.exceptions import OriginError
+from banyanshore.weights.exceptions import OriginAwayError, OriginError
 from banyanshore.weights.exchange import SettledChunks
 from banyanshore.weights.manifest import Manifest, parse_manifest
 from banyanshore.weights.messages import HaveUpdate, ManifestRequest
@@ -70,6 +70,8 @@
         self._chunk_bytes = chunk_bytes
         # Monotonic times of the last new chunk, and of the last pushed one.
         self._progressed_at = self._pushed_at = time.monotonic()
+        # Whether the origin could not be reached when it was last asked.
+        self._is_origin_away = False
         # Time of the first chunk fetched from the origin since the last pushed one.
         self._fetched_since = None
         self._child_by_instance = {}
@@ -169,7 +171,13 @@
         return 1.0 - child.have.bit_count() / self.manifest.chunk_count
 
     def wants_origin_fetch(self):
-        """Return whether there are chunks that the origin isn't asked for yet."""
+        """Return whether there are chunks that the origin isn't asked for yet.
+
+        They are still wanted while the origin is away: the version that it sends first
+        when it returns must not be the one that happens to ask first.
+        """
+        if self._is_origin_away:
+            return self.progress < 1
         return self.planner is not None and self.planner.wants_origin_fetch()
 
     def wake_pushes(self):
@@ -354,8 +362,11 @@
         if origin is None:
             return ()
         try:
-            return await origin.fetch_digests(self.spec.name, self.version)
+            digests = await origin.fetch_digests(self.spec.name, self.version)
+            self._is_origin_away = False
+            return digests
         except OriginError as error:
+            self._is_origin_away = isinstance(error, OriginAwayError)
             logger.warning("digests not fetched", extra={"why": str(error)})
             return ()
 
@@ -391,9 +402,14 @@
         origin = self._find_origin()
         if origin is None:
             raise OriginError("no weights origin is declared", step="fetch-chunk")
-        data = await origin.fetch_chunk(
-            self.spec.name, self.version, index, self._chunk_bytes
-        )
+        try:
+            data = await origin.fetch_chunk(
+                self.spec.name, self.version, index, self._chunk_bytes
+            )
+            self._is_origin_away = False
+        except OriginError as error:
+            self._is_origin_away = isinstance(error, OriginAwayError)
+            raise
         if self._fetched_since is None:
             self._fetched_since = time.monotonic()
         return data
