Turn the last group in time for a version that another one follows

Cause: the plan of turns counted only until when the older weights may be used, not that the version to load has an end too.

Change: the last group begins so early that a target is expected to serve the version for 0.6 s (MIN_SERVING_SECONDS), the same bound by which it passes a version over.

--- a/banyanshore/loader/target_turn.py
+++ b/banyanshore/loader/target_turn.py
@@ -79,8 +79,17 @@
             whole_at,
             self._load_by(now, desired_version),
             report.active if report is not None else 0,
+            self._ends_at(now, desired_version),
         )
 
+    def _ends_at(self, now, desired_version):
+        """Return the monotonic time from which the desired version isn't used."""
+        newer_known_since = self._loader.versions.newer_known_since(
+            desired_version.model, desired_version.version
+        )
+        seconds_known = boottime_now() - newer_known_since
+        return now + self._loader.settings.version_switch_seconds - seconds_known
+
     def _serves_older(self, desired_version):
         report = self._loader.target.report
         if report is None:
--- a/banyanshore/loader/turning.py
+++ b/banyanshore/loader/turning.py
@@ -13,14 +13,17 @@
 """
 
 import hashlib
+import math
 from functools import lru_cache
 
 from banyanshore.core.values import dataclass
 from banyanshore.weights.ready_time import drain_seconds
-from banyanshore.weights.version_order import LOAD_SECONDS
+from banyanshore.weights.version_order import LOAD_SECONDS, MIN_SERVING_SECONDS
 
 # Seconds without a new chunk after which a transfer isn't expected to go on as before.
 MAX_CHUNK_GAP_SECONDS = 0.5
+# Seconds between two checks of a loader whether its target turns, at most.
+CHECK_SECONDS = 0.2
 
 
 def turn_share(instance, names_by_data_centre, version):
@@ -66,6 +69,8 @@
     :param whole_at: time at which the chunks are, or are expected to be, complete.
     :param load_by: time from which the target's version may not be used.
     :param active: requests that the target runs.
+    :param ends_at: time from which the version that it turns to may not be used,
+        ``inf`` if no newer one is known.
     """
 
     share: float
@@ -73,6 +78,18 @@
     whole_at: float
     load_by: float
     active: int
+    ends_at: float = math.inf
+
+    @property
+    def latest_begin(self):
+        """Return the latest time at which a turn is worth its load.
+
+        Load pattern: two versions are named in a row. A target that turns to the older
+        one at the end of the grace period before it, and has many requests to end, is
+        ready when that version may hardly be used any more, and passes it over.
+        """
+        seconds = drain_seconds(self.active) + LOAD_SECONDS + MIN_SERVING_SECONDS
+        return min(self.load_by, self.ends_at - seconds - CHECK_SECONDS)
 
 
 @dataclass(frozen=True)
@@ -102,7 +119,7 @@
     drain = drain_seconds(state.active)
     turn = drain + LOAD_SECONDS
     first_at = state.whole_at - drain
-    seconds = max(0.0, state.load_by - first_at)
+    seconds = max(0.0, state.latest_begin - first_at)
     groups = max(1, min(state.targets, 1 + round(seconds / turn)))
     group = min(groups - 1, int(state.share * groups))
     between = min(turn, seconds / max(1, groups - 1))
--- a/tests/loader/test_turning.py
+++ b/tests/loader/test_turning.py
@@ -6,13 +6,18 @@
 import pytest
 
 from banyanshore.loader.turning import (
+    CHECK_SECONDS,
     TurnState,
     plan_turn,
     should_drain,
     turn_share,
 )
 from banyanshore.weights.ready_time import DRAIN_SECONDS, drain_seconds
-from banyanshore.weights.version_order import LOAD_SECONDS
+from banyanshore.weights.version_order import (
+    LOAD_SECONDS,
+    VersionState,
+    version_to_load,
+)
 
 STEP_SECONDS = 0.02
 ACTIVE = 9
@@ -243,3 +248,29 @@
     for share in (0.0, 0.5, 0.9):
         turn = plan_turn(replace(STATE, share=share, load_by=3.0))
         assert turn.begins_at <= 5.0
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_each_group_turns_in_time_for_a_version_that_another_one_follows(seed):
+    """The last group turned at the end of the grace period, which was too late."""
+    rng = random.Random(seed)
+    switch, targets = rng.uniform(6.0, 10.0), rng.randint(3, 24)
+    named_after = rng.uniform(1.0, 5.0)
+    whole_at = rng.uniform(0.5, 0.9) * switch
+    older, newer = VersionState(2, 0.0, 0.0), VersionState(3, named_after, 1.0)
+    for position in range(targets):
+        state = TurnState(
+            position / targets,
+            targets,
+            whole_at,
+            switch,
+            rng.randint(0, 12),
+            named_after + switch,
+        )
+        if whole_at > state.latest_begin:
+            continue
+        now = max(whole_at, plan_turn(state).begins_at) + CHECK_SECONDS
+        plan = now, older, newer, switch, 1, 2
+        if version_to_load(*plan) == 2:
+            end_seconds = drain_seconds(state.active)
+            assert version_to_load(*plan, end_seconds=end_seconds) == 2
