Keep requests within the memory that a model service declares

Cause: a gateway counted a request as one slot and the time for its prompt, whatever it would hold. A target that holds more tokens than its memory ends with all that it runs, and a request that fits nowhere was offered to each target in turn.

Change: routing/target_memory.py estimates what a target holds from own requests, its reports and announced requests, and what a request will hold from its prompt and its Length-Hint, corrected by the answers seen, else from the usual answer. Room also needs memory: 0.85 of the declared one, and as much free as the largest request that another gateway has sent there lately. A prompt that alone fills the memory is refused at once (larger-than-memory). PlacementNotice.tokens and LoadReport.memory_used are new fields with defaults; the used part is told in 32 steps. Without a declared memory nothing changes. Log field expected_tokens.

--- a/banyanshore/gateway/event_relay.py
+++ b/banyanshore/gateway/event_relay.py
@@ -15,11 +15,13 @@
     :param dialect: the :class:`~banyanshore.routing.caller_requests.CallerDialect`.
     :param memory: the :class:`~banyanshore.routing.answer_memory.AnswerMemory`.
     :ivar last_event_id: id of the last event that was passed on, or ``None``.
+    :ivar event_count: events that were passed on.
     :ivar incomplete_bytes: size of the event that the current answer has begun.
     """
 
     def __init__(self, exchange, dialect, memory):
         self.last_event_id = None
+        self.event_count = 0
         self.incomplete_bytes = 0
         self._exchange = exchange
         self._dialect = dialect
@@ -78,5 +80,6 @@
             ]
             await self._exchange.start(answer.status, headers)
         await self._exchange.send(events)
+        self.event_count += events.count(b"\n\n")
         if event_id is not None:
             self.last_event_id = event_id
--- a/banyanshore/gateway/offers.py
+++ b/banyanshore/gateway/offers.py
@@ -79,7 +79,7 @@
         )
         request = self._gateway.dialect.build(self._request, state.body, offer)
         placements = self._gateway.placements
-        self._prompt = await placements.announce(now, row, self._screened)
+        self._prompt = await placements.announce(now, row, self._screened, state.size)
         self._finder.record_offer()
         state.is_offered = True
         load = board.load(row.address)
@@ -115,7 +115,7 @@
         state.offer_in_flight = None
         self._record_target_outcome(row, outcome)
         if outcome in _NOT_RUN_OUTCOMES:
-            await placements.take_back(row, self._prompt)
+            await placements.take_back(row, self._prompt, state.size)
         if outcome in (Outcome.LOST, Outcome.BROKEN_OFF):
             await suspects.record_lost(offer_in_flight)
         elif outcome is None:
@@ -129,7 +129,7 @@
         (row, waiting_offer, offer_in_flight), self._running = self._running, None
         gateway = self._gateway
         now = time.monotonic()
-        gateway.board.end(now, row)
+        gateway.board.end(now, row, self._state.size.total)
         gateway.turns.record_end(self._screened.service, self._screened.workspace.name)
         gateway.withdrawals.end(waiting_offer)
         load = gateway.board.load(row.address)
@@ -300,5 +300,6 @@
         await self._events.relay(
             answer, self._state.target, self._event_timeout, on_begun, self._record_read
         )
+        self._gateway.placements.record_answer(self._screened, self._events.event_count)
         self._log.log_end("answered", answer.status, **self._log.body_details())
         return None
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -345,6 +345,7 @@
         document = self.state.desired.document
         routes = [(row["host"], row["prefix"]) for row in document["routes"].values()]
         self.time_budgets.keep_only(routes, document["services"])
+        self.placements.answer_lengths.keep_only(document["services"])
 
     async def _leave(self, force_requested):
         """Stop accepting new requests, and wait for those in flight to finish."""
--- a/banyanshore/gateway/request_log.py
+++ b/banyanshore/gateway/request_log.py
@@ -56,6 +56,7 @@
             caller_ms=self._caller_timeout_ms(),
             rank=state.screened.rank.position,
             waited_ms=round(state.waited_seconds * 1000),
+            **self._size_details(),
             **details,
         )
 
@@ -82,6 +83,11 @@
         seconds = self._state.request.caller_timeout_seconds
         return None if seconds == math.inf else round(seconds * 1000)
 
+    def _size_details(self):
+        """Return the tokens that the request was expected to hold at a model engine."""
+        tokens = self._state.size.total
+        return {"expected_tokens": tokens} if tokens else {}
+
     def _outdated_details(self):
         """Return for how long a version newer than the target's has been known."""
         state = self._state
--- a/banyanshore/gateway/request_state.py
+++ b/banyanshore/gateway/request_state.py
@@ -35,6 +35,7 @@
     :ivar answer: the answer to the current offer, or ``None``.
     :ivar limit_details: log fields on the limit of the chosen target.
     :ivar waited_seconds: seconds for which it has waited for room.
+    :ivar size: its :class:`~banyanshore.routing.target_memory.RequestSize`.
     """
 
     def __init__(self, gateway, exchange, screened, body, arrived_at, timeliness):
@@ -59,6 +60,7 @@
         self.answer = None
         self.limit_details = {}
         self.waited_seconds = 0.0
+        self.size = gateway.placements.measure(screened)
 
     @property
     def seconds_left(self):
--- a/banyanshore/gateway/target_finder.py
+++ b/banyanshore/gateway/target_finder.py
@@ -59,6 +59,7 @@
                 self._screened.regions,
                 self._screened.route.objective_seconds,
                 frozenset(state.attempts.excluded),
+                state.size.total if state.size.is_large else 0,
             ),
             len(state.body),
             waiting.wake,
@@ -102,6 +103,7 @@
             self._screened.route.objective_seconds,
             self._screened.rank,
             self._state.timeliness.is_late,
+            self._state.size,
         )
 
     async def acquire_permit(self, row):
--- a/banyanshore/loader/target.py
+++ b/banyanshore/loader/target.py
@@ -116,4 +116,5 @@
             report.pace,
             self.is_loading,
             round(ready_in, 2),
+            report.memory_used,
         )
--- a/banyanshore/membership/load_reports.py
+++ b/banyanshore/membership/load_reports.py
@@ -30,6 +30,8 @@
     :param is_loading: whether the target loads weights, or is about to.
     :param ready_in: seconds until the target is expected to serve the version that it
         should, ``inf`` if unknown.
+    :param memory_used: part of its memory for requests that is in use, rounded up; 0 if
+        unknown.
     """
 
     address: str
@@ -43,6 +45,7 @@
     pace: float = 1.0
     is_loading: bool = False
     ready_in: float = math.inf
+    memory_used: float = 0.0
 
 
 @message(112)
@@ -56,6 +59,8 @@
     :param sender: gateway that sent the request.
     :param incarnation: identifies one run of the sender's process.
     :param sequence: increases with each notice of that incarnation.
+    :param tokens: those that the request is expected to hold in the target's memory at
+        its end; negative likewise.
     """
 
     address: str
@@ -64,6 +69,7 @@
     sender: str = ""
     incarnation: int = 0
     sequence: int = 0
+    tokens: int = 0
 
 
 @message(114)
--- a/banyanshore/platform/caller_dialect.py
+++ b/banyanshore/platform/caller_dialect.py
@@ -25,6 +25,10 @@
 _MODEL = b"model"
 # Prompt tokens and maximum answer tokens; despite the name, not the actual usage.
 _TOKEN_USAGE = b"token-usage"
+# Answer tokens that the caller estimates.
+_LENGTH_HINT = b"length-hint"
+# Longest text of a number of tokens that is read, in characters.
+_MAX_TOKENS_CHARACTERS = 12
 # Prefixes of the prompt as ID:TOKENS; the last one identifies the session.
 _PREFIX_HASH = b"prefix-hash"
 _NOT_EXECUTED = b"not-executed"
@@ -92,6 +96,7 @@
                 if name not in _REPLACED_HEADERS
             ),
             tuple(part for part in shared_parts if part),
+            _parse_tokens(exchange.get_header(_LENGTH_HINT, "")),
         )
 
     def build(self, request, body, offer):
@@ -227,6 +232,17 @@
     return [entry.partition(":")[0].strip() for entry in value.split(",")]
 
 
+def _parse_tokens(value):
+    """Return a number of tokens, 0 if the text is none.
+
+    >>> _parse_tokens(" 120"), _parse_tokens("1e9"), _parse_tokens("9" * 40)
+    (120, 0, 0)
+    """
+    text = value.strip()
+    is_valid = text.isdecimal() and len(text) <= _MAX_TOKENS_CHARACTERS
+    return int(text) if is_valid else 0
+
+
 def _parse_token_usage(value):
     first, _, second = value.partition(",")
     if first.strip().isdecimal() and second.strip().isdecimal():
--- a/banyanshore/platform/engine.py
+++ b/banyanshore/platform/engine.py
@@ -1,6 +1,7 @@
 """Call the model replica on this machine over HTTP."""
 
 import json
+import math
 from urllib.parse import quote
 
 from banyanshore.core.exceptions import BanyanshoreError
@@ -17,6 +18,8 @@
 # Timeout in seconds of a call to the local target, which answers within milliseconds.
 CALL_TIMEOUT = 1.0
 MAX_REPORT_BYTES = 256 * 1024
+# Parts of the memory for requests in which its use is told.
+MEMORY_PARTS = 32
 _OUTCOME_BY_STATUS = {
     200: OrderOutcome.IN_EFFECT,
     202: OrderOutcome.STARTED,
@@ -50,6 +53,7 @@
                 reader.integer("queued", 0),
                 reader.number("pace", 1.0),
                 reader.boolean("busy", False),
+                _decode_memory_used(reader),
             )
         except DecodeError as error:
             raise self._error("read-report", error.message) from None
@@ -116,6 +120,20 @@
         return StagedEngineError(message, step=step, peer=self._address)
 
 
+def _decode_memory_used(reader):
+    """Return the part of the memory for requests that is in use, 0 if unknown.
+
+    It is rounded up, so that few reports differ in it alone.
+    """
+    size = reader.integer("kvSize", 0)
+    if not size:
+        return 0.0
+    return min(
+        1.0,
+        math.ceil(reader.integer("kvInUse", 0) * MEMORY_PARTS / size) / MEMORY_PARTS,
+    )
+
+
 def make_request(address, method, path, body=b""):
     """Return a request whose only header is the host."""
     headers = ((b"host", address.encode()),)
--- a/banyanshore/routing/board.py
+++ b/banyanshore/routing/board.py
@@ -26,6 +26,7 @@
 from banyanshore.routing.shares import connection_share
 from banyanshore.routing.spread import Candidate, TargetSpread
 from banyanshore.routing.target_load import TargetLoad
+from banyanshore.routing.target_memory import NO_SIZE, RequestSize
 
 # Maximum delay until a gateway learns that a target has become cold, in seconds: a
 # heartbeat interval and the network latency.
@@ -79,6 +80,7 @@
     :param objective_seconds: objective for the time to the first event, 0 for none.
     :param rank: urgency among the requests of the service.
     :param is_late: whether its objective has passed with an earlier attempt.
+    :param size: its :class:`~banyanshore.routing.target_memory.RequestSize`.
     """
 
     service: str
@@ -90,6 +92,7 @@
     objective_seconds: float = 0.0
     rank: Rank = ONLY_RANK
     is_late: bool = False
+    size: RequestSize = NO_SIZE
 
 
 class TargetBoard:
@@ -134,14 +137,15 @@
         """Record a request before it is looked for a target."""
         self._room.record_request(now, service, rank, is_late)
 
-    def begin(self, now, row, prefill_seconds):
+    def begin(self, now, row, prefill_seconds, tokens=0.0):
         """Count a request that is sent to a target.
 
         :param prefill_seconds: prefill time of its prompt, 0 without one.
+        :param tokens: those that it is expected to hold at its end.
         :return: the :class:`~banyanshore.routing.prompt_backlog.Prompt`, or ``None``.
         """
         load = self.load(row.address)
-        load.count_begin(now)
+        load.count_begin(now, tokens)
         self._cold_shares.record_sent(now, row.id)
         if not prefill_seconds:
             return None
@@ -163,7 +167,8 @@
 
     def record_placement(self, now, notice):
         """Record a :class:`~banyanshore.membership.load_reports.PlacementNotice`."""
-        self.load(notice.address).record_placement(now, notice.seconds)
+        load = self.load(notice.address)
+        load.record_placement(now, notice.seconds, notice.tokens)
         if notice.seconds > 0:
             service = self._service_at(notice.address)
             self.unseen.record_notice(now, service)
@@ -178,9 +183,9 @@
             service = self._service_by_address.setdefault(address, "")
         return service
 
-    def end(self, now, row):
+    def end(self, now, row, tokens=0.0):
         """Count the end of a request that was sent to a target."""
-        self.load(row.address).count_end(now)
+        self.load(row.address).count_end(now, tokens)
 
     def record_success(self, row):
         """Record a successful answer of a target."""
@@ -269,11 +274,18 @@
         connections = connection_share(service, len(gateways))
         remote_part = self._room.remote_capacity_part(serving, len(gateways))
         reserve = self._room.reserve(now, requirements)
+        engine = service.get("engine")
+        model = EngineModel.from_row(engine) if engine else None
+        if model is not None and model.is_too_large(requirements.size):
+            return NoChoice(Reason.TOO_LARGE)
+        tokens = requirements.size.total
         room_in, free = math.inf, []
         for candidate in unsuspended:
             load = self.load(candidate.row.address)
             if load.own_in_flight >= connections:
                 continue
+            if model and not load.memory.has_room(now, model, tokens):
+                continue
             seconds = self._room.seconds_to_room(
                 now, load, candidate.row, service, requirements, remote_part, reserve
             )
@@ -294,8 +306,6 @@
         if not within_limit:
             room_at = self.limits.first_room_at([k.row for k in eligible])
             return NoChoice(Reason.TARGETS_LIMITED, room_at - now)
-        engine = service.get("engine")
-        model = EngineModel.from_row(engine) if engine else None
         candidates = [
             Candidate(k.row, self.load(k.row.address), self.cold_until(k) > now)
             for k in within_limit
--- a/banyanshore/routing/caller_requests.py
+++ b/banyanshore/routing/caller_requests.py
@@ -22,6 +22,8 @@
     :param headers: headers to pass on, as pairs of bytes.
     :param shared_parts: identifiers of the parts of the prompt that other requests may
         share, in order.
+    :param answer_tokens_hint: length of the answer that the caller estimates, 0 if it
+        does not.
     """
 
     request_id: str
@@ -38,6 +40,7 @@
     last_event_id: int = 0
     headers: tuple = ()
     shared_parts: tuple = ()
+    answer_tokens_hint: int = 0
 
 
 @dataclass(frozen=True)
--- a/banyanshore/routing/engine_model.py
+++ b/banyanshore/routing/engine_model.py
@@ -19,6 +19,7 @@
         one).
     :param usual_prompt_tokens: mean length of a prompt.
     :param usual_answer_tokens: mean length of an answer.
+    :param kv_tokens: tokens that the memory for requests holds, 0 if unknown.
     """
 
     slots: int = 16
@@ -29,6 +30,7 @@
     pairs_seconds: float = 0.0
     usual_prompt_tokens: float = 1_000.0
     usual_answer_tokens: float = 100.0
+    kv_tokens: int = 0
 
     @classmethod
     def from_row(cls, row):
@@ -46,6 +48,13 @@
         pairs = tokens * tokens / 2e6
         return tokens / self.read_tokens_per_second + pairs * self.pairs_seconds
 
+    def is_too_large(self, size):
+        """Return whether a prompt alone fills the memory of a target.
+
+        :param size: the :class:`~banyanshore.routing.target_memory.RequestSize`.
+        """
+        return 0 < self.kv_tokens <= size.prompt
+
     def slot_seconds(self, active):
         """Return the mean time until one of the active requests finishes."""
         step = self.step_seconds + active * self.request_seconds
--- a/banyanshore/routing/retry_after.py
+++ b/banyanshore/routing/retry_after.py
@@ -39,6 +39,7 @@
     CRASHES_TARGETS = "crashes-targets"
     TARGETS_PAUSED = "targets-asked-for-time"
     TARGETS_LIMITED = "targets-limited"
+    TOO_LARGE = "larger-than-memory"
 
 
 @dataclass(frozen=True)
@@ -84,6 +85,8 @@
         Reason.TARGETS_PAUSED: Span(0.0, 1.0),
         # Added to the time at which the first target has room within its limit.
         Reason.TARGETS_LIMITED: Span(0.0, 1.0),
+        # Targets with more memory, or weights with fewer layers, come after minutes.
+        Reason.TOO_LARGE: Span(60.0, 60.0),
         # The first refusal period of a request that crashes targets.
         Reason.CRASHES_TARGETS: Span(60.0, 60.0),
     }
--- a/banyanshore/routing/target_load.py
+++ b/banyanshore/routing/target_load.py
@@ -6,10 +6,8 @@
 
 from banyanshore.core.values import dataclass
 from banyanshore.routing.prompt_backlog import PromptBacklog
+from banyanshore.routing.target_memory import REPORT_EXPIRY_SECONDS, TargetMemory
 
-# Seconds after which a report is too old to estimate the load: several report
-# intervals.
-REPORT_EXPIRY_SECONDS = 1.5
 # Weight of the newest answer in the moving average of failures.
 FAILURE_WEIGHT = 0.1
 
@@ -21,10 +19,11 @@
     :ivar own_in_flight: this gateway's requests in flight at the target.
     :ivar report: the last report, or ``None``.
     :ivar own_in_flight_at_report: ``own_in_flight`` when the report was made.
-    :ivar own_changes: times at which own requests began or ended lately, and the change
-        of ``own_in_flight`` then, 1 or -1.
+    :ivar own_changes: times at which own requests began or ended lately, and the
+        changes of ``own_in_flight``, 1 or -1, and of their tokens then.
     :ivar announced_since_report: requests that other gateways have announced since
         then.
+    :ivar memory: the tokens that its requests hold.
     :ivar failures: consecutive offers that failed to reach it or lost its answer.
     :ivar suspended_until: time until which no requests are sent to it.
     :ivar prompts: the prompts that it has still to read.
@@ -44,21 +43,26 @@
     failures: int = 0
     suspended_until: float = -math.inf
     prompts: PromptBacklog = field(default_factory=PromptBacklog)
+    memory: TargetMemory = field(default_factory=TargetMemory)
     failure_rate: float = 0.0
     first_byte_seconds: float = 0.0
     awaiting_first_byte: list = field(default_factory=list)
 
-    def count_begin(self, now):
-        """Count a request that this gateway sends to the target."""
-        self._change_own(now, 1)
+    def count_begin(self, now, tokens=0.0):
+        """Count a request that this gateway sends to the target.
 
-    def count_end(self, now):
+        :param tokens: those that it is expected to hold at its end.
+        """
+        self._change_own(now, 1, tokens)
+
+    def count_end(self, now, tokens=0.0):
         """Count the end of a request that this gateway has sent to the target."""
-        self._change_own(now, -1)
+        self._change_own(now, -1, -tokens)
 
-    def _change_own(self, now, change):
+    def _change_own(self, now, change, tokens):
         self.own_in_flight += change
-        self.own_changes.append((now, change))
+        self.memory.own_tokens += tokens
+        self.own_changes.append((now, change, tokens))
         while self.own_changes[0][0] < now - REPORT_EXPIRY_SECONDS:
             self.own_changes.popleft()
 
@@ -102,24 +106,30 @@
         >>> from types import SimpleNamespace
         >>> load = TargetLoad()
         >>> load.count_begin(1.0)
-        >>> load.record_report(1.1, SimpleNamespace(active=3, queued=0), 0.2)
+        >>> report = SimpleNamespace(active=3, queued=0)
+        >>> load.record_report(1.1, report, 0.2)
         >>> load.estimated_in_flight(1.1)
         4
         """
         self.report = report
         self.reported_at = now
-        unknown = sum(
-            change for time, change in self.own_changes if time > now - news_age
-        )
+        unknown = unknown_tokens = 0
+        for time, change, tokens in self.own_changes:
+            if time > now - news_age:
+                unknown += change
+                unknown_tokens += tokens
         self.own_in_flight_at_report = self.own_in_flight - unknown
+        self.memory.record_report(now, report, unknown_tokens)
         self.announced_since_report = 0
 
-    def record_placement(self, now, seconds):
+    def record_placement(self, now, seconds, tokens=0.0):
         """Record a request that another gateway has sent to the target.
 
         :param seconds: prefill time of its prompt; negative if the target did not run
             the request.
+        :param tokens: those that it is expected to hold at its end; negative likewise.
         """
+        self.memory.record_placement(now, tokens)
         if seconds < 0:
             self.announced_since_report = max(0, self.announced_since_report - 1)
             self.prompts.remove_of_others(-seconds)
--- a/banyanshore/weights/staged.py
+++ b/banyanshore/weights/staged.py
@@ -32,6 +32,7 @@
     :param queued: number of requests that wait in its queue.
     :param pace: factor on the time that it takes for its work.
     :param is_busy: whether it is executing an order.
+    :param memory_used: part of its memory for requests that is in use, 0 if unknown.
     """
 
     model: str
@@ -42,6 +43,7 @@
     queued: int
     pace: float
     is_busy: bool
+    memory_used: float = 0.0
 
 
 class StagedEngine(abc.ABC):
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -94,3 +94,27 @@
         finally:
             tracemalloc.stop()
     assert peak < MAX_CALL_BYTES
+
+
+@pytest.mark.parametrize(
+    ("memory", "used"),
+    [
+        (b"", 0.0),
+        (b',"kvInUse":0,"kvSize":90000', 0.0),
+        (b',"kvInUse":41000,"kvSize":90000', 15 / 32),
+        (b',"kvInUse":1,"kvSize":90000', 1 / 32),
+        (b',"kvInUse":99000,"kvSize":90000', 1.0),
+        (b',"kvInUse":5,"kvSize":0', 0.0),
+    ],
+)
+async def test_report_tells_the_used_part_of_the_memory_in_steps(memory, used):
+    body = b'{"models":[],"active":3,"queued":0' + memory + b"}"
+
+    async def act(stream):
+        await stream.receive()
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+        await stream.send(head + body)
+
+    async with scripted_server(act) as server:
+        report = await PlatformEngine(server.address).read_report()
+    assert report.memory_used == used
