--- a/banyanshore/http/connections.py
+++ b/banyanshore/http/connections.py
@@ -6,11 +6,13 @@
 
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.events import Closed, RawData, Updated
+from hypercorn.protocol.h11 import H11Protocol
 
 from banyanshore.core.byte_account import Stage
 from banyanshore.core.sockets import count_unacknowledged_bytes, count_unread_bytes
 from banyanshore.http.lingering import CHECK_SECONDS, PIECE_BYTES, Linger
 from banyanshore.http.unfinished import Phase, Unfinished
+from banyanshore.http.wire import reset_socket_on_close
 
 # Title of the refusal of a request that isn't read to its end, as others need the
 # memory.
@@ -23,6 +25,16 @@
 LAYERS_BYTES = 8 * PIECE_BYTES
 
 
+class Http1Protocol(H11Protocol):
+    """HTTP/1.1, to which a connection keeps whatever its caller asks for.
+
+    By HTTP/2 a connection would have many requests at a time, beyond its share.
+    """
+
+    async def _check_protocol(self, event):
+        """Ignore the upgrade or the version that a request asks for."""
+
+
 class WebConnection(TCPServer):
     """Serve the requests of one connection, one after another.
 
@@ -49,6 +61,7 @@
         self._closing = None
         self.share = share
         share.holder = self
+        reader.on_read = self._count_head
         # Bytes that the event loop takes from the system at a time.
         writer.transport.max_size = RECEIVED_BYTES
 
@@ -96,10 +109,15 @@
         return transport.get_write_buffer_size() + (count or 0)
 
     def count_buffered_bytes(self):
-        """Return the bytes that wait to be sent, acknowledged or read."""
+        """Return the bytes of answers in buffers, and those that arrived."""
         raw = self.writer.transport.get_extra_info("socket")
         unread = self.reader.count_unread_bytes() + (count_unread_bytes(raw) or 0)
-        return self.count_undelivered_bytes() + unread
+        return self.count_undelivered_bytes(), unread
+
+    def _count_head(self, size):
+        """Count bytes that arrived while no request is being processed."""
+        if self.share.stage is Stage.IDLE:
+            self._server.callers.hold_more(self.share, size)
 
     def hold_body(self, size):
         """Count the bytes that are held of the body of the request."""
@@ -119,7 +137,10 @@
         is_reading = self.share.stage is Stage.READING
         if is_reading and self.request.refuse_body(NO_ROOM):
             return
-        # An answer that was begun must not look complete.
+        if self.share.stage in (Stage.SENDING, Stage.LINGERING):
+            # An answer that was begun must not look complete, and the system would
+            # keep the rest of it.
+            reset_socket_on_close(self.writer.transport.get_extra_info("socket"))
         self.writer.transport.abort()
         self.cut()
 
@@ -129,6 +150,18 @@
         self._task.cancel()
 
     async def _read_data(self):
+        made = self.protocol
+        self.protocol = Http1Protocol(
+            made.app,
+            made.config,
+            made.context,
+            made.task_group,
+            made.state,
+            made.ssl,
+            made.client,
+            made.server,
+            made.send,
+        )
         # A task of its own, since hypercorn's loop doesn't end by itself if a further
         # request was read before the connection is closed.
         self._reading = asyncio.create_task(super()._read_data())
@@ -153,11 +186,21 @@
             return
         stage, self.share.stage = self.share.stage, Stage.SENDING
         try:
-            await super().protocol_send(event)
+            await self._write(event.data)
         finally:
             if self.share.stage is Stage.SENDING:
                 self.share.stage = stage
 
+    async def _write(self, data):
+        async with self.send_lock:
+            try:
+                self.writer.write(data)
+                # Before the wait for a caller that doesn't read.
+                self._server.callers.record_written(self.share, len(data))
+                await self.writer.drain()
+            except (ConnectionError, RuntimeError):
+                await self.protocol.handle(Closed())
+
     async def _close(self):
         if self._closing is None:
             self._closing = asyncio.create_task(self._deliver_and_close())
