--- a/banyanshore/routing/retry_after.py
+++ b/banyanshore/routing/retry_after.py
@@ -40,6 +40,7 @@
     SUSPECTED = "suspected"
     TARGETS_PAUSED = "targets-asked-for-time"
     TARGETS_LIMITED = "targets-limited"
+    TOO_LARGE = "larger-than-memory"
 
 
 @dataclass(frozen=True)
@@ -85,6 +86,8 @@
         Reason.TARGETS_PAUSED: Span(0.0, 1.0),
         # Added to the time at which the first target has room within its limit.
         Reason.TARGETS_LIMITED: Span(0.0, 1.0),
+        # Targets with more memory, or weights with fewer layers, come after minutes.
+        Reason.TOO_LARGE: Span(60.0, 60.0),
         # The first refusal period of a request that crashes targets.
         Reason.CRASHES_TARGETS: Span(60.0, 60.0),
         # A suspected part of prompts is proven or cleared within a second or two.
