--- a/banyanshore/daemon/run.py
+++ b/banyanshore/daemon/run.py
@@ -73,7 +73,7 @@
             logger.critical("stopping: %s", error)
         exit_code = EXIT_FAILED
     except* Exception as group:
-        # The interpreter would tell it on standard error, over many lines, after the
+        # The interpreter would print it to standard error, over many lines, after the
         # end of the log.
         for error in _iter_errors(group):
             logger.critical(
