--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+python3 review/6/case.py
+case $? in
+  0) exit 0 ;;
+  11) exit 1 ;;
+  *) exit 2 ;;
+esac
