Keep on disk which targets leave before that is acknowledged

Cause: the ack said that the departure was in the memory of one more control instance. Nothing of it outlasts the processes, and a follower that lacks it keeps the row until it has been missing for 8 s. The same held for `draining`.

Why it works: control instances keep draining targets and final departures in a file of their own and read it at their start. The ack waits for the disks of tolerated_losses + 1 instances, so one is left after any tolerated loss, and followers learn of it with the first update.

A listener of peers is closed when its process is cancelled, which the test needs to start instances again at their addresses. Tests that build a FeedServer pass a stand-in for the copies; none of them asserts less than before.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -8,8 +8,6 @@
 
 from banyanshore.control.version_history import VersionHistory
 from banyanshore.core.clock import boottime_now
-from banyanshore.core.exceptions import BanyanshoreError
-from banyanshore.core.groups import open_task_group
 from banyanshore.core.values import dataclass
 from banyanshore.membership.feed import (
     CONTROL_ROLE,
@@ -20,7 +18,7 @@
     peer_address,
 )
 from banyanshore.membership.messages import StateUpdate
-from banyanshore.membership.registry import TargetRow
+from banyanshore.membership.registry import TargetRow, TargetState
 from banyanshore.routing.roster import FleetSize
 from banyanshore.routing.version_switch import (
     FIRST_STATE_SECONDS,
@@ -45,9 +43,6 @@
 # Seconds since a version was named for which its age is repeated, until followers have
 # received it without delay.
 REPEATED_SECONDS = 30.0
-# Seconds in which other control instances have to record that a target leaves; targets
-# wait a second for the answer.
-SPREAD_TIMEOUT = 0.6
 # Consecutive lagging requests after which the complete state is sent.
 MAX_LAGGING_REQUESTS = 2
 # Bytes queued for a follower above which it is sent nothing more until it reads.
@@ -96,11 +91,12 @@
     :param links: the :class:`~banyanshore.transport.LinkPool` to other control
         instances.
     :param metrics: the :class:`~banyanshore.telemetry.control.ControlMetrics`.
+    :param copies: the :class:`~banyanshore.control.leaving_copies.LeavingCopies`.
     :ivar current_at: time since boot at which the state was last known to be current,
         ``-inf`` before the first.
     """
 
-    def __init__(self, settings, member, state, registry, links, metrics):
+    def __init__(self, settings, member, state, registry, links, metrics, copies):
         self.current_at = -math.inf
         self._metrics = metrics
         self.seeds = tuple(settings.seeds)
@@ -109,6 +105,7 @@
         self._state = state
         self._registry = registry
         self._links = links
+        self._copies = copies
         self._follower_by_connection = {}
         self._synced_connection_by_address = {}
         self._state_changed = anyio.Event()
@@ -246,45 +243,24 @@
             await self._notify_followers(message)
 
     async def record_leaving(self, row):
-        """Record a target that is about to leave; see :meth:`_is_known_elsewhere`."""
+        """Record a target that is about to leave.
+
+        :return: whether enough control instances keep that; see
+            :class:`~banyanshore.control.leaving_copies.LeavingCopies`.
+        """
         await self.record(row)
-        return await self._is_known_elsewhere(RowUpdate((row,)))
+        return await self._is_kept(RowUpdate((row,)))
 
     async def forget_for_good(self, departure):
-        """Apply a final departure; see :meth:`_is_known_elsewhere`."""
-        await self.forget(departure)
-        return await self._is_known_elsewhere(RowUpdate((), (departure,)))
+        """Apply a final departure.
 
-    async def _is_known_elsewhere(self, message):
-        """Return whether the update outlasts the losses that the deployment tolerates.
-
-        A target that leaves is told once that it may, and this instance may be lost
-        right after. The notices of :meth:`record` and :meth:`forget` may then not have
-        been written, and the other instances would keep the target until it expires.
+        :return: as for :meth:`record_leaving`.
         """
-        addresses = self.control_addresses()
-        needed = min(self._settings.consensus.tolerated_losses, len(addresses))
-        recorded = []
-
-        async def tell(address, scope):
-            try:
-                connection = await self._links.get(address).get_connection(
-                    SPREAD_TIMEOUT
-                )
-                await connection.call(message, SPREAD_TIMEOUT)
-            except BanyanshoreError as error:
-                logger.info("peer not told", extra={"peer": address, "why": str(error)})
-                return
-            recorded.append(address)
-            if len(recorded) >= needed:
-                scope.cancel()
-
-        if needed:
-            with anyio.move_on_after(SPREAD_TIMEOUT):
-                async with open_task_group() as tasks:
-                    for address in addresses:
-                        tasks.start_soon(tell, address, tasks.cancel_scope)
-        return len(recorded) >= needed
+        await self.forget(departure)
+        return await self._is_kept(RowUpdate((), (departure,)))
+
+    async def _is_kept(self, update):
+        return await self._copies.are_enough(update, self.control_addresses())
 
     async def forget(self, departure):
         """Apply a departure that was sent to this instance directly."""
@@ -307,6 +283,8 @@
             for departure in update.departures
             if self._registry.forget(now, departure)
         )
+        if departures or any(map(_is_leaving, rows)):
+            self._copies.request()
         if rows or departures:
             await self._notify_followers(RowUpdate(rows, departures))
 
@@ -454,6 +432,10 @@
     return connection.pending_bytes > MAX_QUEUED_BYTES
 
 
+def _is_leaving(row):
+    return isinstance(row, TargetRow) and row.state == TargetState.DRAINING
+
+
 def _log_target(message, row):
     """Log a change of a target; instances are logged as followers."""
     if isinstance(row, TargetRow):
--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -18,6 +18,8 @@
     VersionRequest,
 )
 from banyanshore.control.feed import FeedServer
+from banyanshore.control.leaving_copies import LeavingCopies
+from banyanshore.control.leaving_store import LeavingStore
 from banyanshore.control.log_readers import LogReaders
 from banyanshore.control.orders import Orders
 from banyanshore.control.state_checks import StateChecks
@@ -141,6 +143,7 @@
             tasks.start_soon(self._log.run)
             tasks.start_soon(self.link_options.ticker.run)
             tasks.start_soon(self.feed.run)
+            tasks.start_soon(self._leaving_store.run)
             tasks.start_soon(self._announce)
             tasks.start_soon(self._watch_for_standstill)
             tasks.start_soon(self._checks.run)
@@ -163,6 +166,8 @@
         self.links = LinkPool(tasks, self, settings.control_bind, self.link_options)
         self._log = LogRunner(settings.data_dir, self._make_node, self._use_node)
         self._on_applied()
+        self._leaving_store = LeavingStore(settings.data_dir, self.registry)
+        self._leaving_store.load(time.monotonic())
         self.client = StateClient(self._log_settings, self.links, self.node, lambda: "")
         readers = LogReaders(self.registry, self._find_voters)
         self.orders = Orders(
@@ -175,6 +180,9 @@
             self.registry,
             self.links,
             self.metrics,
+            LeavingCopies(
+                settings.consensus.tolerated_losses, self.links, self._leaving_store
+            ),
         )
         self.feed.seeds = self._seeds
         self._checks = StateChecks(
@@ -311,6 +319,7 @@
         # The caller needs only some of the replies, and cancels the other calls.
         with anyio.CancelScope(shield=True):
             await self.feed.on_peer_update(update)
+        await self._leaving_store.save((*update.rows, *update.departures))
         await responder.finish(RowsRecorded())
 
     async def _on_raft(self, connection, body):
--- a/banyanshore/membership/feed.py
+++ b/banyanshore/membership/feed.py
@@ -57,7 +57,7 @@
 
 @message(123)
 class RowsRecorded:
-    """Answer a :class:`RowUpdate` that was sent as a call: it has been applied."""
+    """Answer a :class:`RowUpdate` that was sent as a call: it is on disk."""
 
 
 @message(105)
--- a/banyanshore/transport/links.py
+++ b/banyanshore/transport/links.py
@@ -94,8 +94,11 @@
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_accept, listener, serve, tasks)
-        await (options.finishing or anyio.Event()).wait()
-        await listener.aclose()
+        try:
+            await (options.finishing or anyio.Event()).wait()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await listener.aclose()
 
 
 async def _accept(listener, serve, tasks):
--- a/benchmarks/declarations.py
+++ b/benchmarks/declarations.py
@@ -78,7 +78,9 @@
         metrics = ControlMetrics()
         member = MemberRow("x", "control", "dc", "r", "10.0.0.1:7700", 1, 1)
         settings = SimpleNamespace(seeds=(), peer_port=7700)
-        self.feed = FeedServer(settings, member, self.state, Registry(), None, metrics)
+        self.feed = FeedServer(
+            settings, member, self.state, Registry(), None, metrics, None
+        )
         self.api = ControlApi(Orders(self.state, log, metrics), self.feed)
         self.gateway = StateHolder()
         self.screening = Screening(0.0, 2.25)
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -26,6 +26,7 @@
 from banyanshore.telemetry.control import ControlMetrics
 from banyanshore.transport import decode, encode_notice
 from banyanshore.transport.codec import CodecError, encode
+from tests.control.copies import KeptCopies
 
 pytestmark = pytest.mark.anyio
 
@@ -90,7 +91,13 @@
 @pytest.fixture
 def server(state):
     return FeedServer(
-        Settings, member("control"), state, Registry(), None, ControlMetrics()
+        Settings,
+        member("control"),
+        state,
+        Registry(),
+        None,
+        ControlMetrics(),
+        KeptCopies(),
     )
 
 
@@ -399,6 +406,7 @@
         Registry(),
         None,
         ControlMetrics(),
+        KeptCopies(),
     )
     await other.record(row)
     gateway = await follow(other, "gateway")
--- a/tests/control/test_rollout_age_schedules.py
+++ b/tests/control/test_rollout_age_schedules.py
@@ -27,6 +27,7 @@
 from banyanshore.state.document import empty_document, to_json
 from banyanshore.telemetry.control import ControlMetrics
 from banyanshore.transport import decode
+from tests.control.copies import KeptCopies
 from tests.control.test_feed import member
 
 SCHEDULES = int(os.environ.get("BANYANSHORE_SCHEDULES", "30"))
@@ -92,7 +93,13 @@
         """Start anew: what the log holds is replayed one version after another."""
         self.state = StateHolder(keep_previous=True)
         self.server = self.world.server_class(
-            Settings, member("control"), self.state, Registry(), None, ControlMetrics()
+            Settings,
+            member("control"),
+            self.state,
+            Registry(),
+            None,
+            ControlMetrics(),
+            KeptCopies(),
         )
         self.server.control_addresses = lambda: []
         self.server._notify_control = self.send_to_others
--- a/tests/control/test_rollout_ages.py
+++ b/tests/control/test_rollout_ages.py
@@ -15,6 +15,7 @@
 from banyanshore.state import Fence, PublishedState, StateHolder
 from banyanshore.state.document import empty_document, to_json
 from banyanshore.telemetry.control import ControlMetrics
+from tests.control.copies import KeptCopies
 from tests.control.test_disk import make_order
 from tests.control.test_feed import Follower, follow, member
 from tests.ports import free_ports
@@ -59,7 +60,13 @@
 def make_server(state, links=None):
     links = links or Links()
     return FeedServer(
-        Settings, member("control"), state, Registry(), links, ControlMetrics()
+        Settings,
+        member("control"),
+        state,
+        Registry(),
+        links,
+        ControlMetrics(),
+        KeptCopies(),
     )
 
 
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -24,6 +24,7 @@
 from banyanshore.state import StateHolder
 from banyanshore.telemetry.control import ControlMetrics
 from banyanshore.transport import LinkOptions, decode
+from tests.control.copies import KeptCopies
 
 STEP = 0.05
 PEER_PORT = 7700
@@ -141,6 +142,7 @@
             self.registry,
             Links(fleet, self),
             ControlMetrics(),
+            KeptCopies(),
         )
 
     async def step(self):
--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -13,6 +13,7 @@
 from banyanshore.platform.control_api import ControlApi
 from banyanshore.state import StateHolder
 from banyanshore.telemetry.control import ControlMetrics
+from tests.control.copies import KeptCopies
 
 pytestmark = pytest.mark.anyio
 
@@ -49,6 +50,7 @@
         Registry(),
         None,
         ControlMetrics(),
+        KeptCopies(),
     )
 
 
