Keep asking for keys after the last workspace is removed

Cause: an empty table of workspaces meant both that keys were never used and that all of them are gone.

Why it works: once the table has held a row, control keeps a row without name and keys in place of an empty one, so each gateway asks for a key and finds none valid. The check of declarations warns that the routes admit nobody, where it announced before that all requests would be admitted.

--- a/banyanshore/control/orders.py
+++ b/banyanshore/control/orders.py
@@ -28,6 +28,7 @@
     diff_documents,
     to_json,
 )
+from banyanshore.state.workspaces import keep_required_keys
 
 logger = logging.getLogger(__name__)
 
@@ -77,6 +78,9 @@
                 return None
             current = {name: document.get(name, {}) for name in DECLARED_TABLES}
             wanted = {name: tables.get(name, {}) for name in DECLARED_TABLES}
+            wanted["workspaces"] = keep_required_keys(
+                wanted["workspaces"], current["workspaces"]
+            )
             wanted["limits"] = {**current["limits"], **wanted["limits"]}
             patch = diff_documents(current, wanted)
             _share_rows(tables, document, patch)
--- a/banyanshore/management/declaration_files.py
+++ b/banyanshore/management/declaration_files.py
@@ -21,6 +21,7 @@
 )
 from banyanshore.state.findings import Finding, Level
 from banyanshore.state.routes import CallerLimits
+from banyanshore.state.workspaces import keep_required_keys
 
 # Largest declaration that a control instance accepts, in bytes.
 MAX_DECLARATION_BYTES = CallerLimits().max_body_bytes
@@ -123,6 +124,9 @@
     try:
         if file.is_declaration:
             _, document = decode_declaration(file.body)
+            document["workspaces"] = keep_required_keys(
+                document["workspaces"], (in_force or {}).get("workspaces", {})
+            )
         else:
             if len(file.body) > MAX_PATCH_BYTES:
                 text = f"{len(file.body)} bytes, at most {MAX_PATCH_BYTES} are accepted"
--- a/banyanshore/state/declaration_checks.py
+++ b/banyanshore/state/declaration_checks.py
@@ -13,6 +13,7 @@
 from banyanshore.core.values import dataclass
 from banyanshore.state.findings import Finding, Level
 from banyanshore.state.routes import CallerLimits
+from banyanshore.state.workspaces import iter_named
 
 # Characters that are never part of a path: it ends before a query or a fragment, and
 # the others are not valid in a request target.
@@ -150,7 +151,7 @@
         return
     routes = [r for r in given.rows("routes").values() if not r.get("public")]
     region_sets = {frozenset(route.get("regions", ())) for route in routes}
-    for name, workspace in workspaces.items():
+    for name, workspace in iter_named(workspaces):
         place = f"workspaces.{name}"
         regions = frozenset(workspace.get("regions", ()))
         if not workspace.get("keys"):
--- a/banyanshore/state/declaration_diff.py
+++ b/banyanshore/state/declaration_diff.py
@@ -10,6 +10,7 @@
 from banyanshore.core.values import dataclass
 from banyanshore.state.document import diff_documents
 from banyanshore.state.routes import RouteTable
+from banyanshore.state.workspaces import iter_named
 
 # Tables that a declaration holds whole: one that it lacks is empty.
 DECLARED_TABLES = ("routes", "services", "workspaces", "limits")
@@ -67,7 +68,8 @@
     differences = []
     changeable = [name for name in OTHER_TABLES if name in after]
     for name in (*DECLARED_TABLES, *changeable):
-        rows, wanted = before.get(name, {}), after.get(name, {})
+        rows = _compared_rows(name, before)
+        wanted = _compared_rows(name, after)
         patch = diff_documents(rows, wanted)
         for key in sorted(patch):
             differences.append(
@@ -78,6 +80,11 @@
     return differences
 
 
+def _compared_rows(table_name, document):
+    rows = document.get(table_name, {})
+    return dict(iter_named(rows)) if table_name == "workspaces" else rows
+
+
 def _make_difference(table_name, key, before, after, table_before, table):
     place = f"{table_name}.{key}"
     if before is None:
--- a/banyanshore/state/routes.py
+++ b/banyanshore/state/routes.py
@@ -117,7 +117,7 @@
         # Number of routes by service, priority and whether they are public.
         self._route_counts = Counter(previous._route_counts if previous else ())
         self._routes_by_host = self._index_routes(previous)
-        # Requests still need a key if all keys of all workspaces were removed.
+        # Requests still need a key if all keys were removed, or all workspaces.
         self.requires_key = bool(document.get("workspaces"))
         self._workspace_by_key = {}
         for name, row in document.get("workspaces", {}).items():
--- a/tests/control/test_declared_changes.py
+++ b/tests/control/test_declared_changes.py
@@ -7,8 +7,10 @@
 
 from banyanshore.control.orders import Orders
 from banyanshore.core.clock import boottime_now
+from banyanshore.gateway.screening import Screening
 from banyanshore.platform.control_api import ControlApi
 from banyanshore.platform.declaration import decode_declaration
+from banyanshore.routing.caller_requests import CallerRequest
 from banyanshore.state import StateHolder, StateMachine
 from banyanshore.telemetry.control import ControlMetrics
 from tests.platform.test_declaration import ROUTE, encoded
@@ -73,6 +75,73 @@
             assert all(document[name] == tables[name] for name in tables)
 
 
+NO_KEY, TAKEN_KEY, OTHER_KEY = "", "k1", "k9"
+
+
+def change_workspaces(rows):
+    """Return a change of the declaration; ``None`` leaves the list out."""
+
+    def change(document):
+        del document["tenants"]
+        if rows is not None:
+            document["tenants"] = rows
+
+    return change
+
+
+WITH_KEY = [{"name": "w", "apiKeys": [TAKEN_KEY]}]
+WITH_OTHER_KEY = [{"name": "v", "apiKeys": [OTHER_KEY]}]
+
+
+@pytest.mark.parametrize(
+    "declared",
+    [
+        [WITH_KEY, []],
+        [WITH_KEY, None],
+        [WITH_KEY, [{"name": "w", "apiKeys": []}]],
+        [WITH_KEY, [{"name": "w"}], []],
+        [WITH_KEY, [], None, []],
+        [[], WITH_KEY, []],
+        [None, WITH_KEY, None],
+        [WITH_KEY, [], WITH_OTHER_KEY],
+    ],
+)
+async def test_no_request_runs_with_a_key_that_was_taken_away(declared):
+    """All requests ran, also without a key, once the last workspace was removed."""
+    log = Log(3)
+    for version, rows in enumerate(declared, 1):
+        change = change_workspaces(rows)
+
+        def declare(document, version=version, change=change):
+            change(document)
+            document["version"] = version
+
+        assert await log.declare(version % 3, encoded(declare)) == (200, {})
+    for state in log.states:
+        screening = Screening(4.5, 2.5)
+        screening.use(state.desired.document)
+        for key in (NO_KEY, TAKEN_KEY):
+            assert screen(screening, key).status == 401
+        if declared[-1] == WITH_OTHER_KEY:
+            assert screen(screening, OTHER_KEY).workspace.name == "v"
+
+
+@pytest.mark.parametrize("rows", [[], None])
+async def test_requests_need_no_key_before_there_was_one(rows):
+    log = Log(1)
+    await log.declare(0, encoded(change_workspaces(rows)))
+    screening = Screening(4.5, 2.5)
+    screening.use(log.states[0].desired.document)
+    assert screen(screening, NO_KEY).workspace.name == ""
+
+
+def screen(screening, key):
+    path = f"{ROUTE['pathPrefix']}1"
+    host = ROUTE["hostname"]
+    request = CallerRequest("id-1", b"GET", path.encode(), path, host, key, 1.0)
+    return screening.screen(request, 0.1)
+
+
 async def test_unchanged_routes_are_shared_with_the_state():
     """Comparing all routes in depth took 20 ms among 3,000."""
     log = Log(1)
--- a/tests/management/test_check_declaration.py
+++ b/tests/management/test_check_declaration.py
@@ -77,6 +77,22 @@
     assert printed == {"findings": [], "differences": []}
 
 
+@pytest.mark.parametrize("tenants", [{"tenants": []}, {}])
+def test_declaration_that_takes_the_last_key_away_is_reported(
+    capsys, write, control, tenants
+):
+    """It was said to admit all requests."""
+    declared = {key: DECLARATION[key] for key in DECLARATION if key != "tenants"}
+    path = write({**declared, "version": 8, **tenants})
+    code, printed = check(capsys, path, f"--control={control}")
+    assert code == ExitCode.OK
+    (finding,) = printed["findings"]
+    assert finding["id"] == "route-admits-nobody"
+    (removed,) = [row for row in printed["differences"] if "work" in row["place"]]
+    assert removed["place"] == "workspaces.w"
+    assert "401" in removed["effect"]
+
+
 def test_refused_declaration_is_reported_with_its_place(capsys, write):
     route = {**DECLARATION["routes"][0], "timeoutMs": 0}
     code, printed = check(capsys, write({**DECLARATION, "routes": [route]}))
