Keep reports of undeclared services from displacing targets

The target's own reports were acknowledged and ignored.

Cause: the newest row by start time displaced all others of its id and address, before anyone asked whether its service exists.

Why it works: a control instance applies a report only if the latest declaration names its service, or if it continues a start that is in use. Others are kept apart as candidates, bounded in number and time, and used as soon as a declaration names their service.

What control does with the reports of targets moves from the feed to a module of its own. Tests of leaving targets declare the service of their target first; the checks are the same.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from banyanshore.control.registrations import Registrations
 from banyanshore.control.version_history import VersionHistory
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.values import dataclass
@@ -92,6 +93,7 @@
         instances.
     :param metrics: the :class:`~banyanshore.telemetry.control.ControlMetrics`.
     :param copies: the :class:`~banyanshore.control.leaving_copies.LeavingCopies`.
+    :ivar registrations: the :class:`~banyanshore.control.registrations.Registrations`.
     :ivar current_at: time since boot at which the state was last known to be current,
         ``-inf`` before the first.
     """
@@ -106,6 +108,7 @@
         self._registry = registry
         self._links = links
         self._copies = copies
+        self.registrations = Registrations(self, state, registry.targets, copies)
         self._follower_by_connection = {}
         self._synced_connection_by_address = {}
         self._state_changed = anyio.Event()
@@ -220,17 +223,8 @@
         known = self._registry.targets.by_key.get(target_id)
         return known.row if known else None
 
-    def seconds_known(self, target_id):
-        """Return for how long the current incarnation of a target has been known."""
-        known = self._registry.targets.by_key[target_id]
-        return time.monotonic() - known.known_since
-
-    def find_departure(self, target_id):
-        """Return the final departure of a target, or ``None``."""
-        return self._registry.targets.find_departure(target_id)
-
     async def record(self, row):
-        """Record a row that was sent to this instance directly."""
+        """Record a row that this instance is the first to learn of."""
         is_changed = self._registry.record(time.monotonic(), row)
         self._metrics.registrations.labels(_OUTCOME_BY_CHANGE[is_changed]).inc()
         if is_changed is None:
@@ -242,26 +236,6 @@
             _log_target("target told of itself", row)
             await self._notify_followers(message)
 
-    async def record_leaving(self, row):
-        """Record a target that is about to leave.
-
-        :return: whether enough control instances keep that; see
-            :class:`~banyanshore.control.leaving_copies.LeavingCopies`.
-        """
-        await self.record(row)
-        return await self._is_kept(RowUpdate((row,)))
-
-    async def forget_for_good(self, departure):
-        """Apply a final departure.
-
-        :return: as for :meth:`record_leaving`.
-        """
-        await self.forget(departure)
-        return await self._is_kept(RowUpdate((), (departure,)))
-
-    async def _is_kept(self, update):
-        return await self._copies.are_enough(update, self.control_addresses())
-
     async def forget(self, departure):
         """Apply a departure that was sent to this instance directly."""
         known = self.find_target(departure.key)
@@ -334,6 +308,7 @@
             self._state_changed = anyio.Event()
             await self.send_ages_to_control()
             await self._send_to_all()
+            await self.registrations.use_named_candidates()
 
     async def _send_to_all(self):
         """Send the latest version to all followers."""
@@ -396,7 +371,9 @@
     async def _upkeep(self):
         while True:
             await self._sync_control()
-            departures = self._registry.expire(time.monotonic())
+            now = time.monotonic()
+            self.registrations.expire(now)
+            departures = self._registry.expire(now)
             for departure in departures:
                 logger.info(
                     "silent row dropped",
--- a/banyanshore/platform/control_api.py
+++ b/banyanshore/platform/control_api.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import time
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
@@ -120,25 +121,26 @@
         return 200, {}
 
     async def _put_replica(self, call):
-        row = decode_registration(call.argument, call.body)
+        row = decode_registration(call.argument, call.body, time.time())
         if row.state != TargetState.DRAINING:
-            await self._feed.record(row)
+            await self._feed.registrations.record(row)
             return 200, {}
-        return _answer_leaving(await self._feed.record_leaving(row))
+        return _answer_leaving(await self._feed.registrations.record_leaving(row))
 
     async def _delete_replica(self, call):
         target_id = call.argument
-        row = self._feed.find_target(target_id)
-        if row is not None:
+        known = self._feed.registrations.find(target_id)
+        if known is not None:
             age = boottime_now() - call.arrived_after
-            if age > self._feed.seconds_known(target_id):
+            if age > time.monotonic() - known.known_since:
                 # The call names no incarnation, and an earlier one may have sent it.
                 return 503, {"error": f"may be of an earlier start: {target_id!r}"}
-            departure = Departure("target", target_id, row.incarnation, True)
+            departure = Departure("target", target_id, known.row.incarnation, True)
         else:
-            departure = self._feed.find_departure(target_id)
+            departure = self._feed.registrations.find_departure(target_id)
         if departure is not None:
-            return _answer_leaving(await self._feed.forget_for_good(departure))
+            is_kept = await self._feed.registrations.forget_for_good(departure)
+            return _answer_leaving(is_kept)
         # Another control instance may know it, and its incarnation to tell others of.
         return 503, {"error": f"no such target is known: {target_id!r}"}
 
--- a/banyanshore/platform/registration.py
+++ b/banyanshore/platform/registration.py
@@ -6,14 +6,18 @@
 from banyanshore.membership.registry import TargetRow, TargetState
 from banyanshore.platform.values import DecodeError, Reader, parse_object
 
+# Seconds by which the start time of a target may be ahead of this instance's clock. A
+# later one would keep all later starts out, since the latest start counts.
+MAX_START_AHEAD_SECONDS = 86_400
 _PORT = re.compile(r"[0-9]{1,5}")
 _STATE_BY_NAME = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 
 
-def decode_registration(target_id, body):
+def decode_registration(target_id, body, now):
     """Return the :class:`TargetRow` of a heartbeat.
 
     :param target_id: id of the target from the path of the call.
+    :param now: seconds since the epoch.
     :raises DecodeError: the heartbeat is invalid.
     """
     reader = Reader(parse_object(body))
@@ -22,18 +26,19 @@
         raise DecodeError("state", state, f"one of {', '.join(_STATE_BY_NAME)}")
     address = reader.string("address")
     _check_address(address)
+    # Not used, but a report in which it has another type is no target's.
+    reader.string("phase", "")
     return TargetRow(
         target_id,
         reader.string("backend"),
         address,
         reader.string("zone"),
         # Version of the target's software, not of its weights.
-        reader.string("version", ""),
+        reader.string("version"),
         reader.integer("slots"),
         _STATE_BY_NAME[state],
-        reader.seconds("coldLeftMs", 0),
-        # Start time of the target, in milliseconds since the epoch.
-        reader.integer("born"),
+        reader.seconds("coldLeftMs"),
+        _read_start(reader, now),
         reader.integer("seq"),
         *decode_layers(reader),
     )
@@ -56,6 +61,14 @@
     return model, layers.integer("version", 0), first, end
 
 
+def _read_start(reader, now):
+    """Return the start time of the target, in milliseconds since the epoch."""
+    start = reader.integer("born")
+    if start > 1000 * (now + MAX_START_AHEAD_SECONDS):
+        raise DecodeError("born", start, "a start time at most a day ahead")
+    return start
+
+
 def _check_address(address):
     host, _, port = address.rpartition(":")
     is_port = _PORT.fullmatch(port) and 0 < int(port) < 65536
--- a/tests/control/test_leaving_targets.py
+++ b/tests/control/test_leaving_targets.py
@@ -3,6 +3,7 @@
 import contextlib
 import errno
 import itertools
+import json
 
 import anyio
 import pytest
@@ -58,6 +59,15 @@
             ):
                 await anyio.sleep(0.05)
 
+    async def declare_service(self):
+        """Declare the service of the target."""
+        body = json.dumps({"version": 1, "routes": [], "backends": [{"name": "s"}]})
+        with anyio.fail_after(15):
+            while await send(self.addresses[0], "PUT", "config", body.encode()) != 200:
+                await anyio.sleep(0.1)
+            while any(control.state.desired is None for control in self.controls):
+                await anyio.sleep(0.02)
+
     async def restart_all(self):
         """Kill all instances, and start them again with their disks."""
         for scope in self._scopes:
@@ -91,13 +101,18 @@
         for address in fleet.addresses:
             await wait_until_listening(address)
         await fleet.wait_until_acquainted()
+        await fleet.declare_service()
         yield fleet
         tasks.cancel_scope.cancel()
 
 
 async def call(address, method, body=b""):
+    return await send(address, method, f"replicas/{TARGET}", body)
+
+
+async def send(address, method, path, body):
     lines = [
-        f"{method} /api/replicas/{TARGET} HTTP/1.1",
+        f"{method} /api/{path} HTTP/1.1",
         "Host: x",
         "Connection: close",
         f"Content-Length: {len(body)}",
--- a/tests/platform/test_declaration.py
+++ b/tests/platform/test_declaration.py
@@ -111,6 +111,7 @@
     assert "expected" in caught.value.message
 
 
+NOW = 1_700_000_100.0
 REGISTRATION = {
     "backend": "llm", "address": "10.0.0.9:8080", "zone": "z", "version": "v1",
     "slots": 16, "state": "ready", "coldLeftMs": 1500, "born": 1700000000000, "seq": 4,
@@ -120,7 +121,7 @@
 
 
 def test_registration_is_decoded_into_a_target_row():
-    row = decode_registration("i-1", json.dumps(REGISTRATION).encode())
+    row = decode_registration("i-1", json.dumps(REGISTRATION).encode(), NOW)
     assert (row.id, row.service, row.data_centre) == ("i-1", "llm", "z")
     assert row.cold_seconds == 1.5
     assert (row.model, row.model_version, row.end_layer) == ("m", 3, 16)
@@ -129,7 +130,7 @@
 
 def test_target_without_layers_has_no_weights():
     body = {**REGISTRATION, "models": [], "layers": None}
-    row = decode_registration("i-1", json.dumps(body).encode())
+    row = decode_registration("i-1", json.dumps(body).encode(), NOW)
     assert (row.model_version, row.end_layer) == (0, 0)
 
 
@@ -149,17 +150,22 @@
         {"coldLeftMs": -1},
         {"models": {}},
         {"layers": [1]},
+        {"phase": 5},
+        {"version": None},
+        {"coldLeftMs": None},
+        {"born": 1700000000000 + 2 * 86_400_000},
+        {"born": 2**53},
     ],
 )
 def test_invalid_registration_is_rejected(change):
     with pytest.raises(DecodeError):
-        decode_registration("i-1", json.dumps({**REGISTRATION, **change}).encode())
+        decode_registration("i-1", json.dumps({**REGISTRATION, **change}).encode(), NOW)
 
 
 @pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b"NaN", b"[" * 100_000])
 def test_body_that_is_not_a_json_object_is_rejected(body):
     with pytest.raises(DecodeError):
-        decode_registration("i-1", body)
+        decode_registration("i-1", body, NOW)
 
 
 def test_unchanged_routes_are_not_decoded_again():
--- a/tests/platform/test_registration.py
+++ b/tests/platform/test_registration.py
@@ -10,6 +10,7 @@
 from banyanshore.platform.values import DecodeError
 from banyanshore.transport.codec import decode, encode
 
+NOW = 1_700_000_000.0
 HEARTBEAT = {
     "backend": "llm", "address": "10.0.0.1:8000", "zone": "a", "version": "v1",
     "slots": 4, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 2,
@@ -44,7 +45,7 @@
 def check(body):
     """Check that a heartbeat is refused, or makes a row that can be sent and used."""
     try:
-        row = decode_registration("i-1", body)
+        row = decode_registration("i-1", body, NOW)
     except DecodeError:
         return
     assert decode(encode(row)) == row
@@ -75,5 +76,5 @@
 
 
 def test_usual_heartbeat_is_accepted():
-    row = decode_registration("i-1", json.dumps(HEARTBEAT).encode())
+    row = decode_registration("i-1", json.dumps(HEARTBEAT).encode(), NOW)
     assert (row.slots, row.incarnation, row.sequence) == (4, 2, 1)
