Ask for another list of digests when chunks show that one is wrong

Cause: the first list whose form was right was kept for good. A member with a wrong digit asked for a chunk that never matched again and again, and members whose lists differ refused all that they pushed to each other.

Why it works: two arrivals of a chunk with the same unnamed digest tell that the list is wrong, since two corrupted answers hardly have the same bytes. Another list is then requested, from a peer or the origin, with a doubling pause. A chunk is valid if any list names its digest, and a wrong digit names no data, so nothing wrong is loaded and valid chunks stay. Pushed chunks are taken by their own digest, and a member in doubt hands its list to nobody. Lists with another length than declared are refused.

--- a/banyanshore/gateway/relay.py
+++ b/banyanshore/gateway/relay.py
@@ -1,11 +1,12 @@
 """Relaying of weights to loaders by a gateway."""
 
 import logging
+from itertools import chain
 
 import anyio
 
 from banyanshore.state.views import ModelSpec
-from banyanshore.weights.carried import CarriedVersions, RunningTransfer
+from banyanshore.weights.carried import CarriedVersions, RunningTransfer, find_receiver
 from banyanshore.weights.chunks import MemoryChunkStore
 from banyanshore.weights.desired_versions import (
     FIRST_VERSION,
@@ -113,6 +114,7 @@
             gateway.metrics,
             self._uploads,
             lambda service: True,
+            chunk_count=wanted.chunk_count,
         )
 
     def _find_origin(self):
@@ -137,7 +139,9 @@
 
     async def on_push(self, body, responder):
         """Store a pushed chunk."""
-        transfer = self._find_transfer(body.manifest_digest)
+        services = self._service_by_name.values()
+        transfers = chain.from_iterable(service.carried for service in services)
+        transfer = find_receiver(transfers, body)
         reply = await transfer.handle_push(body) if transfer else ChunkPushReply(False)
         await responder.finish(reply)
 
--- a/banyanshore/loader/process.py
+++ b/banyanshore/loader/process.py
@@ -19,7 +19,11 @@
 from banyanshore.state.views import ModelSpec
 from banyanshore.telemetry.weights import LoaderMetrics
 from banyanshore.transport import LinkOptions
-from banyanshore.weights.carried import CarriedVersions, RunningTransfer
+from banyanshore.weights.carried import (
+    CarriedVersions,
+    RunningTransfer,
+    find_receiver,
+)
 from banyanshore.weights.chunks import MemoryChunkStore
 from banyanshore.weights.desired_versions import find_carried_versions, find_origin
 from banyanshore.weights.messages import (
@@ -256,6 +260,7 @@
             self.metrics,
             self.uploads,
             lambda service: True,
+            chunk_count=desired_version.chunk_count,
         )
 
     async def _on_chunk(self, body, responder):
@@ -266,7 +271,7 @@
         await transfer.handle_chunk_request(body, responder)
 
     async def _on_push(self, body, responder):
-        transfer = self.carried.find(body.manifest_digest)
+        transfer = find_receiver(self.carried, body)
         reply = await transfer.handle_push(body) if transfer else ChunkPushReply(False)
         await responder.finish(reply)
 
--- a/banyanshore/loader/transfer.py
+++ b/banyanshore/loader/transfer.py
@@ -9,6 +9,7 @@
 
 from banyanshore.core.clock import boottime_now
 from banyanshore.loader.decisions import StagedCheck
+from banyanshore.weights.manifest import digest_of
 from banyanshore.weights.ready_time import ChunkPace
 from banyanshore.weights.relay import RelayedTransfer
 from banyanshore.weights.staged import StagedEngineError
@@ -24,8 +25,8 @@
         of a transfer next, so that its chunks are staged as they arrive.
     """
 
-    def __init__(self, target, loads_next, *arguments):
-        super().__init__(*arguments)
+    def __init__(self, target, loads_next, *arguments, **options):
+        super().__init__(*arguments, **options)
         self._target = target
         self._loads_next = loads_next
         self._engine = target.engine
@@ -110,9 +111,9 @@
         except StagedEngineError as error:
             logger.info("staged chunk not read", extra={"why": str(error)})
             return False
-        if data is None or not self.manifest.matches_digest(index, data):
+        if data is None or not self._check_arrival(index, digest_of(data)):
             return False
-        self._store.put(digest, data)
+        self._store.put(self.manifest.chunk_digests[index], data)
         return True
 
     async def _store_chunk(self, index, data):
--- a/banyanshore/weights/carried.py
+++ b/banyanshore/weights/carried.py
@@ -5,6 +5,7 @@
 import anyio
 
 from banyanshore.core.clock import boottime_now
+from banyanshore.weights.manifest import digest_of
 from banyanshore.weights.version_order import (
     VersionPlan,
     VersionState,
@@ -196,6 +197,26 @@
         )
 
 
+def find_receiver(transfers, push):
+    """Return the transfer that a pushed chunk is for, or ``None``.
+
+    The lists of sender and receiver may differ in other chunks than this one.
+
+    :param transfers: iterable of transfers.
+    :param push: a :class:`~banyanshore.weights.relay_messages.ChunkPush`.
+    """
+    transfers = [row for row in transfers if row.manifest is not None]
+    for transfer in transfers:
+        if transfer.manifest.digest == push.manifest_digest:
+            return transfer
+    digest = digest_of(push.data)
+    for transfer in transfers:
+        if transfer.names_chunk(push.index, digest):
+            return transfer
+    lacking = [row for row in transfers if row.lacks_chunk(push.index)]
+    return lacking[0] if len(lacking) == 1 else None
+
+
 class RunningTransfer:
     """A transfer and its cancel scope.
 
--- a/banyanshore/weights/desired_versions.py
+++ b/banyanshore/weights/desired_versions.py
@@ -17,6 +17,7 @@
     :param chunk_bytes: size of each chunk.
     :param known_since: time since boot at which the version became known, ``-inf``
         for the first version.
+    :param chunk_count: number of chunks, 0 if it isn't declared.
     """
 
     service: str
@@ -25,6 +26,7 @@
     layers: int
     chunk_bytes: int
     known_since: float
+    chunk_count: int = 0
 
     @property
     def key(self):
@@ -52,6 +54,7 @@
             engine.get("layers", 0),
             engine["chunk_bytes"],
             versions.known_since(model),
+            engine.get("chunk_count", 0),
         )
     return desired_versions
 
--- a/banyanshore/weights/manifest.py
+++ b/banyanshore/weights/manifest.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import math
+from dataclasses import replace
 from functools import cached_property
 
 from banyanshore.core.exceptions import BanyanshoreError
@@ -64,7 +65,18 @@
 
     def matches_digest(self, index, data):
         """Return whether data has the digest of the chunk at an index."""
-        return hashlib.sha256(data).hexdigest() == self.chunk_digests[index]
+        return digest_of(data) == self.chunk_digests[index]
+
+    def with_digest(self, index, digest):
+        """Return the manifest with another digest of the chunk at an index."""
+        digests = list(self.chunk_digests)
+        digests[index] = digest
+        return replace(self, chunk_digests=tuple(digests))
+
+
+def digest_of(data):
+    """Return the digest of a chunk in hexadecimal."""
+    return hashlib.sha256(data).hexdigest()
 
 
 def make_manifest(model, version, data, chunk_bytes=0):
--- a/banyanshore/weights/relay.py
+++ b/banyanshore/weights/relay.py
@@ -18,8 +18,9 @@
 from banyanshore.weights.carried import CarriedVersions
 from banyanshore.weights.exceptions import OriginAwayError, OriginError
 from banyanshore.weights.exchange import SettledChunks
-from banyanshore.weights.manifest import Manifest, parse_manifest
+from banyanshore.weights.manifest import Manifest, digest_of, parse_manifest
 from banyanshore.weights.messages import HaveUpdate, ManifestRequest
+from banyanshore.weights.named_digests import NamedDigests, list_retry_seconds
 from banyanshore.weights.relay_child import Child
 from banyanshore.weights.relay_fetches import (
     MAX_BACKOFF,
@@ -58,16 +59,23 @@
         :class:`~banyanshore.weights.staged.StagedOrigin`, or ``None``.
     :param chunk_bytes: size of each chunk.
     :param known_since: time since boot at which the version became known.
+    :param chunk_count: number of chunks that is declared, 0 if unknown.
     :ivar urgent_from: time since boot from which the transfer counts as late.
     """
 
-    def __init__(self, find_origin, chunk_bytes, known_since, *arguments):
+    def __init__(
+        self, find_origin, chunk_bytes, known_since, *arguments, chunk_count=0
+    ):
         super().__init__(*arguments)
         switch_seconds = self._settings.version_switch_seconds
         self.known_since = known_since
         self.urgent_from = known_since + URGENT_SHARE * switch_seconds
         self._find_origin = find_origin
         self._chunk_bytes = chunk_bytes
+        self._chunk_count = chunk_count
+        # The lists of digests that have been received, once there is one.
+        self._named = None
+        self._list_doubted = anyio.Event()
         # Monotonic times of the last new chunk, and of the last pushed one.
         self._progressed_at = self._pushed_at = time.monotonic()
         # Whether the origin could not be reached when it was last asked.
@@ -123,15 +131,19 @@
         """Fetch the version and push it to the children, until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            tasks.start_soon(self._resolve_doubts)
             await super().run()
 
     async def handle_push(self, push):
-        """Store a pushed chunk and return the :class:`ChunkPushReply`."""
-        if self.planner is None or push.manifest_digest != self.manifest.digest:
+        """Store a pushed chunk and return the :class:`ChunkPushReply`.
+
+        The sender's list may differ from the one here: the chunk's own digest counts.
+        """
+        if self.planner is None or not 0 <= push.index < self.manifest.chunk_count:
             return ChunkPushReply(False)
         if self.planner.have >> push.index & 1:
             return ChunkPushReply(True)
-        if not self.manifest.matches_digest(push.index, push.data):
+        if not self._check_arrival(push.index, digest_of(push.data)):
             logger.warning("pushed chunk is wrong", extra={"chunk": push.index})
             return ChunkPushReply(False)
         started_at = time.monotonic()
@@ -191,10 +203,22 @@
         :param digest: digest of the manifest, or ``MODEL/VERSION``.
         """
         version_id = f"{self.spec.name}/{self.spec.version}"
-        if self.manifest is not None and digest in (version_id, self.manifest.digest):
+        if self.manifest is None or self._named.are_in_doubt:
+            return b""
+        if digest in (version_id, self.manifest.digest):
             return self.manifest.content
         return b""
 
+    def names_chunk(self, index, digest):
+        """Return whether a list names a digest for a chunk."""
+        return self._named is not None and self._named.names(index, digest)
+
+    def lacks_chunk(self, index):
+        """Return whether a chunk of this version has not arrived yet."""
+        if self.planner is None or index >= self.manifest.chunk_count:
+            return False
+        return not self.planner.have >> index & 1
+
     def _notify_chunks_changed(self):
         for transfer in self._carried:
             transfer.wake_pushes()
@@ -341,7 +365,61 @@
         child.push_times.record(started_at, arrived_at)
         return reply.is_accepted
 
+    def _check_arrival(self, index, digest):
+        """Return whether a chunk that arrived is valid, and learn what it tells."""
+        if not self._named.names(index, digest):
+            self._named.record_unnamed(index, digest)
+            if self._named.are_in_doubt:
+                self._list_doubted.set()
+            return False
+        self._named.record_valid(index)
+        if digest != self.manifest.chunk_digests[index]:
+            logger.info("digest corrected", extra={"chunk": index})
+            self.manifest = self.manifest.with_digest(index, digest)
+            # Peers identify the chunks that are here by the digest of the manifest.
+            self._reported_by_instance.clear()
+            self._last_have = None
+        return True
+
+    async def _is_valid(self, index, data):
+        digest = await anyio.to_thread.run_sync(digest_of, data)
+        return self._check_arrival(index, digest)
+
+    async def _resolve_doubts(self):
+        """Request further lists of digests while the known ones are in doubt."""
+        requests = 0
+        while True:
+            await self._list_doubted.wait()
+            self._list_doubted = anyio.Event()
+            for attempt in count():
+                if not self._named.are_in_doubt:
+                    break
+                digests = await self._fetch_another_list(attempt)
+                is_new = self._named.add_list(digests)
+                logger.warning(
+                    "digests in doubt",
+                    extra={
+                        "model_version": self.version,
+                        "received": bool(digests),
+                        "is_new": is_new,
+                    },
+                )
+                await anyio.sleep(list_retry_seconds(requests))
+                requests += 1
+
+    async def _fetch_another_list(self, attempt):
+        """Return a list of a peer, whose answers cost nothing, or of the origin."""
+        manifest = await self._fetch_manifest_from_peers(attempt)
+        if manifest is not None and not self._named.has(manifest.chunk_digests):
+            return manifest.chunk_digests
+        return await self._fetch_digests_from_origin()
+
     async def _fetch_manifest(self):
+        manifest = await self._fetch_first_manifest()
+        self._named = NamedDigests(manifest.chunk_digests)
+        return manifest
+
+    async def _fetch_first_manifest(self):
         retry_origin_at = -math.inf
         for attempt in count():
             if time.monotonic() >= retry_origin_at:
@@ -364,12 +442,24 @@
         try:
             digests = await origin.fetch_digests(self.spec.name, self.version)
             self._is_origin_away = False
+            self._check_count(len(digests))
             return digests
         except OriginError as error:
             self._is_origin_away = isinstance(error, OriginAwayError)
             logger.warning("digests not fetched", extra={"why": str(error)})
             return ()
 
+    def _check_count(self, chunk_count):
+        """Check the length of a list, which may have been cut off on its way.
+
+        :raises OriginError: the declaration names another number of chunks.
+        """
+        if self._chunk_count and chunk_count != self._chunk_count:
+            raise OriginError(
+                f"{chunk_count} digests, {self._chunk_count} chunks are declared",
+                step="fetch-digests",
+            )
+
     def _make_manifest(self, digests):
         length = self._chunk_bytes * len(digests)
         return Manifest(
@@ -393,7 +483,9 @@
                 connection = await link.get_connection(PEER_TIMEOUT)
                 reply = await connection.call(ManifestRequest(version_id), PEER_TIMEOUT)
                 if reply.content:
-                    return parse_manifest(reply.content)
+                    manifest = parse_manifest(reply.content)
+                    self._check_count(manifest.chunk_count)
+                    return manifest
             except BanyanshoreError as error:
                 logger.info("no manifest from peer", extra={"why": str(error)})
         return None
--- a/banyanshore/weights/transfer.py
+++ b/banyanshore/weights/transfer.py
@@ -351,9 +351,7 @@
         await anyio.to_thread.run_sync(self._store.put, digest, data)
 
     async def _verify_and_store(self, fetch, data):
-        is_valid = await anyio.to_thread.run_sync(
-            self.manifest.matches_digest, fetch.index, data
-        )
+        is_valid = await self._is_valid(fetch.index, data)
         source = "origin" if fetch.from_origin else "peer"
         self._metrics.weight_bytes.labels(source).inc(len(data))
         if not is_valid:
@@ -366,6 +364,10 @@
         await self._store_chunk(fetch.index, data)
         self.planner.record_received(fetch.index)
 
+    async def _is_valid(self, index, data):
+        """Return whether the bytes that arrived are those of a chunk."""
+        return await anyio.to_thread.run_sync(self.manifest.matches_digest, index, data)
+
     async def _fetch_from_peer(self, fetch):
         address = self._address_by_instance.get(fetch.source)
         if address is None:
