Apply changed limits to connections that are open

Cause: the parser got the limit of heads when the connection was opened, and all other limits were read before the wait for a request and used after it.

Why it works: the listener owns the limits in force, and connections keep no copy. Sizes are checked as bytes arrive, in place of the parser; a gateway that gets other limits has its open connections count their waits anew.

--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -103,6 +103,8 @@
             settings.memory_bytes, partial(self.callers.hold, self.callers.open())
         )
         self.screening = Screening(settings.key_lease_seconds, settings.change_seconds)
+        # Opened when the process runs.
+        self.caller_listener = None
         self.leaving = False
         self.stop_plan = NOT_STOPPING
         # The requests that are being processed.
@@ -258,7 +260,10 @@
     def _on_state(self, desired):
         now = time.monotonic()
         document = desired.document
+        limits_before = self._limits()
         self.screening.use(document)
+        if self.caller_listener is not None and self._limits() != limits_before:
+            self.caller_listener.apply_limits()
         self._record_rollouts(desired)
         self.withdrawals.reschedule()
         previously_out = self._data_centres_out_of_service
--- a/banyanshore/http/caller_connection.py
+++ b/banyanshore/http/caller_connection.py
@@ -25,6 +25,7 @@
     has_body,
     head_size,
 )
+from banyanshore.http.limited_wait import LimitedWait
 from banyanshore.http.lingering import DELIVERED_SECONDS
 from banyanshore.http.unfinished import Phase, Unfinished
 from banyanshore.http.wire import (
@@ -48,6 +49,9 @@
 # Bytes of a body that must arrive within the header timeout; no healthy caller is
 # slower on any link.
 BODY_PROGRESS_BYTES = 4096
+# Size of an incomplete event above which the parser itself refuses a request; above all
+# limits that a declaration may name.
+PARSER_LIMIT_BYTES = 2**62
 
 
 class CallerConnection:
@@ -71,10 +75,10 @@
         self._unparsed_bytes = 0
         stream.on_blocked = self._on_blocked
         share.holder = self
-        self.limits = listener.limits()
         self._phase = Phase.IDLE
+        # The limit of heads may change, which the parser's own can't.
         self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
+            h11.SERVER, max_incomplete_event_size=PARSER_LIMIT_BYTES
         )
         self._peer_closed = False
         # Whether the rest of a request that was refused is not read.
@@ -82,14 +86,31 @@
         # Stage before the connection waited for its caller to read.
         self._stage_before = Stage.IDLE
         self._exchange = None
-        # Cancel scopes of the waits for a request, and for the rest of its head.
-        self._idle_scope = anyio.CancelScope()
-        self._head_scope = anyio.CancelScope()
+        # Waits for a request, for the rest of its head, and for more of its body.
+        self._idle_wait = LimitedWait(self._idle_seconds)
+        self._head_wait = LimitedWait(self._header_seconds)
+        self._body_wait = LimitedWait(self._header_seconds)
         # Monotonic time at which the last answer ended or was broken off.
         self._answered_at = -math.inf
         # Earliest arrival of the oldest bytes that no request has been parsed from.
         self._arrived_after = 0.0
 
+    @property
+    def limits(self):
+        """Return the :class:`~banyanshore.http.listener.ListenerLimits` in force."""
+        return self._listener.limits()
+
+    def _idle_seconds(self):
+        return self.limits.idle_timeout
+
+    def _header_seconds(self):
+        return self.limits.header_timeout
+
+    def apply_limits(self):
+        """Wait as long as the limits in force say, also where a wait has begun."""
+        for wait in (self._idle_wait, self._head_wait, self._body_wait):
+            wait.renew()
+
     @property
     def request_id(self):
         """Return the id of the last request, empty if none is known."""
@@ -165,10 +186,8 @@
 
     def shorten_waits(self):
         """Wait only a short time for the next request, or the rest of its head."""
-        now = anyio.current_time()
-        idle, head = self._idle_scope, self._head_scope
-        idle.deadline = min(idle.deadline, now + LAST_REQUEST_SECONDS)
-        head.deadline = min(head.deadline, now + LAST_HEAD_SECONDS)
+        self._idle_wait.shorten(LAST_REQUEST_SECONDS)
+        self._head_wait.shorten(LAST_HEAD_SECONDS)
 
     async def deliver(self):
         """Wait until the caller has received the last answer, for a bounded time."""
@@ -211,7 +230,6 @@
 
     async def _read_head(self):
         """Return the next request, or ``None`` if the connection has ended."""
-        self.limits = self._listener.limits()
         self._phase = Phase.IDLE
         if not await self._wait_for_bytes():
             return None
@@ -226,13 +244,13 @@
         self._callers.hold(self.share, len(unparsed))
         if unparsed:
             return True
-        self._idle_scope = anyio.move_on_after(self.limits.idle_timeout)
+        self._idle_wait = LimitedWait(self._idle_seconds)
         if self._listener.is_closing:
             self.shorten_waits()
         data = b""
-        with self._idle_scope:
+        with self._idle_wait.scope as scope:
             data = await receive_bytes(self._stream)
-        if self._idle_scope.cancelled_caught:
+        if scope.cancelled_caught:
             return False
         self._arrived_after = self._listener.earliest_arrival()
         self.share.stage = Stage.READING
@@ -250,16 +268,16 @@
         self._callers.hold(self.share, self._unparsed_bytes + body_bytes)
 
     async def _read_request(self):
-        self._head_scope = anyio.move_on_after(self.limits.header_timeout)
+        self._head_wait = LimitedWait(self._header_seconds)
         if self._listener.is_closing:
             self.shorten_waits()
-        with self._head_scope:
+        with self._head_wait.scope:
             event = await self._next_event()
             if not isinstance(event, h11.Request):
                 return None
             if self.share.is_stopped:
                 self._refuse_for_room()
-            # The parser limits only the size of incomplete heads.
+            # An incomplete head is checked as it arrives.
             if head_size(event) > self.limits.max_header_bytes:
                 raise RequestError(431, "the head of the request is too long")
             return event
@@ -275,6 +293,8 @@
                 return event
             # All that the parser keeps is a part of the next event.
             self._unparsed_bytes = len(self._h11.trailing_data[0])
+            if self._unparsed_bytes > self.limits.max_header_bytes:
+                raise RequestError(431, "a part of the request is too long")
             self._take(await self._receive_request_bytes(), body_bytes)
 
     async def _receive_request_bytes(self):
@@ -317,18 +337,15 @@
 
     async def _receive_body(self, body):
         """Add the pieces of the body to a buffer, to its end."""
-        due_at = anyio.current_time() + self.limits.header_timeout
+        self._body_wait = LimitedWait(self._header_seconds)
         progress_mark = 0
-        while True:
-            with anyio.CancelScope(deadline=due_at) as scope:
-                is_whole = await self._receive_piece(body)
-            if scope.cancelled_caught:
-                raise RequestError(408, "the body took too long")
-            if is_whole:
-                return
-            if len(body) - progress_mark >= BODY_PROGRESS_BYTES:
-                progress_mark = len(body)
-                due_at = anyio.current_time() + self.limits.header_timeout
+        with self._body_wait.scope:
+            while not await self._receive_piece(body):
+                if len(body) - progress_mark >= BODY_PROGRESS_BYTES:
+                    progress_mark = len(body)
+                    self._body_wait.restart()
+            return
+        raise RequestError(408, "the body took too long")
 
     async def _receive_piece(self, body):
         """Add the next piece of the body; return whether the body is whole."""
--- a/banyanshore/http/listener.py
+++ b/banyanshore/http/listener.py
@@ -48,7 +48,8 @@
     """Accept connections on an address, and handle their requests.
 
     :param handle: coroutine function that answers the :class:`Exchange` it is given.
-    :param limits: callable that returns the current :class:`ListenerLimits`.
+    :param limits: callable that returns the current :class:`ListenerLimits`; call
+        :meth:`apply_limits` when they have changed.
     :param earliest_arrival: callable that returns the boot time before which bytes that
         are read now can't have arrived.
     :param callers: the :class:`~banyanshore.http.caller_account.CallerAccount` that
@@ -81,6 +82,11 @@
         """Return the :class:`Unfinished` of each open connection."""
         return [connection.unfinished() for connection in self._stream_by_connection]
 
+    def apply_limits(self):
+        """Apply changed limits to all open connections."""
+        for connection in self._stream_by_connection:
+            connection.apply_limits()
+
     async def serve(self, address, *, task_status=anyio.TASK_STATUS_IGNORED):
         """Serve until cancelled, or until all connections have ended after a close.
 
