Compact the log by the size of its entries, too

Cause: the log was compacted after 2,000 entries whatever their size, and each change carries the text of the whole declaration.

Evidence: tests/control/test_log_size.py sends 90 declarations of 1 MB that hardly compress.

--- a/banyanshore/conf/sections.py
+++ b/banyanshore/conf/sections.py
@@ -67,6 +67,12 @@
     snapshot_every_entries: int = setting(
         "Applied log entries after which a snapshot replaces them.", 2000, minimum=10
     )
+    snapshot_every_bytes: int = setting(
+        "Size of the entries of the log at which a snapshot replaces the applied ones; "
+        "at least twice the size of the last snapshot counts.",
+        16 * 1024 * 1024,
+        minimum=1024,
+    )
     proposal_timeout: float = setting(
         "Longest wait for the quorum to accept a proposal.", 3.0, minimum=0.1
     )
--- a/banyanshore/consensus/leading.py
+++ b/banyanshore/consensus/leading.py
@@ -202,6 +202,16 @@
             progress.awaiting_until = now + 4 * self.options.heartbeat_interval
         self._send(member, request)
 
+    def is_replicated(self, index):
+        """Return whether all members that this leader sends entries have them.
+
+        :param index: index of the last entry; ``True`` for a member that doesn't lead.
+        """
+        if self.leadership is None:
+            return True
+        progress = self.leadership.progress_by_member.values()
+        return all(row.match_index >= index for row in progress)
+
     def _on_append_reply(self, now, reply):
         progress = self._progress_of(reply)
         if progress is None:
--- a/banyanshore/consensus/log.py
+++ b/banyanshore/consensus/log.py
@@ -26,11 +26,13 @@
 
     :param snapshot: the :class:`Snapshot` that the log starts from.
     :param entries: the entries that follow it, without gaps.
+    :ivar data_bytes: size of the data of these entries.
     """
 
     def __init__(self, snapshot=EMPTY_SNAPSHOT, entries=()):
         self.snapshot = snapshot
         self._entries = list(entries)
+        self.data_bytes = _data_bytes(self._entries)
 
     @property
     def first_index(self):
@@ -78,10 +80,13 @@
         """Append an entry, whose index must follow the last one."""
         assert entry.index == self.last_index + 1
         self._entries.append(entry)
+        self.data_bytes += len(entry.data)
 
     def truncate_from(self, index):
         """Drop the entry at an index and all that follow it."""
-        del self._entries[index - self.first_index :]
+        position = index - self.first_index
+        self.data_bytes -= _data_bytes(self._entries[position:])
+        del self._entries[position:]
 
     def first_index_of_term(self, term, at_most):
         """Return the first index of the run of one term that ends at ``at_most``.
@@ -103,6 +108,7 @@
             kept = []
         self.snapshot = snapshot
         self._entries = kept
+        self.data_bytes = _data_bytes(kept)
 
     def members_at(self, index):
         """Return the members at an index, and the index of the entry that set them."""
@@ -111,3 +117,7 @@
             if entry.kind == EntryKind.MEMBERS:
                 return decode(entry.data), position
         return self.snapshot.members, self.snapshot.last_index
+
+
+def _data_bytes(entries):
+    return sum(len(entry.data) for entry in entries)
--- a/banyanshore/consensus/node.py
+++ b/banyanshore/consensus/node.py
@@ -354,7 +354,7 @@
     async def _compact(self):
         log = self.raft.log
         index = self.raft.applied_index
-        if index - log.snapshot.last_index < self._settings.snapshot_every_entries:
+        if not self._must_compact(log, index):
             return
         members, _ = log.members_at(index)
         snapshot = Snapshot(
@@ -368,6 +368,23 @@
         ]
         await anyio.to_thread.run_sync(self._storage.save_snapshot, snapshot, durable)
 
+    def _must_compact(self, log, index):
+        """Return whether a snapshot has to replace the entries up to an index.
+
+        Load pattern: each of many changes carries a large declaration. The log would
+        fill the disks of all voters at once. A member that lags behind a snapshot is
+        sent the snapshot in place of the few entries that it lacks.
+        """
+        settings = self._settings
+        if index - log.snapshot.last_index >= settings.snapshot_every_entries:
+            return True
+        # Writing a snapshot must not cost more than writing the entries that it
+        # replaces.
+        limit = max(settings.snapshot_every_bytes, 2 * len(log.snapshot.data))
+        if index == log.snapshot.last_index or log.data_bytes < limit:
+            return False
+        return log.data_bytes >= 2 * limit or self.raft.is_replicated(index)
+
     def _fail_waiters(self):
         self._waiters.fail_all(
             OutcomeUnknownError(f"the log has stopped: {self._failure}")
