Send names of workspaces that Latin-1 lacks as UTF-8

Cause: the name was encoded as Latin-1, and the parser refuses headers with outer blanks or control characters.

Evidence: tests/gateway/test_requests.py:: test_request_of_a_workspace_with_any_letters_in_its_name_is_served failed for 2 of its 4 names on the commit before, and two cases of tests/platform/test_declaration.py::test_invalid_declaration_is_rejected_with_the_expected_value; all pass now.

Why it works: such a name goes out as UTF-8, whose bytes a header may hold. A name that no header can hold is refused with the declaration, with its place and what is expected.

--- a/banyanshore/platform/caller_dialect.py
+++ b/banyanshore/platform/caller_dialect.py
@@ -111,7 +111,7 @@
         if offer.model_version:
             headers.append((_EXPECT_VERSION, b"%d" % offer.model_version))
         if offer.workspace:
-            headers.append((_TENANT, offer.workspace.encode("latin-1")))
+            headers.append((_TENANT, _encode_name(offer.workspace)))
         if offer.rank.count > 1:
             headers.append((_PRIORITY, b"%d" % _priority(offer.rank)))
         return OutgoingRequest(request.method, request.target, tuple(headers), body)
@@ -232,6 +232,18 @@
     return [entry.partition(":")[0].strip() for entry in value.split(",")]
 
 
+def _encode_name(name):
+    """Return a name as bytes of a header; UTF-8 if Latin-1 lacks a letter.
+
+    >>> _encode_name("Léa"), _encode_name("Łódź")
+    (b'L\\xe9a', b'\\xc5\\x81\\xc3\\xb3d\\xc5\\xba')
+    """
+    try:
+        return name.encode("latin-1")
+    except UnicodeEncodeError:
+        return name.encode()
+
+
 def _parse_tokens(value):
     """Return a number of tokens, 0 if the text is none.
 
--- a/banyanshore/platform/declaration.py
+++ b/banyanshore/platform/declaration.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import re
 import zlib
 
 from banyanshore.platform.values import DecodeError, Reader, parse_object
@@ -13,6 +14,7 @@
 # and has no colon.
 _BASE64_PREFIX = "base64:"
 _COMPRESSION_LEVEL = 3
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
 _KIND_BY_ROUTE_TYPE = {
     "streaming": "streaming",
     "idempotent": "idempotent",
@@ -47,7 +49,9 @@
         tables = {
             "services": _by_name(services, _decode_service),
             "routes": rows,
-            "workspaces": _by_name(reader.objects("tenants", []), _decode_workspace),
+            "workspaces": _by_name(
+                reader.objects("tenants", []), _decode_workspace, _check_header_value
+            ),
             "limits": _decode_limits(reader.object("limits")),
             "declarations": {"operator": {"number": number, "source": _pack(body)}},
         }
@@ -113,16 +117,25 @@
     return zlib.decompress(base64.b85decode(source))
 
 
-def _by_name(readers, decode):
+def _by_name(readers, decode, check=lambda path, name: None):
     rows = {}
     for reader in readers:
         name = reader.string("name")
+        check(f"{reader.path}.name", name)
         if name in rows:
             raise DecodeError(f"{reader.path}.name", name, "a name used once")
         rows[name] = decode(reader)
     return rows
 
 
+def _check_header_value(path, name):
+    """Check that a name can stand in a header of the requests to targets."""
+    if name != name.strip(" \t") or _CONTROL_CHARACTER.search(name):
+        raise DecodeError(
+            path, name, "a text without control or outer blank characters"
+        )
+
+
 def _decode_route(reader):
     kind = reader.string("routeType")
     if kind not in _KIND_BY_ROUTE_TYPE:
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -42,6 +42,22 @@
     assert answer.endswith(b"\r\n\r\nok")
 
 
+@pytest.mark.parametrize("name", ["a b", "Léa", "Łódź", "東京"])
+async def test_request_of_a_workspace_with_any_letters_in_its_name_is_served(name):
+    """Its connection was closed without an answer if Latin-1 lacks a letter."""
+    target = Target(COMPLETE)
+    async with running_gateway(target) as (gateway, address):
+        document = make_document()
+        document["workspaces"] = {name: {"keys": ["key"]}}
+        gateway.state.apply(PublishedState(2, Fence(1, 2), to_json(document)))
+        status, _ = await ask(address)
+    assert status == 200
+    head, _, _ = target.requests[0].partition(b"\r\n\r\n")
+    (line,) = [row for row in head.split(b"\r\n") if row.lower().startswith(b"tenant")]
+    value = line.partition(b":")[2].strip()
+    assert name.encode() == value or name.encode("latin-1") == value
+
+
 async def test_target_receives_the_request_without_the_key():
     target = Target(COMPLETE)
     request = make_request(
--- a/tests/platform/test_declaration.py
+++ b/tests/platform/test_declaration.py
@@ -89,6 +89,8 @@
     ),
     "no time": _route(timeoutMs=0),
     "shared key": lambda d: d["tenants"].append({"name": "v", "apiKeys": ["k1"]}),
+    "workspace with a blank at its end": lambda d: d["tenants"].append({"name": "v "}),
+    "workspace with a line break": lambda d: d["tenants"].append({"name": "v\nw"}),
     "text for a number": _route(timeoutMs="6000"),
     "no kind": _route(routeType="sometimes"),
     "no number": lambda d: d.pop("version"),
