Ignore an event id that is too long to be a number

Why it works: an id with more digits than a number of 64 bits counts as none, as other texts do that are no numbers.

--- a/banyanshore/platform/caller_dialect.py
+++ b/banyanshore/platform/caller_dialect.py
@@ -29,6 +29,8 @@
 _LENGTH_HINT = b"length-hint"
 # Longest text of a number of tokens that is read, in characters.
 _MAX_TOKENS_CHARACTERS = 12
+# Longest id of an event that is read, in characters: that of a number of 64 bits.
+_MAX_EVENT_ID_CHARACTERS = 20
 # Prefixes of the prompt as ID:TOKENS; the last one identifies the session.
 _PREFIX_HASH = b"prefix-hash"
 _NOT_EXECUTED = b"not-executed"
@@ -76,7 +78,6 @@
             exchange.get_header(_TOKEN_USAGE, "")
         )
         *shared_parts, session = _parse_prefixes(exchange.get_header(_PREFIX_HASH, ""))
-        last_event_id = exchange.get_header(_LAST_EVENT_ID, "")
         return CallerRequest(
             request_id,
             exchange.method,
@@ -89,7 +90,7 @@
             prompt_tokens,
             max_answer_tokens,
             session,
-            int(last_event_id) if last_event_id.isdecimal() else 0,
+            _parse_event_id(exchange.get_header(_LAST_EVENT_ID, "")),
             tuple(
                 (name, value)
                 for name, value in strip_hop_by_hop(exchange.headers)
@@ -244,6 +245,16 @@
         return name.encode()
 
 
+def _parse_event_id(text):
+    """Return the id of an event, 0 if the text is none.
+
+    >>> _parse_event_id("12"), _parse_event_id("x"), _parse_event_id("9" * 5000)
+    (12, 0, 0)
+    """
+    is_valid = text.isdecimal() and len(text) <= _MAX_EVENT_ID_CHARACTERS
+    return int(text) if is_valid else 0
+
+
 def _parse_tokens(value):
     """Return a number of tokens, 0 if the text is none.
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -58,6 +58,14 @@
     assert name.encode() == value or name.encode("latin-1") == value
 
 
+async def test_request_with_an_event_id_of_thousands_of_digits_is_served():
+    """Its connection was closed without an answer."""
+    target = Target(COMPLETE)
+    async with running_gateway(target) as (_, address):
+        status, _ = await ask(address, make_request(last_event_id="9" * 5000))
+    assert status == 200
+
+
 async def test_target_receives_the_request_without_the_key():
     target = Target(COMPLETE)
     request = make_request(
