Refuse a removal that comes over a connection of an earlier start

Its reports were acknowledged all the while.

Cause: a DELETE names no start, and took whichever is known. Only calls that had waited in the process itself were refused as late.

Evidence: tests/platform/test_control_api.py:: test_removal_that_the_network_delivers_late_keeps_the_next_start failed on the commit before and passes now.

Why it works: bytes that outlive their sender arrive over a connection of its time. A call over a connection that was accepted over 2 s before the first report of the start that is known gets 503; a target that is really leaving asks again, over a new connection.

--- a/banyanshore/http/caller_connection.py
+++ b/banyanshore/http/caller_connection.py
@@ -60,6 +60,7 @@
     :param listener: the :class:`~banyanshore.http.listener.Listener`.
     :param stream: the :class:`~banyanshore.http.caller_stream.CallerStream`.
     :param share: its :class:`~banyanshore.core.byte_account.Share`.
+    :ivar opened_at: monotonic time at which it was accepted.
     :ivar is_cut_off: whether it was stopped while an answer waited for the caller.
     """
 
@@ -68,6 +69,7 @@
         self._callers = listener.callers
         self._stream = stream
         self.share = share
+        self.opened_at = time.monotonic()
         self.is_cut_off = False
         # What has arrived of the body that is being read.
         self._body = BodyBuffer()
--- a/banyanshore/http/exchange.py
+++ b/banyanshore/http/exchange.py
@@ -45,6 +45,7 @@
     :ivar headers: pairs of bytes, names in lower case.
     :ivar started_at: monotonic time at which the answer was begun, or ``None``.
     :ivar arrived_after: boot time before which the request can't have arrived.
+    :ivar connected_at: monotonic time at which its connection was accepted.
     :ivar request_id: id of the request for logs, set by its handler.
     :ivar on_blocked: called when a part of the answer has to wait for the caller, or
         ``None``.
@@ -58,6 +59,7 @@
         self.started_at = None
         self.finished = False
         self.arrived_after = arrived_after
+        self.connected_at = connection.opened_at
         self.request_id = ""
         self.on_blocked = None
         self._connection = connection
--- a/banyanshore/platform/control_api.py
+++ b/banyanshore/platform/control_api.py
@@ -16,6 +16,8 @@
 
 logger = logging.getLogger(__name__)
 
+# Most seconds between the first connection of a target and its first report.
+FIRST_REPORT_SECONDS = 2.0
 _JSON = ((b"content-type", b"application/json"),)
 _CONFIG_PATH = "/api/config"
 _REPLICAS_PREFIX = "/api/replicas/"
@@ -29,11 +31,13 @@
 
     :param argument: last part of the path, empty if the path has none.
     :param arrived_after: boot time before which the call can't have arrived.
+    :param connected_at: monotonic time at which its connection was accepted.
     """
 
     argument: str
     body: bytes
     arrived_after: float
+    connected_at: float
 
 
 class ControlApi:
@@ -55,7 +59,8 @@
         if action is None:
             await self._respond(exchange, 404, {"error": "no such call"})
             return
-        call = Call(argument, body, exchange.arrived_after)
+        arrived_after, connected_at = exchange.arrived_after, exchange.connected_at
+        call = Call(argument, body, arrived_after, connected_at)
 
         async def answer():
             status, document = await self._answer(exchange.path, action, call)
@@ -131,9 +136,7 @@
         target_id = call.argument
         known = self._feed.registrations.find(target_id)
         if known is not None:
-            age = boottime_now() - call.arrived_after
-            if age > time.monotonic() - known.known_since:
-                # The call names no incarnation, and an earlier one may have sent it.
+            if _may_precede(call, known.known_since):
                 return 503, {"error": f"may be of an earlier start: {target_id!r}"}
             departure = Departure("target", target_id, known.row.incarnation, True)
         else:
@@ -145,6 +148,17 @@
         return 503, {"error": f"no such target is known: {target_id!r}"}
 
 
+def _may_precede(call, known_since):
+    """Return whether an earlier start of a target may have sent a call.
+
+    The call names no start. The network may deliver what a target sent before it
+    crashed once the next one has started, but over the connections of that time.
+    """
+    age = boottime_now() - call.arrived_after
+    is_connection_older = call.connected_at < known_since - FIRST_REPORT_SECONDS
+    return is_connection_older or age > time.monotonic() - known_since
+
+
 def _answer_leaving(is_known_elsewhere):
     """Return the answer to a target that leaves."""
     if is_known_elsewhere:
--- a/tests/control/test_declared_changes.py
+++ b/tests/control/test_declared_changes.py
@@ -39,7 +39,9 @@
         return outcome
 
     async def declare(self, instance, body):
-        call = SimpleNamespace(body=body, arrived_after=boottime_now())
+        call = SimpleNamespace(
+            body=body, arrived_after=boottime_now(), connected_at=0.0
+        )
         return await self.apis[instance]._put_config(call)
 
 
--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -1,6 +1,7 @@
 """The calls of operators and targets to control."""
 
 import json
+import time
 from dataclasses import replace
 
 import anyio
@@ -39,8 +40,9 @@
     path = "/api/replicas/t"
     status = None
 
-    def __init__(self, age):
+    def __init__(self, age, connection_age=0.0):
         self.arrived_after = boottime_now() - age
+        self.connected_at = time.monotonic() - connection_age
 
     async def read_body(self):
         return b""
@@ -68,9 +70,9 @@
     )
 
 
-async def remove(feed, age=0.0):
+async def remove(feed, age=0.0, connection_age=0.0):
     """Remove the target by a call that may be some seconds old; return the status."""
-    removal = Removal(age)
+    removal = Removal(age, connection_age)
     with anyio.fail_after(2):
         await ControlApi(None, feed).handle(removal)
     return removal.status
@@ -99,6 +101,18 @@
     assert await remove(feed) == 200
 
 
+async def test_removal_that_the_network_delivers_late_keeps_the_next_start():
+    """It took the newest start out of use for 120 s, whose reports went on."""
+    feed = make_feed()
+    row = TargetRow("t", "s", "10.0.0.2:80", "dc", "v1", 4, "ready", 0.0, 1, 1)
+    await feed.record(row)
+    await feed.record(replace(row, incarnation=2))
+    assert await remove(feed, connection_age=6.0) == 503
+    assert feed.find_target("t").incarnation == 2
+    # A target may open its connection shortly before its first report.
+    assert await remove(feed, connection_age=1.0) == 200
+
+
 ADDRESS = "10.0.0.2:80"
 ROW = TargetRow("t", "s", ADDRESS, "dc", "v1", 4, "ready", 0.0, 1_000, 1)
 
