Judge rows of other control instances by the state held here

Cause: only the instance that is told judged a report, and one without a state can use none.

Evidence: tests/platform/test_control_api.py:: test_instance_without_a_state_tells_those_that_have_one[s], and tests/control/test_leaving_targets.py:: test_instance_that_lacks_the_declaration_does_not_count.

Why it works: reports that can't be used here go to the other instances, and each judges rows by the version that it holds, whoever sends them. An instance that can't use a row isn't counted among those that keep it.

--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -251,7 +251,11 @@
         now = time.monotonic()
         if update.gateways:
             self._fleet_size.record(now, update.gateways)
-        rows = tuple(row for row in update.rows if self._registry.record(now, row))
+        rows = tuple(
+            row
+            for row in update.rows
+            if self.registrations.admits(row) and self._registry.record(now, row)
+        )
         departures = tuple(
             departure
             for departure in update.departures
@@ -282,6 +286,10 @@
         if ages := self._known_ages(REPEATED_SECONDS):
             await self._notify_control(ages)
 
+    async def tell_control(self, row):
+        """Tell the other control instances of a row that isn't used here."""
+        await self._notify_control(RowUpdate((row,)))
+
     async def _notify_followers(self, message):
         data = encode_notice(message)
         for connection, follower in list(self._follower_by_connection.items()):
--- a/banyanshore/control/process.py
+++ b/banyanshore/control/process.py
@@ -24,7 +24,7 @@
 from banyanshore.control.orders import Orders
 from banyanshore.control.state_checks import StateChecks
 from banyanshore.core.clock import boottime_now
-from banyanshore.core.exceptions import BanyanshoreError
+from banyanshore.core.exceptions import BanyanshoreError, UnavailableError
 from banyanshore.core.standstill import TICK_INTERVAL, StandstillMonitor
 from banyanshore.core.stopping import NOT_STOPPING, StopPlan
 from banyanshore.core.values import dataclass
@@ -319,6 +319,8 @@
         # The caller needs only some of the replies, and cancels the other calls.
         with anyio.CancelScope(shield=True):
             await self.feed.on_peer_update(update)
+        if not all(map(self.feed.registrations.may_be_used, update.rows)):
+            raise UnavailableError("the service isn't declared here", step="rows")
         await self._leaving_store.save((*update.rows, *update.departures))
         await responder.finish(RowsRecorded())
 
--- a/banyanshore/control/registrations.py
+++ b/banyanshore/control/registrations.py
@@ -5,6 +5,7 @@
 
 from banyanshore.membership.candidates import CandidateTable
 from banyanshore.membership.feed import RowUpdate
+from banyanshore.membership.registry import TargetRow
 
 logger = logging.getLogger(__name__)
 
@@ -39,10 +40,32 @@
 
     async def record(self, row):
         """Record the report of a target."""
-        if self._may_be_used(row):
+        if self.admits(row):
             await self._feed.record(row)
         else:
-            self._record_candidate(row)
+            await self._feed.tell_control(row)
+
+    def admits(self, row):
+        """Return whether a row may be used here; otherwise it becomes a candidate.
+
+        Each instance decides by the version that it holds. One that has just started
+        holds none, and others may use what it is told.
+        """
+        if not isinstance(row, TargetRow) or self.may_be_used(row):
+            return True
+        self._record_candidate(row)
+        return False
+
+    def may_be_used(self, row):
+        """Return whether a report may change the rows of targets in use.
+
+        A target in use stays so when its service is removed: gateways that have not
+        heard of that still send it requests, and have to be told when it leaves.
+        """
+        if self._is_named(row.service):
+            return True
+        known = self._targets.by_key.get(row.id)
+        return known is not None and _identify_start(known.row) == _identify_start(row)
 
     async def record_leaving(self, row):
         """Record a target that is about to leave.
@@ -50,8 +73,8 @@
         :return: whether enough control instances keep that; see
             :class:`~banyanshore.control.leaving_copies.LeavingCopies`.
         """
-        if not self._may_be_used(row):
-            self._record_candidate(row)
+        if not self.admits(row):
+            await self._feed.tell_control(row)
             # Without any state, the service may be one that is in use.
             return self._state.desired is not None
         await self._feed.record(row)
@@ -94,17 +117,6 @@
                 },
             )
 
-    def _may_be_used(self, row):
-        """Return whether a report may change the rows of targets in use.
-
-        A target in use stays so when its service is removed: gateways that have not
-        heard of that still send it requests, and have to be told when it leaves.
-        """
-        if self._is_named(row.service):
-            return True
-        known = self._targets.by_key.get(row.id)
-        return known is not None and _identify_start(known.row) == _identify_start(row)
-
     def _is_named(self, service):
         desired = self._state.desired
         if desired is None:
--- a/tests/control/test_leaving_targets.py
+++ b/tests/control/test_leaving_targets.py
@@ -208,6 +208,19 @@
         await leave(fleet.addresses[0], "departure")
 
 
+async def test_instance_that_lacks_the_declaration_does_not_count(
+    tmp_path, monkeypatch
+):
+    """It keeps nothing of a target whose service it doesn't know."""
+    async with running_fleet(tmp_path) as fleet:
+        assert await call(fleet.addresses[0], "PUT", make_registration(1)) == 200
+        for control in fleet.controls[1:]:
+            monkeypatch.setattr(control.state, "desired", None)
+            control.registry.targets.by_key.clear()
+        body = make_registration(2, state="draining")
+        assert await call(fleet.addresses[0], "PUT", body) == 503
+
+
 async def do_nothing(message):
     return
 
--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -228,6 +228,18 @@
     assert await report(feed, replace(ROW, state="draining")) == 503
 
 
+@pytest.mark.parametrize("service", ["s", "undeclared"])
+async def test_instance_without_a_state_tells_those_that_have_one(
+    feed, monkeypatch, service
+):
+    """A target that reported to an instance with a lost disk was unknown to others."""
+    started = make_feed()
+    monkeypatch.setattr(started, "_notify_control", feed.on_peer_update)
+    assert await report(started, replace(ROW, service=service)) == 200
+    assert used(started) == []
+    assert used(feed) == ([("t", 1)] if service == "s" else [])
+
+
 class Connection:
     """A connection of a follower that keeps what is sent over it."""
 
