--- a/banyanshore/weights/named_digests.py
+++ b/banyanshore/weights/named_digests.py
@@ -76,7 +76,7 @@
 def list_retry_seconds(requests):
     """Return the pause before another list is requested.
 
-    :param requests: lists requested since the last chunk became valid.
+    :param requests: further lists requested before.
 
     >>> [list_retry_seconds(requests) for requests in (0, 1, 2, 50)]
     [0.5, 1.0, 2.0, 16.0]
