Handle one large declaration at a time at a control instance

Cause: each declaration takes many times its size while it is decoded, compared and proposed, and all were handled at once. One whose caller had left after a second went on beside the same one sent again.

Why it works: bodies of 256 KB and more are handled one after the other, in their order. Those that wait hold their bodies only, and are dropped once their callers have left, who send them to another instance. Small calls don't wait.

--- a/banyanshore/platform/control_api.py
+++ b/banyanshore/platform/control_api.py
@@ -4,6 +4,8 @@
 import logging
 import time
 
+import anyio
+
 from banyanshore.core.clock import boottime_now
 from banyanshore.core.exceptions import BanyanshoreError
 from banyanshore.core.values import dataclass
@@ -18,6 +20,8 @@
 
 # Most seconds between the first connection of a target and its first report.
 FIRST_REPORT_SECONDS = 2.0
+# Size from which a body is handled while no other one of this size is.
+LARGE_BODY_BYTES = 256 * 1024
 _JSON = ((b"content-type", b"application/json"),)
 _CONFIG_PATH = "/api/config"
 _REPLICAS_PREFIX = "/api/replicas/"
@@ -51,6 +55,7 @@
         self._orders = orders
         self._feed = feed
         self._declarations = DeclarationDecoder()
+        self._large_calls = anyio.Semaphore(1)
 
     async def handle(self, exchange):
         """Handle one call."""
@@ -66,11 +71,32 @@
             status, document = await self._answer(exchange.path, action, call)
             await self._respond(exchange, status, document)
 
-        if action not in _UNNUMBERED_ACTIONS:
+        if action in _UNNUMBERED_ACTIONS:
+            is_answered = await exchange.run_while_connected(answer)
+        elif len(body) >= LARGE_BODY_BYTES:
+            is_answered = await self._answer_in_turn(exchange, answer)
+        else:
             await answer()
-        elif not await exchange.run_while_connected(answer):
+            is_answered = True
+        if not is_answered:
             logger.info("call withdrawn by its caller", extra={"path": exchange.path})
 
+    async def _answer_in_turn(self, exchange, answer):
+        """Answer a call with a large body once no other one is handled.
+
+        Load pattern: eight declarations of megabytes arrive at once, and again after a
+        second without an answer. Each takes many times its size while it is handled.
+
+        :return: whether it was handled before its caller left.
+        """
+        if not await exchange.run_while_connected(self._large_calls.acquire):
+            return False
+        try:
+            await answer()
+        finally:
+            self._large_calls.release()
+        return True
+
     async def _answer(self, path, action, call):
         """Return the status and the document of the answer to a call."""
         try:
