Remember the newest digests of chunks that no list names

A member with a wrong list would not have noticed it if the first four arrivals of a chunk had been corrupted, each in another way.

Cause: four digests were remembered for a chunk, and no later one was counted.

Evidence: tests/weights/test_named_digests.py:: test_corrupted_chunks_do_not_hide_that_a_list_is_wrong failed on the commit before and passes now.

Why it works: the oldest digest makes room for the newest, so a digest that comes repeatedly is counted. A chunk with a negative index is refused like one beyond the list.

--- a/banyanshore/weights/named_digests.py
+++ b/banyanshore/weights/named_digests.py
@@ -56,8 +56,10 @@
     def record_unnamed(self, index, digest):
         """Record a chunk that arrived with a digest that no list names."""
         counts = self._unnamed_by_index.setdefault(index, Counter())
-        if digest in counts or len(counts) < MAX_UNNAMED_DIGESTS:
-            counts[digest] += 1
+        if digest not in counts and len(counts) >= MAX_UNNAMED_DIGESTS:
+            # The oldest one goes, so that corrupted chunks don't hide the right one.
+            del counts[next(iter(counts))]
+        counts[digest] += 1
 
     def record_valid(self, index):
         """Record that a chunk has arrived with a digest that a list names."""
--- a/banyanshore/weights/relay.py
+++ b/banyanshore/weights/relay.py
@@ -215,7 +215,7 @@
 
     def lacks_chunk(self, index):
         """Return whether a chunk of this version has not arrived yet."""
-        if self.planner is None or index >= self.manifest.chunk_count:
+        if self.planner is None or not 0 <= index < self.manifest.chunk_count:
             return False
         return not self.planner.have >> index & 1
 
--- a/tests/weights/test_named_digests.py
+++ b/tests/weights/test_named_digests.py
@@ -41,6 +41,16 @@
     assert not named.are_in_doubt
 
 
+def test_corrupted_chunks_do_not_hide_that_a_list_is_wrong():
+    """The first four digests of a chunk were remembered, and no other."""
+    named = NamedDigests(SPOILT)
+    for number in range(10):
+        named.record_unnamed(1, f"corrupt {number}")
+    named.record_unnamed(1, "b")
+    named.record_unnamed(1, "b")
+    assert named.are_in_doubt
+
+
 def test_list_of_another_length_is_not_compared():
     named = NamedDigests(LIST)
     assert not named.add_list(())
