--- a/banyanshore/control/feed.py
+++ b/banyanshore/control/feed.py
@@ -254,7 +254,7 @@
         rows = tuple(
             row
             for row in update.rows
-            if self.registrations.admits(row) and self._registry.record(now, row)
+            if self.registrations.admit(row) and self._registry.record(now, row)
         )
         departures = tuple(
             departure
--- a/banyanshore/control/leaving_copies.py
+++ b/banyanshore/control/leaving_copies.py
@@ -45,9 +45,9 @@
         needed = 1 + min(self._tolerated_losses, len(addresses))
         kept_by = []
 
-        async def keep(instance, save, scope):
+        async def keep(instance, save, *arguments):
             try:
-                await save()
+                await save(update, *arguments)
             except BanyanshoreError as error:
                 logger.info(
                     "leaving target not kept",
@@ -56,23 +56,18 @@
                 return
             kept_by.append(instance)
             if len(kept_by) >= needed:
-                scope.cancel()
-
-        async def save_here():
-            await self._store.save((*update.rows, *update.departures))
-
-        def make_call(address):
-            async def save_at_peer():
-                link = self._links.get(address)
-                connection = await link.get_connection(COPIES_TIMEOUT)
-                await connection.call(update, COPIES_TIMEOUT)
-
-            return save_at_peer
+                tasks.cancel_scope.cancel()
 
         with anyio.move_on_after(COPIES_TIMEOUT):
             async with open_task_group() as tasks:
-                tasks.start_soon(keep, "self", save_here, tasks.cancel_scope)
+                tasks.start_soon(keep, "self", self._save_here)
                 for address in addresses:
-                    save = make_call(address)
-                    tasks.start_soon(keep, address, save, tasks.cancel_scope)
+                    tasks.start_soon(keep, address, self._save_at, address)
         return len(kept_by) >= needed
+
+    async def _save_here(self, update):
+        await self._store.save((*update.rows, *update.departures))
+
+    async def _save_at(self, update, address):
+        connection = await self._links.get(address).get_connection(COPIES_TIMEOUT)
+        await connection.call(update, COPIES_TIMEOUT)
--- a/banyanshore/control/registrations.py
+++ b/banyanshore/control/registrations.py
@@ -31,7 +31,10 @@
         self._candidates = CandidateTable()
 
     def find(self, target_id):
-        """Return the row of a target and since when it is known, or ``None``."""
+        """Return the :class:`~banyanshore.membership.registry.KnownRow` of a target.
+
+        :return: ``None`` for an unknown target.
+        """
         return self._targets.by_key.get(target_id) or self._candidates.find(target_id)
 
     def find_departure(self, target_id):
@@ -40,13 +43,13 @@
 
     async def record(self, row):
         """Record the report of a target."""
-        if self.admits(row):
+        if self.admit(row):
             await self._feed.record(row)
         else:
             await self._feed.tell_control(row)
 
-    def admits(self, row):
-        """Return whether a row may be used here; otherwise it becomes a candidate.
+    def admit(self, row):
+        """Return whether a row may be used here, and keep it as a candidate if not.
 
         Each instance decides by the version that it holds. One that has just started
         holds none, and others may use what it is told.
@@ -73,7 +76,7 @@
         :return: whether enough control instances keep that; see
             :class:`~banyanshore.control.leaving_copies.LeavingCopies`.
         """
-        if not self.admits(row):
+        if not self.admit(row):
             await self._feed.tell_control(row)
             # Without any state, the service may be one that is in use.
             return self._state.desired is not None
--- a/banyanshore/gateway/process.py
+++ b/banyanshore/gateway/process.py
@@ -105,6 +105,7 @@
         self.screening = Screening(settings.key_lease_seconds, settings.change_seconds)
         # Opened when the process runs.
         self.caller_listener = None
+        self._listener_limits = ListenerLimits()
         self.leaving = False
         self.stop_plan = NOT_STOPPING
         # The requests that are being processed.
@@ -260,10 +261,8 @@
     def _on_state(self, desired):
         now = time.monotonic()
         document = desired.document
-        limits_before = self._limits()
         self.screening.use(document)
-        if self.caller_listener is not None and self._limits() != limits_before:
-            self.caller_listener.apply_limits()
+        self._use_limits(self.screening.table.limits)
         self._record_rollouts(desired)
         self.withdrawals.reschedule()
         previously_out = self._data_centres_out_of_service
@@ -275,16 +274,20 @@
         for data_centre in previously_out - self._data_centres_out_of_service:
             self.board.expect_cold_targets(now, data_centre, document["services"])
 
-    def _limits(self):
-        if self.screening.table is None:
-            return ListenerLimits()
-        limits = self.screening.table.limits
-        return ListenerLimits(
+    def _use_limits(self, limits):
+        limits_before = self._listener_limits
+        self._listener_limits = ListenerLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
             limits.header_timeout_seconds,
             limits.idle_timeout_seconds,
         )
+        if self.caller_listener is None or self._listener_limits == limits_before:
+            return
+        self.caller_listener.apply_limits()
+
+    def _limits(self):
+        return self._listener_limits
 
     async def _handle_ready(self, exchange):
         await exchange.respond(200 if self.is_ready() else 503)
--- a/benchmarks/gateway_process.py
+++ b/benchmarks/gateway_process.py
@@ -18,7 +18,7 @@
 import anyio
 
 from banyanshore.transport import LinkOptions, LinkPool, TableHandler, serve_peers
-from banyanshore.transport.connection import HeartbeatTicker
+from banyanshore.transport.activity import HeartbeatTicker
 from benchmarks.gateway_surroundings import (
     DATA_CENTRES,
     ENGINES,
--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -21,8 +21,8 @@
 from banyanshore.state import Fence, PublishedState, StateHolder
 from banyanshore.state.document import empty_document, to_json
 from banyanshore.telemetry.control import ControlMetrics
-from banyanshore.transport import decode
 from tests.control.copies import KeptCopies
+from tests.control.test_feed import Follower
 
 pytestmark = pytest.mark.anyio
 
@@ -181,7 +181,7 @@
 
 async def test_target_is_used_once_its_service_is_declared(feed, state):
     """It may report before the declaration that names its service."""
-    connection = Connection()
+    connection = Follower()
     row = replace(ROW, id="u", service="next", address="10.0.0.3:80", cold_seconds=9.0)
     await feed.on_confirm_request(connection, ConfirmRequest(MEMBER, 1))
     async with anyio.create_task_group() as tasks:
@@ -190,10 +190,10 @@
         assert used(feed) == []
         declare(state, 2, "s", "next")
         with anyio.fail_after(1):
-            while not connection.targets():
+            while not sent_targets(connection):
                 await anyio.sleep(0.01)
         tasks.cancel_scope.cancel()
-    (sent,) = connection.targets()
+    (sent,) = sent_targets(connection)
     assert sent.id == "u" and 8.0 < sent.cold_seconds <= 9.0
 
 
@@ -240,25 +240,9 @@
     assert used(feed) == ([("t", 1)] if service == "s" else [])
 
 
-class Connection:
-    """A connection of a follower that keeps what is sent over it."""
-
-    peer = "follower"
-    pending_bytes = 0
-
-    def __init__(self):
-        self.sent = []
-
-    async def notify(self, body):
-        self.sent.append(body)
-
-    async def notify_encoded(self, data):
-        self.sent.append(decode(data).body)
-
-    def targets(self):
-        updates = [body for body in self.sent if isinstance(body, RowUpdate)]
-        rows = [row for update in updates for row in update.rows]
-        return [row for row in rows if isinstance(row, TargetRow)]
+def sent_targets(connection):
+    rows = [row for update in connection.sent_of(RowUpdate) for row in update.rows]
+    return [row for row in rows if isinstance(row, TargetRow)]
 
 
 MEMBER = MemberRow("g", "gateway", "dc", "r", "10.0.0.9:7700", 1, 1)
--- a/tests/weights/test_spoilt_lists.py
+++ b/tests/weights/test_spoilt_lists.py
@@ -1,11 +1,7 @@
 """A fleet whose origin spoils lists of digests and chunks, in virtual time."""
 
-import asyncio
-import itertools
 import random
-import time
 from types import SimpleNamespace
-from unittest import mock
 
 import anyio
 import pytest
@@ -17,7 +13,8 @@
 from banyanshore.weights.relay import RelayedTransfer
 from banyanshore.weights.relay_messages import ChunkPush
 from benchmarks import weights_bound
-from benchmarks.weights_bound import Fleet, Network, Origin, VirtualTimeLoop
+from benchmarks.weights_bound import Fleet, Network, Origin
+from tests.weights.virtual_time import run_in_virtual_time
 
 SWITCH_SECONDS = 9.27
 # Seconds after which a play is given up.
@@ -87,27 +84,12 @@
 def play(fleet, seed=0):
     """Return the network, and the seconds after which each target was whole."""
 
-    async def run_inline(function, *arguments):
-        return function(*arguments)
-
     async def run():
-        loop = asyncio.get_running_loop()
-        seeds = itertools.count(1000 * seed)
-        make = random.Random
-        with (
-            mock.patch.object(time, "monotonic", loop.time),
-            mock.patch.object(time, "clock_gettime", lambda clock: loop.time()),
-            mock.patch.object(anyio.to_thread, "run_sync", run_inline),
-            mock.patch(
-                "banyanshore.weights.transfer.random.Random",
-                lambda *own: make(*own or (next(seeds),)),
-            ),
-        ):
-            network = Network(fleet, (100.0, 100.0))
-            with anyio.fail_after(PLAY_SECONDS):
-                return network, await network.run()
-
-    return anyio.run(run, backend_options={"loop_factory": VirtualTimeLoop})
+        network = Network(fleet, (100.0, 100.0))
+        with anyio.fail_after(PLAY_SECONDS):
+            return network, await network.run()
+
+    return run_in_virtual_time(run, seed)
 
 
 def check_whole(network, whole):
--- a/tests/weights/two_versions.py
+++ b/tests/weights/two_versions.py
@@ -4,13 +4,9 @@
 carry them, while the origin goes away and returns.
 """
 
-import asyncio
 import hashlib
-import itertools
-import random
 import time
 from types import SimpleNamespace
-from unittest import mock
 
 import anyio
 
@@ -29,8 +25,8 @@
     Links,
     Network,
     StagingTransfer,
-    VirtualTimeLoop,
 )
+from tests.weights.virtual_time import run_in_virtual_time
 
 OLDER, NEWER = 2, 3
 # Seconds between decisions which versions are carried.
@@ -231,25 +227,10 @@
 def play(fleet, away, named_after, seed):
     """Play two versions; return the :class:`TwoVersions`."""
 
-    async def run_inline(function, *arguments):
-        return function(*arguments)
-
     async def run():
-        loop = asyncio.get_running_loop()
-        seeds = itertools.count(1000 * seed)
-        make = random.Random
-        with (
-            mock.patch.object(time, "monotonic", loop.time),
-            mock.patch.object(time, "clock_gettime", lambda clock: loop.time()),
-            mock.patch.object(anyio.to_thread, "run_sync", run_inline),
-            mock.patch(
-                "banyanshore.weights.transfer.random.Random",
-                lambda *own: make(*own or (next(seeds),)),
-            ),
-        ):
-            network = TwoVersions(fleet, away, named_after)
-            with anyio.fail_after(200):
-                await network.run()
-            return network
-
-    return anyio.run(run, backend_options={"loop_factory": VirtualTimeLoop})
+        network = TwoVersions(fleet, away, named_after)
+        with anyio.fail_after(200):
+            await network.run()
+        return network
+
+    return run_in_virtual_time(run, seed)
